Lay out the workspace, the design page, the schema and the checked model

Cause: the project starts empty. The design page states the requirements, the owners of state, the messages and what happens when a part fails, so that the crates can be written side by side against fixed interfaces.

Ruled out: one crate for everything (decisions could then reach sockets and clocks), and a gRPC store client (needs protoc at build time).

Before: nothing.

Conclusion: the interfaces are ready for the decision crates.

--- /dev/null
+++ b/crates/apricotfold-model/src/profile.rs
@@ -0,0 +1,471 @@
+//! A checked profile: how a service's traffic is routed, retried, limited and drained.
+
+use std::time::Duration;
+
+use apricotfold_schema::settings::{
+    ClusterSpec, DrainSpec, LimitSpec, ProfileSpec, RetrySpec, RouteSpec,
+};
+use compact_str::{CompactString, format_compact};
+use smallvec::SmallVec;
+use strum::{Display, EnumString, IntoStaticStr};
+
+use crate::{
+    ClusterName, FieldError, FieldErrors, ListenerName, ProfileName, SecretName, ServiceName,
+};
+
+const MAX_NAME_CHARS: usize = 63;
+const MAX_ROUTES: usize = 1_000;
+const MAX_CLUSTERS: usize = 650;
+const MAX_ATTEMPTS: u32 = 5;
+const MAX_TIMEOUT_MS: u32 = 3_600_000;
+const MAX_QUEUE: u32 = 10_000;
+const MAX_SLOTS: u32 = 10_000;
+
+/// Length of a piece of work. Long work waits in a queue of its own.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum WorkClass {
+    /// Page views, look-ups, orders.
+    #[default]
+    Short,
+    /// Downloads and other work that runs many times longer than a page view.
+    Long,
+}
+
+/// How important a call is when a target cannot run everything. The order is from the first to be
+/// refused to the last.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum CallPriority {
+    /// Refused first.
+    Sheddable,
+    /// The default.
+    #[default]
+    Normal,
+    /// Refused last.
+    Critical,
+}
+
+/// A named group of targets: the live targets of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClusterRef {
+    /// Name that routes use.
+    pub name: ClusterName,
+    /// Service whose targets belong to the cluster.
+    pub service: ServiceName,
+    /// Secret that the node must hold to call the cluster.
+    pub secret: Option<SecretName>,
+}
+
+/// Sends matching requests to a cluster.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteRule {
+    /// Name of the route, used in logs.
+    pub name: CompactString,
+    /// Listener that the request came in on.
+    pub listener: ListenerName,
+    /// Prefix that the request's path must have; whole segments only.
+    pub path_prefix: CompactString,
+    /// Methods that match; empty matches all.
+    pub methods: SmallVec<[CompactString; 4]>,
+    /// Cluster that receives the request.
+    pub cluster: ClusterName,
+    /// Length of the work.
+    pub class: WorkClass,
+    /// Importance of the work.
+    pub priority: CallPriority,
+    /// Time that the whole call may take.
+    pub timeout: Duration,
+    /// Whether a request may run twice without harm.
+    pub idempotent: bool,
+    /// Whether each request must carry an idempotency key that is claimed before it runs.
+    pub require_key: bool,
+}
+
+/// Retries and hedges of calls that enter at a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryRule {
+    /// Attempts per call, the first included.
+    pub max_attempts: u32,
+    /// Retries as a percentage of first attempts.
+    pub budget_percent: u32,
+    /// Latency percentile after which an idempotent call is hedged; `None` turns hedging off.
+    pub hedge_percentile: Option<u32>,
+    /// Hedges as a percentage of first attempts.
+    pub hedge_budget_percent: u32,
+}
+
+impl Default for RetryRule {
+    fn default() -> Self {
+        Self {
+            max_attempts: 2,
+            budget_percent: 10,
+            hedge_percentile: None,
+            hedge_budget_percent: 5,
+        }
+    }
+}
+
+/// Limits at the target's own node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitRule {
+    /// Requests that run at once; `None` means what the target announced.
+    pub slots: Option<u32>,
+    /// Largest share of the slots that long work may hold, in percent.
+    pub long_percent: u32,
+    /// Short requests that may wait.
+    pub short_queue: u32,
+    /// Long requests that may wait.
+    pub long_queue: u32,
+    /// Longest wait in a queue.
+    pub queue_wait: Duration,
+}
+
+impl Default for LimitRule {
+    fn default() -> Self {
+        Self {
+            slots: None,
+            long_percent: 50,
+            short_queue: 64,
+            long_queue: 16,
+            queue_wait: Duration::from_millis(40),
+        }
+    }
+}
+
+/// How a leaving node finishes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainRule {
+    /// How long a leaving node still accepts work that peers send before they heard of it.
+    pub notice: Duration,
+    /// How long in-flight work may take.
+    pub grace: Duration,
+}
+
+impl Default for DrainRule {
+    fn default() -> Self {
+        Self {
+            notice: Duration::from_millis(500),
+            grace: Duration::from_mins(10),
+        }
+    }
+}
+
+/// A checked profile. The default profile has no routes and default limits; services that picked
+/// no profile, or a withdrawn one, run under it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct MeshProfile {
+    /// Name of the profile.
+    pub name: ProfileName,
+    /// Listeners that a node must have.
+    pub listeners: SmallVec<[ListenerName; 4]>,
+    /// Secrets that a node must have.
+    pub secrets: SmallVec<[SecretName; 4]>,
+    /// Clusters that the routes name.
+    pub clusters: Vec<ClusterRef>,
+    /// Routes in the order in which they are tried.
+    pub routes: Vec<RouteRule>,
+    /// Retries and hedges.
+    pub retries: RetryRule,
+    /// Limits of the node's own target.
+    pub limits: LimitRule,
+    /// How the node drains.
+    pub drain: DrainRule,
+}
+
+impl TryFrom<ProfileSpec> for MeshProfile {
+    type Error = FieldErrors;
+
+    fn try_from(spec: ProfileSpec) -> Result<Self, Self::Error> {
+        let mut errors = FieldErrors::default();
+        check_name(&mut errors, "name", &spec.name);
+        check_names(&mut errors, "listeners", &spec.listeners);
+        check_names(&mut errors, "secrets", &spec.secrets);
+        check_count(&mut errors, "clusters", spec.clusters.len(), MAX_CLUSTERS);
+        check_count(&mut errors, "routes", spec.routes.len(), MAX_ROUTES);
+        let secrets: SmallVec<_> = spec.secrets.iter().map(CompactString::from).collect();
+        let listeners: SmallVec<_> = spec.listeners.iter().map(CompactString::from).collect();
+        let clusters = read_clusters(&mut errors, spec.clusters, &secrets);
+        let routes = read_routes(&mut errors, spec.routes, &listeners, &clusters);
+        let profile = Self {
+            name: spec.name.into(),
+            retries: read_retries(&mut errors, spec.retries),
+            limits: read_limits(&mut errors, spec.limits),
+            drain: read_drain(&mut errors, spec.drain),
+            listeners,
+            secrets,
+            clusters,
+            routes,
+        };
+        errors.finish(profile)
+    }
+}
+
+fn check_count(errors: &mut FieldErrors, field: &'static str, count: usize, limit: usize) {
+    errors.check(count <= limit, || {
+        FieldError::new(field, count, format_compact!("at most {limit} entries"))
+    });
+}
+
+/// Adds an error unless `name` can stand in a store key and a URL.
+pub(crate) fn check_name(errors: &mut FieldErrors, field: &str, name: &str) {
+    let valid = !name.is_empty()
+        && name.len() <= MAX_NAME_CHARS
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-');
+    errors.check(valid, || {
+        FieldError::new(field, name, "1 to 63 characters from a-z, 0-9 and -")
+    });
+}
+
+fn check_names(errors: &mut FieldErrors, field: &str, names: &[String]) {
+    for (index, name) in names.iter().enumerate() {
+        let path = format!("{field}[{index}]");
+        check_name(errors, &path, name);
+        errors.check(!names[..index].contains(name), || {
+            FieldError::new(path.as_str(), name, "a name that is listed once")
+        });
+    }
+}
+
+fn check_range(errors: &mut FieldErrors, field: &str, value: u32, low: u32, high: u32) {
+    errors.check((low..=high).contains(&value), || {
+        FieldError::new(
+            field,
+            value,
+            format_compact!("a whole number from {low} to {high}"),
+        )
+    });
+}
+
+/// Reads a named value; an empty text means the default.
+pub(crate) fn read_enum<T: std::str::FromStr + Default>(
+    errors: &mut FieldErrors,
+    field: &str,
+    text: &str,
+    expected: &'static str,
+) -> T {
+    if text.is_empty() {
+        return T::default();
+    }
+    text.parse().unwrap_or_else(|_| {
+        errors.push(FieldError::new(field, text, expected));
+        T::default()
+    })
+}
+
+fn read_clusters(
+    errors: &mut FieldErrors,
+    specs: Vec<ClusterSpec>,
+    secrets: &[SecretName],
+) -> Vec<ClusterRef> {
+    let mut clusters: Vec<ClusterRef> = Vec::with_capacity(specs.len());
+    for (index, spec) in specs.into_iter().enumerate() {
+        let path = format!("clusters[{index}]");
+        check_name(errors, &format!("{path}.name"), &spec.name);
+        check_name(errors, &format!("{path}.service"), &spec.service);
+        errors.check(clusters.iter().all(|known| known.name != spec.name), || {
+            FieldError::new(
+                format!("{path}.name"),
+                &spec.name,
+                "a name that is used once",
+            )
+        });
+        let secret = (!spec.secret.is_empty()).then(|| CompactString::from(&spec.secret));
+        let known = secret.as_ref().is_none_or(|name| secrets.contains(name));
+        errors.check(known, || {
+            FieldError::new(
+                format!("{path}.secret"),
+                &spec.secret,
+                "a name listed in secrets",
+            )
+        });
+        clusters.push(ClusterRef {
+            name: spec.name.into(),
+            service: spec.service.into(),
+            secret,
+        });
+    }
+    clusters
+}
+
+fn read_routes(
+    errors: &mut FieldErrors,
+    specs: Vec<RouteSpec>,
+    listeners: &[ListenerName],
+    clusters: &[ClusterRef],
+) -> Vec<RouteRule> {
+    let mut routes: Vec<RouteRule> = Vec::with_capacity(specs.len());
+    for (index, spec) in specs.into_iter().enumerate() {
+        let route = read_route(errors, index, spec, listeners, clusters);
+        errors.check(routes.iter().all(|known| known.name != route.name), || {
+            FieldError::new(
+                format!("routes[{index}].name"),
+                &route.name,
+                "a name that is used once",
+            )
+        });
+        routes.push(route);
+    }
+    routes
+}
+
+fn read_route(
+    errors: &mut FieldErrors,
+    index: usize,
+    spec: RouteSpec,
+    listeners: &[ListenerName],
+    clusters: &[ClusterRef],
+) -> RouteRule {
+    let at = |field: &str| format!("routes[{index}].{field}");
+    check_name(errors, &at("name"), &spec.name);
+    errors.check(listeners.iter().any(|name| *name == spec.listener), || {
+        FieldError::new(at("listener"), &spec.listener, "a name listed in listeners")
+    });
+    errors.check(
+        clusters.iter().any(|known| known.name == spec.cluster),
+        || FieldError::new(at("cluster"), &spec.cluster, "the name of one of clusters"),
+    );
+    errors.check(spec.path_prefix.starts_with('/'), || {
+        FieldError::new(
+            at("path_prefix"),
+            &spec.path_prefix,
+            "a path that starts with /",
+        )
+    });
+    for method in &spec.methods {
+        let valid = !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase());
+        errors.check(valid, || {
+            FieldError::new(at("methods"), method, "an HTTP method in capital letters")
+        });
+    }
+    check_range(
+        errors,
+        &at("timeout_ms"),
+        spec.timeout_ms,
+        1,
+        MAX_TIMEOUT_MS,
+    );
+    errors.check(!(spec.idempotent && spec.require_key), || {
+        FieldError::new(at("require_key"), true, "false on an idempotent route")
+    });
+    RouteRule {
+        class: read_enum(errors, &at("class"), &spec.class, "short or long"),
+        priority: read_enum(
+            errors,
+            &at("priority"),
+            &spec.priority,
+            "critical, normal or sheddable",
+        ),
+        name: spec.name.into(),
+        listener: spec.listener.into(),
+        path_prefix: spec.path_prefix.into(),
+        methods: spec.methods.into_iter().map(CompactString::from).collect(),
+        cluster: spec.cluster.into(),
+        timeout: Duration::from_millis(spec.timeout_ms.into()),
+        idempotent: spec.idempotent,
+        require_key: spec.require_key,
+    }
+}
+
+fn read_retries(errors: &mut FieldErrors, spec: Option<RetrySpec>) -> RetryRule {
+    let Some(spec) = spec else {
+        return RetryRule::default();
+    };
+    check_range(
+        errors,
+        "retries.max_attempts",
+        spec.max_attempts,
+        1,
+        MAX_ATTEMPTS,
+    );
+    check_range(
+        errors,
+        "retries.budget_percent",
+        spec.budget_percent,
+        0,
+        100,
+    );
+    check_range(
+        errors,
+        "retries.hedge_percentile",
+        spec.hedge_percentile,
+        0,
+        99,
+    );
+    let hedge_budget = spec.hedge_budget_percent;
+    check_range(errors, "retries.hedge_budget_percent", hedge_budget, 0, 100);
+    RetryRule {
+        max_attempts: spec.max_attempts,
+        budget_percent: spec.budget_percent,
+        hedge_percentile: (spec.hedge_percentile > 0).then_some(spec.hedge_percentile),
+        hedge_budget_percent: hedge_budget,
+    }
+}
+
+fn read_limits(errors: &mut FieldErrors, spec: Option<LimitSpec>) -> LimitRule {
+    let Some(spec) = spec else {
+        return LimitRule::default();
+    };
+    check_range(errors, "limits.slots", spec.slots, 0, MAX_SLOTS);
+    check_range(errors, "limits.long_percent", spec.long_percent, 0, 90);
+    check_range(errors, "limits.short_queue", spec.short_queue, 0, MAX_QUEUE);
+    check_range(errors, "limits.long_queue", spec.long_queue, 0, MAX_QUEUE);
+    check_range(
+        errors,
+        "limits.queue_wait_ms",
+        spec.queue_wait_ms,
+        0,
+        MAX_TIMEOUT_MS,
+    );
+    LimitRule {
+        slots: (spec.slots > 0).then_some(spec.slots),
+        long_percent: spec.long_percent,
+        short_queue: spec.short_queue,
+        long_queue: spec.long_queue,
+        queue_wait: Duration::from_millis(spec.queue_wait_ms.into()),
+    }
+}
+
+fn read_drain(errors: &mut FieldErrors, spec: Option<DrainSpec>) -> DrainRule {
+    let Some(spec) = spec else {
+        return DrainRule::default();
+    };
+    check_range(errors, "drain.notice_ms", spec.notice_ms, 0, 3_000);
+    check_range(errors, "drain.grace_ms", spec.grace_ms, 1, MAX_TIMEOUT_MS);
+    DrainRule {
+        notice: Duration::from_millis(spec.notice_ms.into()),
+        grace: Duration::from_millis(spec.grace_ms.into()),
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/apricotfold-testkit/src/bin/apricotfold-demo.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
