Add the store client over etcd v3's JSON gateway

Cause: publishing, relays and claims need compare-and-swap, leases and watches behind one trait.

Ruled out: a gRPC client crate (needs protoc at build time) and a transaction type that exposes etcd's messages, which fakes would have to copy.

Change: trait ConfigStore, HttpStore, typed transactions, errors that say whether a write may have taken effect.

Before: no client.

Conclusion: the border is fixed and the command can be written against it.

--- /dev/null
+++ b/crates/apricotfold-store/src/http.rs
@@ -0,0 +1,227 @@
+//! [`HttpStore`]: the store over etcd v3's JSON gateway.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use apricotfold_model::{StepError, StoreConfig};
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use futures_util::stream::{BoxStream, StreamExt, TryStreamExt};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use smallvec::SmallVec;
+
+use crate::wire::{
+    self, WireKeepAlive, WireLease, WireRange, WireTxn, WireWatch, get_request, list_request,
+    txn_request, watch_request,
+};
+use crate::{
+    ConfigStore, LeaseId, RangeAnswer, Revision, StoreEntry, StoreError, StoreFuture, StoreTxn,
+    TxnAnswer, WatchBatch, WatchStream, WriteEffect,
+};
+
+/// Idle connections are closed before common servers close them, since a request on a connection
+/// that closes at the same moment fails.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+
+/// Client over HTTP. It stays with one endpoint and moves to the next after a failure.
+pub struct HttpStore {
+    client: reqwest::Client,
+    endpoints: SmallVec<[CompactString; 2]>,
+    timeout: Duration,
+    current: AtomicUsize,
+}
+
+impl HttpStore {
+    /// Prepares a client. No connection is made yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client cannot be set up.
+    pub fn new(config: &StoreConfig) -> eyre::Result<Self> {
+        let client = reqwest::Client::builder()
+            .connect_timeout(config.timeout)
+            .pool_idle_timeout(IDLE_LIMIT)
+            .no_proxy()
+            .build()?;
+        Ok(Self {
+            client,
+            endpoints: config.endpoints.clone(),
+            timeout: config.timeout,
+            current: AtomicUsize::new(0),
+        })
+    }
+
+    fn endpoint(&self) -> &CompactString {
+        let index = self.current.load(Ordering::Relaxed) % self.endpoints.len();
+        &self.endpoints[index]
+    }
+
+    fn fail(&self, step: &'static str, cause: eyre::Report, effect: WriteEffect) -> StoreError {
+        let peer = self.endpoint().clone();
+        self.current.fetch_add(1, Ordering::Relaxed);
+        StoreError {
+            error: StepError::new(step, peer, cause),
+            effect,
+        }
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    async fn send(
+        &self,
+        step: &'static str,
+        path: &str,
+        body: &Value,
+        timeout: Option<Duration>,
+    ) -> Result<reqwest::Response, StoreError> {
+        let url = format!("{}{path}", self.endpoint());
+        let mut request = self.client.post(url).json(body);
+        if let Some(limit) = timeout {
+            request = request.timeout(limit);
+        }
+        let response = request.send().await.map_err(|error| {
+            let effect = if error.is_connect() {
+                WriteEffect::None
+            } else {
+                WriteEffect::Unknown
+            };
+            self.fail(step, error.into(), effect)
+        })?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        let status = response.status();
+        let text = response.text().await.unwrap_or_default();
+        Err(self.fail(step, eyre::eyre!("{status}: {text}"), WriteEffect::None))
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        path: &str,
+        body: &Value,
+    ) -> Result<T, StoreError> {
+        let response = self.send(step, path, body, Some(self.timeout)).await?;
+        let bytes = response
+            .bytes()
+            .await
+            .map_err(|error| self.fail(step, error.into(), WriteEffect::Unknown))?;
+        serde_json::from_slice(&bytes)
+            .map_err(|error| self.fail(step, error.into(), WriteEffect::Unknown))
+    }
+
+    async fn read(&self, step: &'static str, body: Value) -> Result<RangeAnswer, StoreError> {
+        let range: WireRange = self.call(step, "/v3/kv/range", &body).await?;
+        Ok(RangeAnswer {
+            revision: range.header.revision,
+            entries: range.kvs.into_iter().map(StoreEntry::from).collect(),
+        })
+    }
+
+    async fn open_watch(&self, body: Value) -> Result<WatchStream, StoreError> {
+        let send = self.send("watch", "/v3/watch", &body, None);
+        let response = tokio::time::timeout(self.timeout, send)
+            .await
+            .map_err(|error| self.fail("watch", error.into(), WriteEffect::None))??;
+        let peer = self.endpoint().clone();
+        let bytes = response.bytes_stream().map_err(eyre::Report::from).boxed();
+        Ok(read_lines(bytes)
+            .map(move |line| line.and_then(|text| read_batch(&text)))
+            .map(move |batch| batch.map_err(|cause| watch_error(&peer, cause)))
+            .boxed())
+    }
+}
+
+impl ConfigStore for HttpStore {
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, RangeAnswer> {
+        Box::pin(self.read("get", get_request(key)))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, RangeAnswer> {
+        Box::pin(self.read("list", list_request(prefix)))
+    }
+
+    fn commit<'a>(&'a self, txn: &'a StoreTxn) -> StoreFuture<'a, TxnAnswer> {
+        Box::pin(async move {
+            let answer: WireTxn = self.call("commit", "/v3/kv/txn", &txn_request(txn)).await?;
+            let ranges = answer
+                .responses
+                .into_iter()
+                .filter_map(|item| item.response_range);
+            let found = ranges.flat_map(|range| range.kvs).map(StoreEntry::from);
+            Ok(TxnAnswer {
+                succeeded: answer.succeeded,
+                revision: answer.header.revision,
+                found: found.collect(),
+            })
+        })
+    }
+
+    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
+        Box::pin(async move {
+            let body = json!({"TTL": ttl.as_secs().max(1).to_string(), "ID": "0"});
+            let lease: WireLease = self.call("grant", "/v3/lease/grant", &body).await?;
+            Ok(lease.id)
+        })
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
+        Box::pin(async move {
+            let body = json!({"ID": lease.to_string()});
+            let answer: WireKeepAlive = self
+                .call("keep-alive", "/v3/lease/keepalive", &body)
+                .await?;
+            Ok(Duration::from_secs(answer.result.ttl.max(0).unsigned_abs()))
+        })
+    }
+
+    fn revoke(&self, lease: LeaseId) -> StoreFuture<'_, ()> {
+        Box::pin(async move {
+            let body = json!({"ID": lease.to_string()});
+            let _: Value = self.call("revoke", "/v3/lease/revoke", &body).await?;
+            Ok(())
+        })
+    }
+
+    fn watch<'a>(&'a self, prefix: &'a str, revision: Revision) -> StoreFuture<'a, WatchStream> {
+        Box::pin(self.open_watch(watch_request(prefix, revision)))
+    }
+}
+
+fn watch_error(peer: &CompactString, cause: eyre::Report) -> StoreError {
+    StoreError {
+        error: StepError::new("watch", peer.clone(), cause),
+        effect: WriteEffect::None,
+    }
+}
+
+/// Splits a stream of bytes into lines. A line may span several pieces.
+fn read_lines(
+    bytes: BoxStream<'static, eyre::Result<Bytes>>,
+) -> BoxStream<'static, eyre::Result<Bytes>> {
+    futures_util::stream::try_unfold((bytes, BytesMut::new()), |(mut bytes, mut buffer)| async {
+        loop {
+            if let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+                let line = buffer.split_to(end + 1).freeze();
+                return Ok(Some((line, (bytes, buffer))));
+            }
+            match bytes.try_next().await? {
+                Some(piece) => buffer.extend_from_slice(&piece),
+                None => return Ok(None),
+            }
+        }
+    })
+    .boxed()
+}
+
+fn read_batch(line: &[u8]) -> eyre::Result<WatchBatch> {
+    let element: WireWatch = serde_json::from_slice(line)?;
+    if let Some(error) = element.error {
+        eyre::bail!("watch ended: {error}");
+    }
+    let result: wire::WireWatchResult = element.result.unwrap_or_default();
+    if result.canceled {
+        eyre::bail!("watch canceled by the store");
+    }
+    Ok(result.into())
+}
