Add the call decisions as plain state machines

Cause: the node daemon needs the whole API of the policy crate to be written against, before the decisions are tested in depth.

Ruled out: passing budgets at construction of each call (they are shared by all calls to a service), and one balancer for both work classes (a download would make a fast target look slow to short work).

Before: a placeholder.

Conclusion: the API can be used; tests follow.

--- /dev/null
+++ b/crates/apricotfold-policy/src/admission.rs
@@ -0,0 +1,408 @@
+//! Admission of requests at the target's own node. See `docs/design.md`, section 6.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallPriority, LimitRule, RefusalReason, WorkClass};
+use smallvec::SmallVec;
+
+use crate::LoadReport;
+use crate::waiting::{WaitingQueue, WaitingRequest};
+
+/// Identifies a request at this node. The daemon never uses a number twice.
+pub type AdmissionId = u64;
+
+/// Events of one step, in the order in which they are carried out.
+pub type AdmissionEvents = SmallVec<[AdmissionEvent; 4]>;
+
+/// Time for which requests must have been waiting without a pause before the queue counts as
+/// overloaded. Bursts that drain sooner are served oldest first.
+const OVERLOAD_AFTER: Duration = Duration::from_millis(100);
+
+/// Weight of a new service time in the moving estimate. It follows a change within about ten
+/// requests.
+const ESTIMATE_WEIGHT: f64 = 0.1;
+
+/// Limits of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionLimits {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Largest share of the slots that long work may hold, in percent.
+    pub long_percent: u32,
+    /// Short requests that may wait.
+    pub short_queue: u32,
+    /// Long requests that may wait.
+    pub long_queue: u32,
+    /// Longest wait in a queue.
+    pub queue_wait: Duration,
+}
+
+impl AdmissionLimits {
+    /// Takes the limits of a profile; `announced` is the number of slots that the target announced
+    /// and counts when the profile sets none.
+    #[must_use]
+    pub fn new(rule: &LimitRule, announced: u32) -> Self {
+        Self {
+            slots: rule.slots.unwrap_or(announced),
+            long_percent: rule.long_percent,
+            short_queue: rule.short_queue,
+            long_queue: rule.long_queue,
+            queue_wait: rule.queue_wait,
+        }
+    }
+
+    /// Long requests that may run at once. One slot is always left to short work, so a target with
+    /// a single slot runs no long work.
+    #[must_use]
+    pub fn long_slots(&self) -> u32 {
+        if self.slots < 2 {
+            return 0;
+        }
+        let share = u64::from(self.slots) * u64::from(self.long_percent) / 100;
+        let share = u32::try_from(share).unwrap_or(u32::MAX);
+        share.clamp(1, self.slots - 1)
+    }
+
+    fn queue_limit(&self, class: WorkClass) -> usize {
+        let limit = match class {
+            WorkClass::Short => self.short_queue,
+            WorkClass::Long => self.long_queue,
+        };
+        limit as usize
+    }
+}
+
+/// Answer to an offered request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Pass it to the target now and call [`AdmissionQueue::release`] when it has ended.
+    Run,
+    /// An [`AdmissionEvent`] for it follows.
+    Wait,
+    /// Answer `not-run` with this reason.
+    Refuse(RefusalReason),
+}
+
+/// Decision about a request that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionEvent {
+    /// Pass it to the target now and call [`AdmissionQueue::release`] when it has ended.
+    Start(AdmissionId),
+    /// Answer `not-run` with this reason.
+    Refuse(AdmissionId, RefusalReason),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RunningRequest {
+    class: WorkClass,
+    started: Instant,
+}
+
+/// Decides which requests a target runs, which wait, and which are refused.
+///
+/// Short and long work wait in separate queues, highest priority first. Within a priority the
+/// oldest goes first, until requests have been waiting without a pause for 100 ms; from then on the
+/// newest goes first. Under sustained overload most waiting requests will be refused whatever the
+/// order, and the newest ones have the most time left, so the target's work is not spent on answers
+/// that arrive too late.
+#[derive(Clone, Debug)]
+pub struct AdmissionQueue {
+    limits: AdmissionLimits,
+    draining: bool,
+    running: HashMap<AdmissionId, RunningRequest>,
+    long_running: u32,
+    short: ClassQueue,
+    long: ClassQueue,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ClassQueue {
+    waiting: WaitingQueue,
+    /// Time since which the queue has not been empty.
+    busy_since: Option<Instant>,
+    /// Moving estimate of the service time.
+    estimate: Option<Duration>,
+}
+
+impl ClassQueue {
+    fn is_overloaded(&self, now: Instant) -> bool {
+        self.busy_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= OVERLOAD_AFTER)
+    }
+
+    fn note_length(&mut self, now: Instant) {
+        if self.waiting.is_empty() {
+            self.busy_since = None;
+        } else {
+            self.busy_since.get_or_insert(now);
+        }
+    }
+
+    fn record_service(&mut self, service: Duration) {
+        let estimate = self.estimate.map_or(service, |estimate| {
+            estimate.mul_f64(1.0 - ESTIMATE_WEIGHT) + service.mul_f64(ESTIMATE_WEIGHT)
+        });
+        self.estimate = Some(estimate);
+    }
+
+    fn service_time(&self) -> Duration {
+        self.estimate.unwrap_or_default()
+    }
+}
+
+impl AdmissionQueue {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(limits: AdmissionLimits) -> Self {
+        Self {
+            limits,
+            draining: false,
+            running: HashMap::new(),
+            long_running: 0,
+            short: ClassQueue::default(),
+            long: ClassQueue::default(),
+        }
+    }
+
+    /// Decides about a new request. The events concern other requests: those that expired or that
+    /// this one displaced.
+    pub fn offer(
+        &mut self,
+        id: AdmissionId,
+        class: WorkClass,
+        priority: CallPriority,
+        deadline: Instant,
+        now: Instant,
+    ) -> (Admission, AdmissionEvents) {
+        let mut events = self.expire(now);
+        if self.draining {
+            return (Admission::Refuse(RefusalReason::Draining), events);
+        }
+        if deadline <= now {
+            return (Admission::Refuse(RefusalReason::DeadlineTooClose), events);
+        }
+        if self.queue(class).waiting.is_empty() && self.may_run(class) {
+            self.run(id, class, now);
+            return (Admission::Run, events);
+        }
+        let wait = self.expected_wait(class, priority, now);
+        let service = self.queue(class).service_time();
+        if now + wait + service > deadline {
+            return (Admission::Refuse(RefusalReason::DeadlineTooClose), events);
+        }
+        let latest_start = deadline.checked_sub(service).unwrap_or(now);
+        let longest_wait = now + self.limits.queue_wait;
+        let request = WaitingRequest {
+            id,
+            priority,
+            expires: latest_start.min(longest_wait),
+            deadline_bound: latest_start < longest_wait,
+        };
+        let admission = self.enqueue(class, request, now, &mut events);
+        (admission, events)
+    }
+
+    /// Notes that a running request has ended, with or without an answer of the target.
+    pub fn release(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
+        if let Some(ended) = self.stop(id) {
+            let service = now.saturating_duration_since(ended.started);
+            self.queue_mut(ended.class).record_service(service);
+        }
+        self.expire(now)
+    }
+
+    /// Notes that the caller of a request has gone, whether it waits or runs. The time of a running
+    /// one does not count in the service time estimate, because it was cut short.
+    pub fn cancel(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
+        if self.stop(id).is_none() {
+            self.short.waiting.remove(id);
+            self.long.waiting.remove(id);
+        }
+        self.expire(now)
+    }
+
+    /// Refuses requests that waited too long and starts those that can run.
+    pub fn expire(&mut self, now: Instant) -> AdmissionEvents {
+        let mut events = AdmissionEvents::new();
+        for class in [WorkClass::Short, WorkClass::Long] {
+            let overloaded = self.queue(class).is_overloaded(now);
+            for request in self.queue_mut(class).waiting.take_expired(now) {
+                let reason = expiry_reason(&request, overloaded);
+                events.push(AdmissionEvent::Refuse(request.id, reason));
+            }
+        }
+        while let Some((id, class)) = self.take_next(now) {
+            self.run(id, class, now);
+            events.push(AdmissionEvent::Start(id));
+        }
+        self.short.note_length(now);
+        self.long.note_length(now);
+        events
+    }
+
+    /// Time at which [`expire`](Self::expire) must be called, `None` while nothing waits.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Instant> {
+        let short = self.short.waiting.next_expiry();
+        let long = self.long.waiting.next_expiry();
+        short.into_iter().chain(long).min()
+    }
+
+    /// Changes the limits. Running requests continue, even when they are more than the new slots.
+    pub fn set_limits(&mut self, limits: AdmissionLimits, now: Instant) -> AdmissionEvents {
+        self.limits = limits;
+        self.expire(now)
+    }
+
+    /// Starts or stops refusing new requests with `draining`. Requests that wait were accepted
+    /// before and still run or expire within `queue_wait`.
+    pub fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    /// Load to report to callers: running and waiting requests, and slots.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        let waiting = self.short.waiting.len() + self.long.waiting.len();
+        let in_flight = self.running.len() + waiting;
+        LoadReport {
+            in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+            slots: self.limits.slots,
+        }
+    }
+
+    /// Number of requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Number of long requests that run.
+    #[must_use]
+    pub fn long_running(&self) -> u32 {
+        self.long_running
+    }
+
+    fn queue(&self, class: WorkClass) -> &ClassQueue {
+        match class {
+            WorkClass::Short => &self.short,
+            WorkClass::Long => &self.long,
+        }
+    }
+
+    fn queue_mut(&mut self, class: WorkClass) -> &mut ClassQueue {
+        match class {
+            WorkClass::Short => &mut self.short,
+            WorkClass::Long => &mut self.long,
+        }
+    }
+
+    fn run(&mut self, id: AdmissionId, class: WorkClass, now: Instant) {
+        let request = RunningRequest {
+            class,
+            started: now,
+        };
+        self.running.insert(id, request);
+        if class == WorkClass::Long {
+            self.long_running += 1;
+        }
+    }
+
+    fn stop(&mut self, id: AdmissionId) -> Option<RunningRequest> {
+        let ended = self.running.remove(&id)?;
+        if ended.class == WorkClass::Long {
+            self.long_running -= 1;
+        }
+        Some(ended)
+    }
+
+    /// Tells whether the slots allow one more request of a class. Long work leaves one slot free,
+    /// unless no long work runs at all: otherwise steady short work would keep it waiting forever.
+    fn may_run(&self, class: WorkClass) -> bool {
+        let free = self.limits.slots.saturating_sub(self.running());
+        match class {
+            WorkClass::Short => free > 0,
+            WorkClass::Long => {
+                let enough = free > 1 || (free == 1 && self.long_running == 0);
+                enough && self.long_running < self.limits.long_slots()
+            }
+        }
+    }
+
+    fn enqueue(
+        &mut self,
+        class: WorkClass,
+        request: WaitingRequest,
+        now: Instant,
+        events: &mut AdmissionEvents,
+    ) -> Admission {
+        let overloaded = self.queue(class).is_overloaded(now);
+        let limit = self.limits.queue_limit(class);
+        let never_runs = class == WorkClass::Long && self.limits.long_slots() == 0;
+        if limit == 0 || never_runs {
+            return Admission::Refuse(full_reason(overloaded));
+        }
+        let queue = self.queue_mut(class);
+        if queue.waiting.len() >= limit {
+            let Some(displaced) = queue.waiting.displace(request.priority, overloaded) else {
+                return Admission::Refuse(full_reason(overloaded));
+            };
+            let reason = RefusalReason::Overloaded;
+            events.push(AdmissionEvent::Refuse(displaced.id, reason));
+        }
+        queue.waiting.push(request);
+        queue.note_length(now);
+        Admission::Wait
+    }
+
+    /// Expected wait of a new request: the service time of those that go before it, shared among
+    /// the slots of its class.
+    fn expected_wait(&self, class: WorkClass, priority: CallPriority, now: Instant) -> Duration {
+        let queue = self.queue(class);
+        let newest_first = queue.is_overloaded(now);
+        let ahead = queue.waiting.count_ahead(priority, newest_first);
+        let slots = match class {
+            WorkClass::Short => self.limits.slots.saturating_sub(self.long_running),
+            WorkClass::Long => self.limits.long_slots(),
+        };
+        let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        queue.service_time().saturating_mul(turns) / slots.max(1)
+    }
+
+    /// Takes the waiting request that runs next. The class with the higher waiting priority goes
+    /// first; at equal priority short work does, unless no long work runs.
+    fn take_next(&mut self, now: Instant) -> Option<(AdmissionId, WorkClass)> {
+        let top = |class| {
+            let priority = self.queue(class).waiting.top_priority();
+            priority.filter(|_| self.may_run(class))
+        };
+        let class = match (top(WorkClass::Short), top(WorkClass::Long)) {
+            (None, None) => return None,
+            (None, Some(_)) => WorkClass::Long,
+            (Some(short), Some(long)) if long > short => WorkClass::Long,
+            (Some(short), Some(long)) if long == short && self.long_running == 0 => WorkClass::Long,
+            (Some(_), _) => WorkClass::Short,
+        };
+        let queue = self.queue_mut(class);
+        let newest_first = queue.is_overloaded(now);
+        let request = queue.waiting.take_first(newest_first)?;
+        Some((request.id, class))
+    }
+}
+
+fn expiry_reason(request: &WaitingRequest, overloaded: bool) -> RefusalReason {
+    if request.deadline_bound {
+        return RefusalReason::DeadlineTooClose;
+    }
+    full_reason(overloaded)
+}
+
+/// `queue-full` lets the caller's node try another target; `overloaded` does not.
+fn full_reason(overloaded: bool) -> RefusalReason {
+    if overloaded {
+        RefusalReason::Overloaded
+    } else {
+        RefusalReason::QueueFull
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-policy/src/hedge.rs
@@ -0,0 +1,83 @@
+//! When a slow call deserves a second attempt. See `docs/design.md`, section 6.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Latencies that are kept. 1,000 samples give ten above the 99th percentile.
+const MAX_SAMPLES: usize = 1_000;
+
+/// Age at which a sample is dropped, so that the percentile follows the present load.
+const SAMPLE_WINDOW: Duration = Duration::from_secs(30);
+
+/// Samples below which no hedge is sent, since a high percentile of a few samples is their maximum.
+const MIN_SAMPLES: usize = 50;
+
+/// New samples after which the percentile is computed again. It saves a selection over the window
+/// on every call.
+const REFRESH_EVERY: usize = 32;
+
+/// Time after which the percentile is computed again, whatever the number of new samples.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Delay after which a call is hedged: a percentile of recent latencies of the same service and
+/// work class.
+#[derive(Clone, Debug)]
+pub struct HedgeTimer {
+    percentile: u32,
+    samples: VecDeque<(Instant, Duration)>,
+    unseen: usize,
+    computed: Option<(Instant, Option<Duration>)>,
+}
+
+impl HedgeTimer {
+    /// Creates a timer for a percentile from 1 to 99.
+    #[must_use]
+    pub fn new(percentile: u32) -> Self {
+        Self {
+            percentile: percentile.clamp(1, 99),
+            samples: VecDeque::new(),
+            unseen: 0,
+            computed: None,
+        }
+    }
+
+    /// Adds the latency of an attempt. A cancelled or timed out attempt counts with the time that it
+    /// took so far; if it were left out, the percentile would fall with every hedge that wins.
+    pub fn record(&mut self, latency: Duration, now: Instant) {
+        if self.samples.len() == MAX_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((now, latency));
+        self.unseen += 1;
+    }
+
+    /// Returns the delay, or `None` while too few recent samples are known.
+    pub fn delay(&mut self, now: Instant) -> Option<Duration> {
+        if let Some((at, delay)) = self.computed {
+            let fresh = now.saturating_duration_since(at) < REFRESH_INTERVAL;
+            if fresh && self.unseen < REFRESH_EVERY {
+                return delay;
+            }
+        }
+        let delay = self.compute(now);
+        self.computed = Some((now, delay));
+        self.unseen = 0;
+        delay
+    }
+
+    fn compute(&mut self, now: Instant) -> Option<Duration> {
+        while let Some((at, _)) = self.samples.front()
+            && now.saturating_duration_since(*at) > SAMPLE_WINDOW
+        {
+            self.samples.pop_front();
+        }
+        let count = self.samples.len();
+        if count < MIN_SAMPLES {
+            return None;
+        }
+        let mut latencies: Vec<Duration> = self.samples.iter().map(|sample| sample.1).collect();
+        let rank = (count * self.percentile as usize).div_ceil(100) - 1;
+        let (_, latency, _) = latencies.select_nth_unstable(rank);
+        Some(*latency)
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-policy/src/ledger.rs
@@ -0,0 +1,145 @@
+//! Answers of keyed orders on the node that ran them. See `docs/design.md`, sections 3 and 6.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use compact_str::CompactString;
+
+/// Identifies an order: service and idempotency key.
+pub type OrderKey = CompactString;
+/// Identifies the attempt that holds a claim.
+pub type ClaimId = CompactString;
+
+/// Finished orders that are kept.
+const MAX_FINISHED: usize = 256;
+
+/// Largest answer that is kept, in bytes of headers and body. With 256 answers the ledger holds at
+/// most 16 MiB.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// An answer that can be replayed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header names and values.
+    pub headers: Vec<(CompactString, Vec<u8>)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+impl StoredAnswer {
+    fn size(&self) -> usize {
+        let headers: usize = self
+            .headers
+            .iter()
+            .map(|(name, value)| name.len() + value.len())
+            .sum();
+        headers + self.body.len()
+    }
+}
+
+/// What is known about an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is running; ask again later.
+    Running,
+    /// It ran and this is its answer.
+    Answered(Arc<StoredAnswer>),
+    /// It ran, but its answer was too large to keep.
+    AnswerDropped,
+    /// It was claimed and certainly not run.
+    NotRun,
+    /// It may have run: the target was lost, or this node does not know the claim (any more).
+    MayHaveRun,
+}
+
+#[derive(Clone, Debug)]
+struct OrderEntry {
+    claim: ClaimId,
+    outcome: OrderOutcome,
+}
+
+/// Keeps the outcome of each keyed order that this node ran, for repeats that ask for it.
+#[derive(Clone, Debug, Default)]
+pub struct OrderLedger {
+    orders: HashMap<OrderKey, OrderEntry>,
+    /// Finished orders, oldest first. A pair whose claim no longer matches was replaced.
+    finished: VecDeque<(OrderKey, ClaimId)>,
+}
+
+impl OrderLedger {
+    /// Creates an empty ledger.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts an order after its claim was written to the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known when the order is running, has run or may have run here; it must not
+    /// be passed to the target then. An order that was certainly not run can be started again.
+    pub fn begin(&mut self, key: &OrderKey, claim: &ClaimId) -> Result<(), OrderOutcome> {
+        if let Some(known) = self.orders.get(key)
+            && known.outcome != OrderOutcome::NotRun
+        {
+            return Err(known.outcome.clone());
+        }
+        let entry = OrderEntry {
+            claim: claim.clone(),
+            outcome: OrderOutcome::Running,
+        };
+        self.orders.insert(key.clone(), entry);
+        self.finished.retain(|(known, _)| known != key);
+        Ok(())
+    }
+
+    /// Stores the answer of a running order. An answer above 64 KiB is not kept; the order is then
+    /// known to have run without an answer.
+    pub fn finish(&mut self, key: &OrderKey, claim: &ClaimId, answer: StoredAnswer) {
+        let outcome = if answer.size() <= MAX_ANSWER_BYTES {
+            OrderOutcome::Answered(Arc::new(answer))
+        } else {
+            OrderOutcome::AnswerDropped
+        };
+        self.settle(key, claim, outcome);
+    }
+
+    /// Notes that a claimed order was certainly not run. The daemon also deletes the claim from the
+    /// store, comparing its claim id, so that a repeat can claim the key again.
+    pub fn fail_not_run(&mut self, key: &OrderKey, claim: &ClaimId) {
+        self.settle(key, claim, OrderOutcome::NotRun);
+    }
+
+    /// Notes that the target was lost while the order ran.
+    pub fn fail_may_have_run(&mut self, key: &OrderKey, claim: &ClaimId) {
+        self.settle(key, claim, OrderOutcome::MayHaveRun);
+    }
+
+    /// Tells what became of an order under a claim.
+    #[must_use]
+    pub fn outcome(&self, key: &OrderKey, claim: &ClaimId) -> OrderOutcome {
+        self.orders
+            .get(key)
+            .filter(|known| known.claim == *claim)
+            .map_or(OrderOutcome::MayHaveRun, |known| known.outcome.clone())
+    }
+
+    fn settle(&mut self, key: &OrderKey, claim: &ClaimId, outcome: OrderOutcome) {
+        let Some(known) = self.orders.get_mut(key) else {
+            return;
+        };
+        if known.claim != *claim || known.outcome != OrderOutcome::Running {
+            return;
+        }
+        known.outcome = outcome;
+        self.finished.push_back((key.clone(), claim.clone()));
+        if self.finished.len() > MAX_FINISHED
+            && let Some((oldest, _)) = self.finished.pop_front()
+        {
+            self.orders.remove(&oldest);
+        }
+    }
+}
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -1,1 +1,41 @@
-//! Placeholder.
+//! Decisions of the call path as plain state machines.
+//!
+//! Nothing in this crate opens a socket, reads a clock or waits: time comes in as
+//! [`std::time::Instant`] and randomness from a seed, so that every decision can be repeated in a
+//! test. The node daemon carries the decisions out. See `docs/design.md`, sections 2.1 and 6.
+//!
+//! At the entry node, a call is guided by a [`CallPlan`], which spends from [`CallBudgets`], waits
+//! for a [`HedgeTimer`] and sends to targets that a [`ServiceBalancer`] chooses; a [`CrashGuard`]
+//! stops requests that crash targets. At the target's node, an [`AdmissionQueue`] decides what runs,
+//! an [`OrderLedger`] keeps the answers of keyed orders, and a [`ClaimBatch`] at the acting relay
+//! groups their claims.
+
+mod admission;
+mod attempt;
+mod balancer;
+mod budget;
+mod claims;
+mod crash;
+mod decay;
+mod hedge;
+mod ledger;
+mod picker;
+mod plan;
+mod target;
+mod waiting;
+
+pub use admission::{
+    Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue,
+};
+pub use attempt::{AttemptResult, LoadReport};
+pub use balancer::{
+    LocalityTier, ServiceBalancer, TargetChange, TargetChoice, TargetEntry, TargetStatus,
+    TierReason,
+};
+pub use budget::{CallBudgets, RetryBudget};
+pub use claims::{ClaimBatch, ClaimRequest, ClaimTicket};
+pub use crash::{CrashGuard, RequestFingerprint};
+pub use hedge::HedgeTimer;
+pub use ledger::{ClaimId, OrderKey, OrderLedger, OrderOutcome, StoredAnswer};
+pub use picker::{ChoiceReason, PickCandidate, TargetPicker};
+pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
