Add the store stand-in

Cause: the store client, the relays and the testsuite need a store that speaks etcd's JSON gateway and that can fail on request.

`KeySpace` is plain state; the server around it is thin.

Before: placeholder. After: each kind of call, a lost answer, a lease expiry and a watch were run once by hand with curl.

--- /dev/null
+++ b/crates/apricotfold-standins/src/http.rs
@@ -0,0 +1,107 @@
+//! What the HTTP servers of the stand-ins share.
+
+use std::net::SocketAddr;
+
+use apricotfold_model::{FieldError, FieldErrors};
+use eyre::WrapErr as _;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::{HeaderValue, ResBody, StatusCode, header};
+use salvo::{FlowCtrl, Request, Response, Router, Server};
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+/// A server that is bound to its address and not serving yet.
+pub struct BoundServer {
+    acceptor: TcpAcceptor,
+    address: SocketAddr,
+}
+
+impl BoundServer {
+    /// Binds an address; port 0 takes a free port. `field` names the setting in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn bind(field: &str, address: SocketAddr) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(address)
+            .await
+            .wrap_err_with(|| format!("listening on {field} {address}"))?;
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        log::info!("{field} is {address}");
+        Ok(Self { acceptor, address })
+    }
+
+    /// The address that is bound.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until the future is dropped, which closes all connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns the server's error.
+    pub async fn serve(self, router: Router) -> eyre::Result<()> {
+        Server::new(self.acceptor)
+            .disable_fuse()
+            .try_serve(router)
+            .await
+            .wrap_err_with(|| format!("serving on {}", self.address))
+    }
+}
+
+/// Closes the connection of a request without an answer.
+pub async fn abort_connection(flow: &FlowCtrl) {
+    flow.conn().abort();
+    // The server drops this future together with the connection.
+    std::future::pending::<()>().await;
+}
+
+/// Sets a JSON answer.
+pub fn set_json(response: &mut Response, status: StatusCode, body: Vec<u8>) {
+    response.status_code(status);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response.replace_body(ResBody::Once(body.into()));
+}
+
+/// Answer of an admin endpoint: a JSON body, or the wrong fields of the request.
+pub type AdminResult = Result<Vec<u8>, FieldErrors>;
+
+/// Writes the answer of an admin endpoint.
+pub fn answer_admin(response: &mut Response, result: AdminResult) {
+    match result {
+        Ok(body) => set_json(response, StatusCode::OK, body),
+        Err(errors) => {
+            let body = serde_json::to_vec(&errors).unwrap_or_default();
+            set_json(response, StatusCode::BAD_REQUEST, body);
+        }
+    }
+}
+
+/// Writes a value as JSON.
+///
+/// # Errors
+///
+/// Returns the serializer's error.
+pub fn to_json<T: Serialize>(value: &T) -> AdminResult {
+    serde_json::to_vec(value)
+        .map_err(|error| FieldError::new(".", error, "a value that JSON can hold").into())
+}
+
+/// Reads the body of a request as text.
+///
+/// # Errors
+///
+/// Returns an error if the body is too large, ends early or is not UTF-8.
+pub async fn read_text(request: &mut Request, limit: usize) -> Result<String, FieldErrors> {
+    let body = request
+        .payload_with_max_size(limit)
+        .await
+        .map_err(|error| FieldError::new(".", error, format!("at most {limit} bytes")))?;
+    let text =
+        std::str::from_utf8(body).map_err(|error| FieldError::new(".", error, "UTF-8 text"))?;
+    Ok(text.to_owned())
+}
--- a/crates/apricotfold-standins/src/main.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Placeholder.
-
-fn main() {}
--- /dev/null
+++ b/crates/apricotfold-standins/src/store/key_space.rs
@@ -0,0 +1,369 @@
+//! The store's state: keys with revisions, leases and the changes that watches report. It does no
+//! input or output and reads no clock.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use bytes::Bytes;
+
+use super::key_range::KeyRange;
+use super::lease_table::LeaseTable;
+use super::message::{
+    DeleteRangeRequest, DeleteRangeResponse, EventType, KeyEntry, LeaseGrantRequest, LeaseId,
+    LeaseRequest, LeaseResponse, LeaseRevokeResponse, PutRequest, PutResponse, RangeRequest,
+    RangeResponse, ResponseHeader, Revision, StoreSnapshot, WatchEvent,
+};
+use super::refusal::{MAX_VALUE_BYTES, StoreRefusal};
+
+/// Revision of an empty store in the published protocol.
+const FIRST_REVISION: Revision = 1;
+
+/// Number of past changes that a watch can start from. Bounds the memory of a long run.
+const MAX_HISTORY: usize = 100_000;
+
+/// Keys, leases and recent changes.
+#[derive(Debug)]
+pub struct KeySpace {
+    pub(super) entries: BTreeMap<Bytes, KeyEntry>,
+    pub(super) leases: LeaseTable,
+    revision: Revision,
+    history: VecDeque<WatchEvent>,
+    /// Changes up to this revision are no longer in the history.
+    forgotten: Revision,
+}
+
+impl KeySpace {
+    /// Starts empty. Lease ids that the store chooses are above `last_lease`.
+    #[must_use]
+    pub fn new(last_lease: LeaseId) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            leases: LeaseTable::new(last_lease),
+            revision: FIRST_REVISION,
+            history: VecDeque::new(),
+            forgotten: 0,
+        }
+    }
+
+    /// The present revision.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Header with the present revision.
+    #[must_use]
+    pub fn header(&self) -> ResponseHeader {
+        ResponseHeader::at(self.revision)
+    }
+
+    /// Reads keys.
+    ///
+    /// # Errors
+    ///
+    /// Refuses reads of past revisions.
+    pub fn range(&self, request: &RangeRequest) -> Result<RangeResponse, StoreRefusal> {
+        check_range(request)?;
+        let range = KeyRange::new(&request.key, &request.range_end);
+        let found = self.select(&range);
+        let count = found.len();
+        let limit = match usize::try_from(request.limit) {
+            Ok(limit) if limit > 0 => limit,
+            _ => count,
+        };
+        let shown = if request.count_only { 0 } else { limit };
+        let kvs = found
+            .into_iter()
+            .take(shown)
+            .map(|entry| without_value(entry, request.keys_only))
+            .collect();
+        Ok(RangeResponse {
+            header: self.header(),
+            kvs,
+            more: !request.count_only && limit < count,
+            count: i64::try_from(count).unwrap_or(i64::MAX),
+        })
+    }
+
+    pub(super) fn select(&self, range: &KeyRange) -> Vec<&KeyEntry> {
+        if range.is_empty() {
+            return Vec::new();
+        }
+        self.entries
+            .range::<Bytes, _>(range.bounds())
+            .map(|(_, entry)| entry)
+            .collect()
+    }
+
+    /// Writes one key as a transaction of its own.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an empty key, a value that is too large and an unknown lease.
+    pub fn put(&mut self, request: &PutRequest) -> Result<PutResponse, StoreRefusal> {
+        self.check_put(request)?;
+        let revision = self.revision + 1;
+        let response = self.apply_put(request, revision);
+        self.finish_changes(revision);
+        Ok(PutResponse {
+            header: self.header(),
+            ..response
+        })
+    }
+
+    pub(super) fn check_put(&self, request: &PutRequest) -> Result<(), StoreRefusal> {
+        if request.key.is_empty() {
+            return Err(StoreRefusal::KeyMissing);
+        }
+        if request.value.len() > MAX_VALUE_BYTES {
+            return Err(StoreRefusal::ValueTooLarge);
+        }
+        if request.lease != 0 && !self.leases.contains(request.lease) {
+            return Err(StoreRefusal::LeaseNotFound);
+        }
+        Ok(())
+    }
+
+    pub(super) fn apply_put(&mut self, request: &PutRequest, revision: Revision) -> PutResponse {
+        let previous = self.entries.get(&request.key).cloned();
+        if let Some(previous) = &previous {
+            self.leases.detach(previous.lease, &request.key);
+        }
+        self.leases.attach(request.lease, &request.key);
+        let entry = KeyEntry {
+            key: request.key.clone(),
+            create_revision: previous
+                .as_ref()
+                .map_or(revision, |entry| entry.create_revision),
+            mod_revision: revision,
+            version: previous.as_ref().map_or(0, |entry| entry.version) + 1,
+            value: request.value.clone(),
+            lease: request.lease,
+        };
+        self.entries.insert(request.key.clone(), entry.clone());
+        self.record(EventType::Put, entry);
+        PutResponse {
+            header: ResponseHeader::at(revision),
+            prev_kv: previous.filter(|_| request.prev_kv),
+        }
+    }
+
+    /// Deletes keys as a transaction of its own.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an empty key without a range.
+    pub fn delete_range(
+        &mut self,
+        request: &DeleteRangeRequest,
+    ) -> Result<DeleteRangeResponse, StoreRefusal> {
+        check_delete(request)?;
+        let revision = self.revision + 1;
+        let response = self.apply_delete(request, revision);
+        self.finish_changes(revision);
+        Ok(DeleteRangeResponse {
+            header: self.header(),
+            ..response
+        })
+    }
+
+    pub(super) fn apply_delete(
+        &mut self,
+        request: &DeleteRangeRequest,
+        revision: Revision,
+    ) -> DeleteRangeResponse {
+        let range = KeyRange::new(&request.key, &request.range_end);
+        let doomed: Vec<KeyEntry> = self.select(&range).into_iter().cloned().collect();
+        for entry in &doomed {
+            self.remove_entry(entry, revision);
+        }
+        DeleteRangeResponse {
+            header: ResponseHeader::at(revision),
+            deleted: i64::try_from(doomed.len()).unwrap_or(i64::MAX),
+            prev_kvs: if request.prev_kv { doomed } else { Vec::new() },
+        }
+    }
+
+    fn remove_entry(&mut self, entry: &KeyEntry, revision: Revision) {
+        self.entries.remove(&entry.key);
+        self.leases.detach(entry.lease, &entry.key);
+        let deleted = KeyEntry {
+            key: entry.key.clone(),
+            mod_revision: revision,
+            ..KeyEntry::default()
+        };
+        self.record(EventType::Delete, deleted);
+    }
+
+    fn record(&mut self, kind: EventType, kv: KeyEntry) {
+        self.history.push_back(WatchEvent { kind, kv });
+    }
+
+    /// Makes `revision` the present one if changes were recorded with it, so that a transaction
+    /// without changes leaves the revision as it is.
+    pub(super) fn finish_changes(&mut self, revision: Revision) {
+        let newest = self.history.back().map_or(0, |event| event.kv.mod_revision);
+        if newest == revision {
+            self.revision = revision;
+        }
+        self.trim_history();
+    }
+
+    /// Forgets whole revisions, because a watch must see all changes of a transaction or none.
+    fn trim_history(&mut self) {
+        while self.history.len() > MAX_HISTORY {
+            let Some(oldest) = self.history.front().map(|event| event.kv.mod_revision) else {
+                return;
+            };
+            while self
+                .history
+                .front()
+                .is_some_and(|event| event.kv.mod_revision == oldest)
+            {
+                self.history.pop_front();
+            }
+            self.forgotten = oldest;
+        }
+    }
+
+    /// Changes of keys in `range` from `start` on, or the oldest revision that can still be
+    /// watched if `start` is older.
+    ///
+    /// # Errors
+    ///
+    /// Returns the oldest revision that is still available.
+    pub fn events_from(
+        &self,
+        range: &KeyRange,
+        start: Revision,
+    ) -> Result<Vec<WatchEvent>, Revision> {
+        if start <= self.forgotten {
+            return Err(self.forgotten + 1);
+        }
+        let first = self
+            .history
+            .partition_point(|event| event.kv.mod_revision < start);
+        let events = self
+            .history
+            .range(first..)
+            .filter(|event| range.contains(&event.kv.key))
+            .cloned()
+            .collect();
+        Ok(events)
+    }
+
+    /// Grants a lease.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a time to live outside the allowed range and an id that is in use.
+    pub fn grant(
+        &mut self,
+        request: &LeaseGrantRequest,
+        now: Instant,
+    ) -> Result<LeaseResponse, StoreRefusal> {
+        let id = self.leases.grant(request.id, request.ttl, now)?;
+        Ok(LeaseResponse {
+            header: self.header(),
+            id,
+            ttl: request.ttl,
+        })
+    }
+
+    /// Restarts a lease's time to live. An unknown lease is answered with a time to live of zero.
+    pub fn keep_alive(&mut self, request: &LeaseRequest, now: Instant) -> LeaseResponse {
+        LeaseResponse {
+            header: self.header(),
+            id: request.id,
+            ttl: self.leases.keep_alive(request.id, now).unwrap_or(0),
+        }
+    }
+
+    /// Ends a lease and deletes its keys.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an unknown lease.
+    pub fn revoke(&mut self, request: &LeaseRequest) -> Result<LeaseRevokeResponse, StoreRefusal> {
+        if !self.end_lease(request.id) {
+            return Err(StoreRefusal::LeaseNotFound);
+        }
+        Ok(LeaseRevokeResponse {
+            header: self.header(),
+        })
+    }
+
+    /// Ends the leases whose time to live has passed; returns their number.
+    pub fn expire(&mut self, now: Instant) -> usize {
+        let expired = self.leases.expired(now);
+        for id in &expired {
+            self.end_lease(*id);
+        }
+        expired.len()
+    }
+
+    fn end_lease(&mut self, id: LeaseId) -> bool {
+        let Some(keys) = self.leases.remove(id) else {
+            return false;
+        };
+        let revision = self.revision + 1;
+        for key in &keys {
+            if let Some(entry) = self.entries.get(key).cloned() {
+                self.remove_entry(&entry, revision);
+            }
+        }
+        self.finish_changes(revision);
+        true
+    }
+
+    /// All keys and leases.
+    #[must_use]
+    pub fn snapshot(&self) -> StoreSnapshot {
+        StoreSnapshot {
+            revision: self.revision,
+            leases: self.leases.snapshot(),
+            kvs: self.entries.values().cloned().collect(),
+        }
+    }
+
+    /// Replaces the whole state by a snapshot. Revisions continue from the snapshot's, and changes
+    /// before it cannot be watched any more.
+    pub fn restore(&mut self, snapshot: StoreSnapshot, now: Instant) {
+        self.revision = snapshot.revision;
+        self.forgotten = snapshot.revision;
+        self.history.clear();
+        self.leases.restore(&snapshot.leases, now);
+        self.entries.clear();
+        for entry in snapshot.kvs {
+            self.leases.attach(entry.lease, &entry.key);
+            self.entries.insert(entry.key.clone(), entry);
+        }
+    }
+}
+
+/// Refuses what the store does not offer.
+pub(super) fn check_range(request: &RangeRequest) -> Result<(), StoreRefusal> {
+    if request.revision != 0 {
+        let text = format!("revision: found {}, expected 0", request.revision);
+        return Err(StoreRefusal::InvalidArgument(text));
+    }
+    if request.key.is_empty() && request.range_end.is_empty() {
+        return Err(StoreRefusal::KeyMissing);
+    }
+    Ok(())
+}
+
+pub(super) fn check_delete(request: &DeleteRangeRequest) -> Result<(), StoreRefusal> {
+    if request.key.is_empty() && request.range_end.is_empty() {
+        return Err(StoreRefusal::KeyMissing);
+    }
+    Ok(())
+}
+
+fn without_value(entry: &KeyEntry, keys_only: bool) -> KeyEntry {
+    let mut copy = entry.clone();
+    if keys_only {
+        copy.value = Bytes::new();
+    }
+    copy
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/store/server.rs
@@ -0,0 +1,162 @@
+//! The store's HTTP server: a thin layer that reads calls, applies faults and writes answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use apricotfold_model::StoreStandinConfig;
+use salvo::http::{ResBody, StatusCode};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+
+use super::admin::admin_router;
+use super::call::{CallKind, StoreCall};
+use super::message::WatchCreateRequest;
+use super::refusal::StoreRefusal;
+use super::service::{CallAnswer, StoreService, encode};
+use super::watch_stream::watch_lines;
+use crate::http::{BoundServer, abort_connection, set_json};
+
+/// Largest body of a call: one transaction with several values of the largest size in base64.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// A store stand-in that is bound to its address.
+pub struct StoreServer {
+    server: BoundServer,
+    service: Arc<StoreService>,
+}
+
+impl StoreServer {
+    /// Binds the address of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn bind(config: &StoreStandinConfig) -> eyre::Result<Self> {
+        let server = BoundServer::bind("address", config.address).await?;
+        let service = Arc::new(StoreService::new(config));
+        Ok(Self { server, service })
+    }
+
+    /// The address that is bound.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Serves until `stop` completes. Open calls and watches are then closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the server's error.
+    pub async fn run(self, stop: impl Future<Output = ()> + Send) -> eyre::Result<()> {
+        let router = store_router(&self.service);
+        let service = Arc::clone(&self.service);
+        tokio::select! {
+            served = self.server.serve(router) => served,
+            () = service.expire_leases() => Ok(()),
+            () = stop => Ok(()),
+        }
+    }
+}
+
+fn store_router(service: &Arc<StoreService>) -> Router {
+    let calls = [
+        ("v3/kv/range", CallKind::Range),
+        ("v3/kv/put", CallKind::Put),
+        ("v3/kv/deleterange", CallKind::DeleteRange),
+        ("v3/kv/txn", CallKind::Txn),
+        ("v3/lease/grant", CallKind::LeaseGrant),
+        ("v3/lease/keepalive", CallKind::LeaseKeepAlive),
+        ("v3/lease/revoke", CallKind::LeaseRevoke),
+        ("v3/kv/lease/revoke", CallKind::LeaseRevoke),
+        ("v3/watch", CallKind::Watch),
+    ];
+    let mut router = Router::new();
+    for (path, kind) in calls {
+        let service = Arc::clone(service);
+        router = router.push(Router::with_path(path).post(CallHandler { service, kind }));
+    }
+    router.push(admin_router(service))
+}
+
+struct CallHandler {
+    service: Arc<StoreService>,
+    kind: CallKind,
+}
+
+#[async_trait]
+impl Handler for CallHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        flow: &mut FlowCtrl,
+    ) {
+        self.service.count(self.kind);
+        let call = match self.read_call(request).await {
+            Ok(call) => call,
+            Err(refusal) => return refuse(response, &refusal),
+        };
+        if !self.service.wait_for_turn(&call.keys()).await {
+            log::info!("{:?} call closed after an outage", self.kind);
+            return abort_connection(flow).await;
+        }
+        match self.answer(&call) {
+            Ok(Answer::Body(body)) => set_json(response, StatusCode::OK, body),
+            Ok(Answer::Watch(body)) => {
+                set_json(response, StatusCode::OK, Vec::new());
+                response.replace_body(body);
+            }
+            Ok(Answer::Lost) => {
+                log::info!("answer to {:?} call lost", self.kind);
+                abort_connection(flow).await;
+            }
+            Err(refusal) => refuse(response, &refusal),
+        }
+    }
+}
+
+enum Answer {
+    Body(Vec<u8>),
+    Watch(ResBody),
+    Lost,
+}
+
+impl CallHandler {
+    async fn read_call(&self, request: &mut Request) -> Result<StoreCall, StoreRefusal> {
+        let body = request
+            .payload_with_max_size(MAX_BODY_BYTES)
+            .await
+            .map_err(|error| StoreRefusal::InvalidArgument(error.to_string()))?;
+        let call = StoreCall::parse(self.kind, body)?;
+        self.service.admit(&call)?;
+        Ok(call)
+    }
+
+    fn answer(&self, call: &StoreCall) -> Result<Answer, StoreRefusal> {
+        if let StoreCall::Watch(watch) = call {
+            let Some(create) = &watch.create_request else {
+                let text = "create_request: found nothing, expected a watch to create";
+                return Err(StoreRefusal::InvalidArgument(text.to_owned()));
+            };
+            return Ok(Answer::Watch(self.watch_body(create)));
+        }
+        let answer = match self.service.run(call)? {
+            CallAnswer::Body(body) => Answer::Body(body),
+            CallAnswer::Lost => Answer::Lost,
+        };
+        Ok(answer)
+    }
+
+    fn watch_body(&self, create: &WatchCreateRequest) -> ResBody {
+        let guard = self.service.open_watch();
+        ResBody::stream(watch_lines(guard, create))
+    }
+}
+
+fn refuse(response: &mut Response, refusal: &StoreRefusal) {
+    log::info!("call refused: {refusal}");
+    let status = StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let body = encode(&refusal.body()).unwrap_or_default();
+    set_json(response, status, body);
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/store/transaction.rs
@@ -0,0 +1,133 @@
+//! Transactions over a [`KeySpace`]: all comparisons, then one branch as a whole.
+
+use std::cmp::Ordering;
+
+use bytes::Bytes;
+
+use super::key_range::KeyRange;
+use super::key_space::{KeySpace, check_delete, check_range};
+use super::message::{
+    Compare, CompareResult, CompareTarget, KeyEntry, RequestOp, ResponseOp, Revision, TxnRequest,
+    TxnResponse,
+};
+use super::refusal::StoreRefusal;
+
+/// Largest number of comparisons, and of operations of one branch, in the published protocol.
+const MAX_TXN_OPS: usize = 128;
+
+impl KeySpace {
+    /// Runs the branch that the comparisons select. Nothing changes if any operation is refused.
+    ///
+    /// # Errors
+    ///
+    /// Refuses too many operations, a key that is written twice, and whatever a single operation
+    /// would be refused for.
+    pub fn txn(&mut self, request: &TxnRequest) -> Result<TxnResponse, StoreRefusal> {
+        check_size(request)?;
+        check_branch(&request.success)?;
+        check_branch(&request.failure)?;
+        let succeeded = request
+            .compare
+            .iter()
+            .all(|compare| self.compare_holds(compare));
+        let branch = if succeeded {
+            &request.success
+        } else {
+            &request.failure
+        };
+        for operation in branch {
+            if let RequestOp::Put(put) = operation {
+                self.check_put(put)?;
+            }
+        }
+        let revision = self.revision() + 1;
+        let responses = branch
+            .iter()
+            .map(|operation| self.apply(operation, revision))
+            .collect::<Result<_, _>>()?;
+        self.finish_changes(revision);
+        Ok(TxnResponse {
+            header: self.header(),
+            succeeded,
+            responses,
+        })
+    }
+
+    fn apply(
+        &mut self,
+        operation: &RequestOp,
+        revision: Revision,
+    ) -> Result<ResponseOp, StoreRefusal> {
+        match operation {
+            RequestOp::Range(range) => self.range(range).map(ResponseOp::Range),
+            RequestOp::Put(put) => Ok(ResponseOp::Put(self.apply_put(put, revision))),
+            RequestOp::DeleteRange(delete) => {
+                Ok(ResponseOp::DeleteRange(self.apply_delete(delete, revision)))
+            }
+        }
+    }
+
+    fn compare_holds(&self, compare: &Compare) -> bool {
+        let range = KeyRange::new(&compare.key, &compare.range_end);
+        let entries = self.select(&range);
+        if !entries.is_empty() {
+            return entries.iter().all(|entry| entry_holds(entry, compare));
+        }
+        // The protocol compares a missing key as zeros, and never lets its value match.
+        compare.target != CompareTarget::Value && entry_holds(&KeyEntry::default(), compare)
+    }
+}
+
+fn entry_holds(entry: &KeyEntry, compare: &Compare) -> bool {
+    let order = match compare.target {
+        CompareTarget::Version => entry.version.cmp(&compare.version),
+        CompareTarget::Create => entry.create_revision.cmp(&compare.create_revision),
+        CompareTarget::Mod => entry.mod_revision.cmp(&compare.mod_revision),
+        CompareTarget::Value => entry.value.cmp(&compare.value),
+        CompareTarget::Lease => entry.lease.cmp(&compare.lease),
+    };
+    match compare.result {
+        CompareResult::Equal => order == Ordering::Equal,
+        CompareResult::Greater => order == Ordering::Greater,
+        CompareResult::Less => order == Ordering::Less,
+        CompareResult::NotEqual => order != Ordering::Equal,
+    }
+}
+
+fn check_size(request: &TxnRequest) -> Result<(), StoreRefusal> {
+    let largest = request
+        .compare
+        .len()
+        .max(request.success.len())
+        .max(request.failure.len());
+    if largest > MAX_TXN_OPS {
+        let text = "etcdserver: too many operations in txn request";
+        return Err(StoreRefusal::InvalidArgument(text.to_owned()));
+    }
+    Ok(())
+}
+
+/// Refuses a branch that writes a key twice, since the result would depend on the order.
+fn check_branch(branch: &[RequestOp]) -> Result<(), StoreRefusal> {
+    let mut puts: Vec<&Bytes> = Vec::new();
+    let mut deletes: Vec<KeyRange> = Vec::new();
+    for operation in branch {
+        match operation {
+            RequestOp::Range(range) => check_range(range)?,
+            RequestOp::Put(put) => puts.push(&put.key),
+            RequestOp::DeleteRange(delete) => {
+                check_delete(delete)?;
+                deletes.push(KeyRange::new(&delete.key, &delete.range_end));
+            }
+        }
+    }
+    let deleted_too = |key: &Bytes| deletes.iter().any(|range| range.contains(key));
+    let count = puts.len();
+    let overlap = puts.iter().any(|key| deleted_too(key));
+    puts.sort_unstable();
+    puts.dedup();
+    if overlap || puts.len() < count {
+        return Err(StoreRefusal::DuplicateKey);
+    }
+    Ok(())
+}
