Add publish, withdraw, show, diff and validate to the command

Cause: profiles could not be published, shown or checked.

Ruled out: reading head, candidate and outcome with one transaction whose comparison never holds. It is atomic, but a store counts it as a write and a lost answer of a read would look like a lost write. The keys are read in an order that makes a decision between the reads visible instead.

Change: Publisher follows section 4.2 of the design page against any ConfigStore. A lost answer is settled by reading back; a write that is not visible counts as not written only after its lease has ended. Subcommands, help texts, text and JSON output, exit codes.

Before: the command did nothing.

Conclusion: others can publish and validate with it.

--- /dev/null
+++ b/src/cmd/args.rs
@@ -0,0 +1,250 @@
+//! Reads the command line and the environment.
+
+use std::ffi::OsString;
+use std::time::Duration;
+
+use apricotfold::CommandError;
+use apricotfold_model::StoreConfig;
+use compact_str::CompactString;
+use lexopt::prelude::{Long, Short, Value, ValueExt};
+use smallvec::SmallVec;
+
+use super::help;
+
+/// Environment variable with store addresses, separated by commas.
+const STORE_VARIABLE: &str = "APRICOTFOLD_STORE";
+/// Environment variable with the operator's name.
+const OPERATOR_VARIABLE: &str = "USER";
+/// Longest wait for one store answer. The store answers in milliseconds when it is well.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the relays' decision, which takes at most 3 s when they reach the store.
+const DECISION_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// What to do.
+#[derive(Debug, PartialEq)]
+pub enum Subcommand {
+    /// Print a help text.
+    Help(&'static str),
+    /// Print the version.
+    Version,
+    /// Publish a profile.
+    Publish { file: CompactString },
+    /// Withdraw a profile.
+    Withdraw { profile: CompactString },
+    /// Show all heads or one.
+    Show { profile: Option<CompactString> },
+    /// Compare a head with a file.
+    Diff {
+        profile: CompactString,
+        file: CompactString,
+    },
+    /// Show which node runs which version.
+    Status,
+    /// Check files.
+    Validate { files: Vec<CompactString> },
+}
+
+/// The command line, read.
+#[derive(Debug)]
+pub struct Invocation {
+    /// What to do.
+    pub subcommand: Subcommand,
+    /// Store addresses.
+    pub store: SmallVec<[CompactString; 2]>,
+    /// Admin URLs of nodes.
+    pub nodes: Vec<CompactString>,
+    /// Who publishes; empty when unknown.
+    pub operator: CompactString,
+    /// How long unavailable parts are asked again.
+    pub wait: Duration,
+    /// Longest wait for a decision.
+    pub timeout: Duration,
+    /// Print JSON.
+    pub json: bool,
+}
+
+/// A command line that cannot be read.
+#[derive(Debug)]
+pub struct UsageFailure {
+    /// Whether JSON output was asked for.
+    pub json: bool,
+    /// What is wrong.
+    pub error: CommandError,
+}
+
+/// Options and operands before the subcommand is known to have all it needs.
+#[derive(Default)]
+struct RawArguments {
+    operands: Vec<CompactString>,
+    store: SmallVec<[CompactString; 2]>,
+    nodes: Vec<CompactString>,
+    operator: Option<CompactString>,
+    wait: Option<Duration>,
+    timeout: Option<Duration>,
+    json: bool,
+    help: bool,
+    version: bool,
+}
+
+impl Invocation {
+    /// Reads arguments and environment.
+    pub fn parse(
+        arguments: impl Iterator<Item = OsString>,
+        environment: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, UsageFailure> {
+        let arguments: Vec<OsString> = arguments.collect();
+        // Errors are printed as JSON even when `--json` follows the wrong argument.
+        let json = arguments.iter().any(|argument| argument == "--json");
+        let parser = lexopt::Parser::from_args(arguments);
+        read_arguments(parser)
+            .and_then(|raw| raw.complete(environment))
+            .map_err(|error| UsageFailure { json, error })
+    }
+
+    /// Settings of the store client; `None` without an address.
+    pub fn store_config(&self) -> Option<StoreConfig> {
+        (!self.store.is_empty()).then(|| StoreConfig {
+            endpoints: self.store.clone(),
+            timeout: STORE_TIMEOUT,
+        })
+    }
+
+    /// Tries of each store call, so that each address is asked.
+    pub fn store_tries(&self) -> u32 {
+        u32::try_from(self.store.len()).unwrap_or(u32::MAX)
+    }
+}
+
+fn read_arguments(mut parser: lexopt::Parser) -> Result<RawArguments, CommandError> {
+    let mut raw = RawArguments::default();
+    loop {
+        let argument = parser.next().map_err(|error| usage(&error))?;
+        let Some(argument) = argument else {
+            return Ok(raw);
+        };
+        match argument {
+            Value(value) => raw.operands.push(text(value)?),
+            Long("store") => raw.store.push(read_url(&mut parser, "--store")?),
+            Long("node") => raw.nodes.push(read_url(&mut parser, "--node")?),
+            Long("operator") => raw.operator = Some(read_text(&mut parser)?),
+            Long("wait") => raw.wait = Some(read_seconds(&mut parser, "--wait")?),
+            Long("timeout") => raw.timeout = Some(read_seconds(&mut parser, "--timeout")?),
+            Long("json") => raw.json = true,
+            Long("help") | Short('h') => raw.help = true,
+            Long("version") | Short('V') => raw.version = true,
+            other => return Err(usage(&other.unexpected())),
+        }
+    }
+}
+
+fn read_text(parser: &mut lexopt::Parser) -> Result<CompactString, CommandError> {
+    text(parser.value().map_err(|error| usage(&error))?)
+}
+
+fn text(value: OsString) -> Result<CompactString, CommandError> {
+    let text = value.string().map_err(|error| usage(&error))?;
+    Ok(text.into())
+}
+
+fn read_url(parser: &mut lexopt::Parser, option: &str) -> Result<CompactString, CommandError> {
+    check_url(&read_text(parser)?, option)
+}
+
+/// Checks an address and removes a final slash, since paths are appended to it.
+fn check_url(url: &str, source: &str) -> Result<CompactString, CommandError> {
+    if url.starts_with("http://") || url.starts_with("https://") {
+        return Ok(url.trim_end_matches('/').into());
+    }
+    let message = format!("{source}: found {url:?}, expected a URL that starts with http://");
+    Err(CommandError::bad_input(message))
+}
+
+fn read_seconds(parser: &mut lexopt::Parser, option: &str) -> Result<Duration, CommandError> {
+    let text = read_text(parser)?;
+    let seconds: Option<f64> = text.parse().ok();
+    seconds
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+        .filter(|duration| *duration <= Duration::from_hours(24))
+        .ok_or_else(|| {
+            let message = format!("{option}: found {text:?}, expected seconds from 0 to 86400");
+            CommandError::bad_input(message)
+        })
+}
+
+fn usage(error: &dyn std::fmt::Display) -> CommandError {
+    CommandError::bad_input(format!("{error}; see apricotfold --help"))
+}
+
+impl RawArguments {
+    fn complete(
+        self,
+        environment: impl Fn(&str) -> Option<String>,
+    ) -> Result<Invocation, CommandError> {
+        let subcommand = self.subcommand()?;
+        let mut store = self.store;
+        if store.is_empty() {
+            let addresses = environment(STORE_VARIABLE).unwrap_or_default();
+            for address in addresses.split(',').map(str::trim) {
+                if !address.is_empty() {
+                    store.push(check_url(address, STORE_VARIABLE)?);
+                }
+            }
+        }
+        let operator = self.operator.or_else(|| {
+            let name = environment(OPERATOR_VARIABLE)?;
+            Some(name.into())
+        });
+        Ok(Invocation {
+            subcommand,
+            store,
+            nodes: self.nodes,
+            operator: operator.unwrap_or_default(),
+            wait: self.wait.unwrap_or_default(),
+            timeout: self.timeout.unwrap_or(DECISION_TIMEOUT),
+            json: self.json,
+        })
+    }
+
+    fn subcommand(&self) -> Result<Subcommand, CommandError> {
+        let Some((name, operands)) = self.operands.split_first() else {
+            return match (self.help, self.version) {
+                (true, _) => Ok(Subcommand::Help(help::OVERVIEW)),
+                (false, true) => Ok(Subcommand::Version),
+                (false, false) => Err(usage(&"no subcommand given")),
+            };
+        };
+        let text = help::of_subcommand(name)
+            .ok_or_else(|| usage(&format_args!("unknown subcommand {name:?}")))?;
+        if self.help {
+            return Ok(Subcommand::Help(text));
+        }
+        if self.version {
+            return Ok(Subcommand::Version);
+        }
+        read_operands(name, operands)
+    }
+}
+
+fn read_operands(name: &str, operands: &[CompactString]) -> Result<Subcommand, CommandError> {
+    match (name, operands) {
+        ("publish", [file]) => Ok(Subcommand::Publish { file: file.clone() }),
+        ("withdraw", [profile]) => Ok(Subcommand::Withdraw {
+            profile: profile.clone(),
+        }),
+        ("show", []) => Ok(Subcommand::Show { profile: None }),
+        ("show", [profile]) => Ok(Subcommand::Show {
+            profile: Some(profile.clone()),
+        }),
+        ("diff", [profile, file]) => Ok(Subcommand::Diff {
+            profile: profile.clone(),
+            file: file.clone(),
+        }),
+        ("status", []) => Ok(Subcommand::Status),
+        ("validate", [_, ..]) => Ok(Subcommand::Validate {
+            files: operands.to_vec(),
+        }),
+        _ => Err(CommandError::bad_input(format!(
+            "wrong number of operands for {name}; see apricotfold {name} --help"
+        ))),
+    }
+}
--- /dev/null
+++ b/src/cmd/help.rs
@@ -0,0 +1,131 @@
+//! Help texts and the version.
+
+use serde_json::json;
+
+use super::output::Findings;
+
+/// Text of `apricotfold --help`.
+pub const OVERVIEW: &str = "\
+Publishes profiles to the service mesh and shows which node runs which version.
+
+Usage: apricotfold SUBCOMMAND [OPTION]...
+
+Subcommands:
+  publish FILE        make the profile in FILE the head, on every node or on none
+  withdraw PROFILE    return the profile's services to the built-in default
+  show [PROFILE]      list all heads, or show one with its content
+  diff PROFILE FILE   compare a head with a file, field by field
+  status              show which node runs which version and which nodes lag
+  validate FILE...    check profiles without contacting anything
+
+Options:
+  --store URL         address of the store; repeatable (environment: APRICOTFOLD_STORE,
+                      several addresses separated by commas)
+  --node URL          admin address of a node; repeatable
+  --operator NAME     who publishes (environment: USER)
+  --wait SECONDS      how long a store or node that is away is asked again (default: 0)
+  --timeout SECONDS   longest wait for the nodes' decision on a publish (default: 15)
+  --json              print one JSON document
+  --help, --version   also after a subcommand
+
+The log goes to standard error; RUST_LOG sets its level (default: warn).
+
+Exit codes:
+  0  done
+  1  diff found differences
+  2  bad input or usage
+  3  nodes rejected the version
+  4  lost a race against another publish of the same profile
+  5  the store, or every node that was asked, is unavailable
+  6  a node lags behind the head
+  7  the publish was not decided, or its outcome is not known
+";
+
+const PUBLISH: &str = "\
+Makes the profile in FILE the head, on every node that can be reached or on none.
+
+Usage: apricotfold publish FILE --store URL [--operator NAME] [--wait SECONDS]
+                   [--timeout SECONDS] [--json]
+
+The file is checked, its content is stored, and every live node of the profile's services is asked
+whether it can run the version. Prints the version and how many nodes prepared it. Publishing what
+is the head already changes nothing.
+
+Exit codes: 0 published or unchanged, 2 bad input, 3 rejected by nodes (with their reasons),
+4 another operator came first (with the differences), 5 store unavailable, 7 not decided within
+--timeout, or outcome not known because the store went away.
+";
+
+const WITHDRAW: &str = "\
+Returns the services of PROFILE to the built-in default: no outbound routes, default limits.
+
+Usage: apricotfold withdraw PROFILE --store URL [--operator NAME] [--wait SECONDS]
+                   [--timeout SECONDS] [--json]
+
+A withdrawal is a version of its own and is decided like a publish. Withdrawing a profile that is
+withdrawn already changes nothing.
+
+Exit codes: as for publish; 2 also when the profile was never published.
+";
+
+const SHOW: &str = "\
+Lists all heads, or shows the head of PROFILE with its content. Names pending candidates.
+
+Usage: apricotfold show [PROFILE] --store URL [--wait SECONDS] [--json]
+
+Exit codes: 0 done, 2 bad usage or unknown profile, 5 store unavailable.
+";
+
+const DIFF: &str = "\
+Compares the head of PROFILE with the profile in FILE, field by field (head -> file).
+
+Usage: apricotfold diff PROFILE FILE --store URL [--wait SECONDS] [--json]
+
+Exit codes: 0 equal, 1 different, 2 bad input, 5 store unavailable.
+";
+
+const STATUS: &str = "\
+Shows which node runs which version, first the nodes that lag behind the head and why.
+
+Usage: apricotfold status --node URL... [--store URL] [--wait SECONDS] [--json]
+
+One node knows about all others, so one --node is enough; more are asked for when the mesh may be
+partitioned. With --store, versions are also compared with the store's heads.
+
+Exit codes: 0 no node lags, 2 bad usage, 5 no node could be asked, 6 some node lags.
+";
+
+const VALIDATE: &str = "\
+Checks profiles and lists every wrong field with its value and what was expected. Contacts nothing.
+
+Usage: apricotfold validate FILE... [--json]
+
+Exit codes: 0 all valid, 2 something is wrong.
+";
+
+/// Help text of a subcommand; `None` when there is no such subcommand.
+pub fn of_subcommand(name: &str) -> Option<&'static str> {
+    match name {
+        "publish" => Some(PUBLISH),
+        "withdraw" => Some(WITHDRAW),
+        "show" => Some(SHOW),
+        "diff" => Some(DIFF),
+        "status" => Some(STATUS),
+        "validate" => Some(VALIDATE),
+        _ => None,
+    }
+}
+
+/// The help text as a result.
+pub fn result(text: &str) -> Findings {
+    Findings::done(text, json!({"help": text}))
+}
+
+/// The version as a result.
+pub fn version() -> Findings {
+    let version = env!("CARGO_PKG_VERSION");
+    Findings::done(
+        format!("apricotfold {version}"),
+        json!({"version": version}),
+    )
+}
--- /dev/null
+++ b/src/cmd/show.rs
@@ -0,0 +1,117 @@
+//! `apricotfold show [PROFILE]`
+
+use std::collections::BTreeMap;
+
+use apricotfold::{CommandError, StoreRetry, read_bundle, read_entry, read_view};
+use apricotfold_model::{CandidateEntry, HeadEntry, ProfileName, keys};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use super::output::Findings;
+use super::{CommandResult, Invocation, open_store, store_retry};
+
+/// Head and candidate of one profile.
+#[derive(Default, Serialize)]
+struct ProfileFindings {
+    profile: ProfileName,
+    head: Option<HeadEntry>,
+    pending: Option<CandidateEntry>,
+}
+
+impl ProfileFindings {
+    fn lines(&self) -> Vec<String> {
+        let profile = &self.profile;
+        let head = match &self.head {
+            None => format!("{profile}: never published"),
+            Some(head) => format!(
+                "{profile}: version {} {} by {} (publish {})",
+                head.version, head.state, head.operator, head.publish_id
+            ),
+        };
+        let pending = self.pending.as_ref().map(|candidate| {
+            format!(
+                "{profile}: pending version {} {} by {} (publish {})",
+                candidate.version, candidate.state, candidate.operator, candidate.publish_id
+            )
+        });
+        std::iter::once(head).chain(pending).collect()
+    }
+}
+
+/// Shows all heads or one.
+pub async fn run(invocation: &Invocation, profile: Option<&str>) -> CommandResult {
+    let store = open_store(invocation)?;
+    let mut retry = store_retry(&store, invocation);
+    match profile {
+        Some(profile) => show_one(&mut retry, profile).await,
+        None => show_all(&mut retry).await,
+    }
+}
+
+async fn show_all(retry: &mut StoreRetry<'_>) -> CommandResult {
+    let mut profiles: BTreeMap<ProfileName, ProfileFindings> = BTreeMap::new();
+    for head in list_entries::<HeadEntry>(retry, keys::HEADS).await? {
+        let findings = profiles.entry(head.profile.clone()).or_default();
+        findings.head = Some(head);
+    }
+    for candidate in list_entries::<CandidateEntry>(retry, keys::CANDIDATES).await? {
+        let findings = profiles.entry(candidate.profile.clone()).or_default();
+        findings.pending = Some(candidate);
+    }
+    let findings: Vec<ProfileFindings> = profiles
+        .into_iter()
+        .map(|(profile, findings)| ProfileFindings {
+            profile,
+            ..findings
+        })
+        .collect();
+    let mut lines: Vec<String> = findings.iter().flat_map(ProfileFindings::lines).collect();
+    if lines.is_empty() {
+        lines.push("no profile has been published".to_owned());
+    }
+    Ok(Findings::done(
+        lines.join("\n"),
+        json!({"profiles": findings}),
+    ))
+}
+
+/// Reads all entries under a prefix.
+pub async fn list_entries<T: DeserializeOwned>(
+    retry: &mut StoreRetry<'_>,
+    prefix: &str,
+) -> Result<Vec<T>, CommandError> {
+    let answer = retry.run(|store| store.list(prefix)).await?;
+    answer.entries.iter().map(read_entry).collect()
+}
+
+async fn show_one(retry: &mut StoreRetry<'_>, profile: &str) -> CommandResult {
+    let view = read_view(retry, profile).await?;
+    let findings = ProfileFindings {
+        profile: profile.into(),
+        head: view.head.map(|head| head.entry),
+        pending: view.candidate,
+    };
+    if findings.head.is_none() && findings.pending.is_none() {
+        let message = format!("{profile}: never published");
+        return Err(CommandError::bad_input(message));
+    }
+    let digest = findings.head.as_ref().map(|head| head.digest.as_str());
+    let content = match digest {
+        Some(digest) if !digest.is_empty() => read_content(retry, digest).await?,
+        _ => Value::Null,
+    };
+    let mut lines = findings.lines();
+    if let Some(digest) = digest.filter(|digest| !digest.is_empty()) {
+        lines.push(format!("digest: {digest}"));
+        lines.push(format!("{content:#}"));
+    }
+    let mut document = json!(findings);
+    document["content"] = content;
+    Ok(Findings::done(lines.join("\n"), document))
+}
+
+async fn read_content(retry: &mut StoreRetry<'_>, digest: &str) -> Result<Value, CommandError> {
+    let bundle = read_bundle(retry, digest).await?;
+    Ok(serde_json::from_str(&bundle.json).expect("a checked bundle is JSON"))
+}
--- /dev/null
+++ b/src/cmd/validate.rs
@@ -0,0 +1,82 @@
+//! `apricotfold validate FILE...`
+
+use apricotfold::{CommandError, ErrorDetail, ExitKind};
+use apricotfold_model::{FieldError, FieldErrors, ProfileBundle};
+use compact_str::CompactString;
+use serde::Serialize;
+use serde_json::json;
+
+use super::output::{Findings, error_document};
+use super::read_file;
+
+/// What is wrong with one file.
+#[derive(Serialize)]
+struct FileFindings<'a> {
+    file: &'a CompactString,
+    valid: bool,
+    profile: Option<CompactString>,
+    digest: Option<CompactString>,
+    fields: FieldErrors,
+}
+
+impl FileFindings<'_> {
+    fn line(&self) -> String {
+        if self.valid {
+            return format!("{}: valid", self.file);
+        }
+        let lines = self.fields.0.iter();
+        let lines: Vec<String> = lines
+            .map(|error| format!("{}: {error}", self.file))
+            .collect();
+        lines.join("\n")
+    }
+}
+
+/// Checks every file, also after one that is wrong.
+pub fn run(files: &[CompactString]) -> Findings {
+    let findings: Vec<FileFindings> = files.iter().map(check_file).collect();
+    let lines: Vec<String> = findings.iter().map(FileFindings::line).collect();
+    let wrong = findings.iter().filter(|finding| !finding.valid).count();
+    let mut document = json!({"files": findings});
+    if wrong == 0 {
+        return Findings::done(lines.join("\n"), document);
+    }
+    let message = format!("{wrong} of {} files are wrong", findings.len());
+    document["error"] = error_document(&CommandError::bad_input(message));
+    Findings::with_exit(ExitKind::BadInput, lines.join("\n"), document)
+}
+
+fn check_file(file: &CompactString) -> FileFindings<'_> {
+    match read_profile(file) {
+        Ok(bundle) => FileFindings {
+            file,
+            valid: true,
+            profile: Some(bundle.profile.name),
+            digest: Some(bundle.digest),
+            fields: FieldErrors::default(),
+        },
+        Err(error) => FileFindings {
+            file,
+            valid: false,
+            profile: None,
+            digest: None,
+            fields: match error.detail {
+                ErrorDetail::Fields { fields, .. } => fields,
+                _ => FieldError::new(".", "", error.message).into(),
+            },
+        },
+    }
+}
+
+/// Reads and checks the profile in a file.
+pub fn read_profile(file: &CompactString) -> Result<ProfileBundle, CommandError> {
+    let text = read_file(file)?;
+    ProfileBundle::parse(&text).map_err(|fields| {
+        let count = fields.0.len();
+        let message = format!("{file}: not a valid profile, wrong fields: {count}");
+        CommandError::bad_input(message).with_detail(ErrorDetail::Fields {
+            file: file.clone(),
+            fields,
+        })
+    })
+}
--- /dev/null
+++ b/src/cmd/withdraw.rs
@@ -0,0 +1,12 @@
+//! `apricotfold withdraw PROFILE`
+
+use apricotfold::PublishContent;
+use compact_str::CompactString;
+
+use super::publish::publish;
+use super::{CommandResult, Invocation};
+
+/// Withdraws a profile.
+pub async fn run(invocation: &Invocation, profile: &CompactString) -> CommandResult {
+    publish(invocation, profile.clone(), PublishContent::Withdrawal).await
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! Logic of the operators' command.
+//!
+//! The decisions ([`content_differences`], [`standing`], [`FleetReport`], [`ExitKind`]) need no
+//! input or output and can be called from tests. [`Publisher`] drives a publish against any
+//! [`ConfigStore`](apricotfold_store::ConfigStore). The subcommands are in `src/cmd/`. See
+//! `docs/design.md`, section 4.2.
+
+mod differences;
+mod error;
+mod publish;
+mod store_retry;
+mod view;
+
+pub use differences::{Difference, content_differences};
+pub use error::{CommandError, ErrorDetail, ExitKind};
+pub use publish::{
+    OwnCandidate, PublishContent, PublishOutcome, PublishReport, PublishRequest, PublishTimes,
+    Publisher, RaceReport, RaceWinner, Standing, next_version, stale_floor, standing,
+};
+pub use store_retry::{StoreRetry, jitter_delay};
+pub use view::{HeadRecord, ProfileView, read_bundle, read_candidate, read_entry, read_view};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,24 @@
-//! Placeholder.
+//! Operators' command: publishes, withdraws and shows profiles and the mesh's state.
 
-fn main() {}
+mod cmd;
+
+use std::process::ExitCode;
+
+use crate::cmd::{Invocation, Output};
+
+fn main() -> ExitCode {
+    let filter = env_logger::Env::default().default_filter_or("warn");
+    env_logger::Builder::from_env(filter).init();
+    let arguments = std::env::args_os().skip(1);
+    let environment = |name: &str| std::env::var(name).ok();
+    match Invocation::parse(arguments, environment) {
+        Ok(invocation) => {
+            let result = cmd::run(&invocation);
+            Output {
+                json: invocation.json,
+            }
+            .finish(&result)
+        }
+        Err(failure) => Output { json: failure.json }.finish(&Err(failure.error)),
+    }
+}
--- /dev/null
+++ b/src/publish/wait.rs
@@ -0,0 +1,157 @@
+//! Waits until relays have decided about a candidate.
+
+use std::time::Duration;
+
+use apricotfold_model::{OutcomeEntry, keys};
+use apricotfold_store::{Compare, Revision, StoreTxn, WatchEvent, WatchStream};
+use futures_util::StreamExt;
+use tokio::time::{Instant, timeout};
+
+use super::{OwnCandidate, Publisher, Standing, standing};
+use crate::{
+    CommandError, ExitKind, ProfileView, StoreRetry, read_candidate, read_entry, read_view,
+};
+
+/// Reads beside a watch are rare: they find a candidate that expired, and replace a watch that has
+/// stopped silently.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Reads without a watch. The store counts each read.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How long the removal of an undecided candidate is tried.
+const REMOVAL_TIME: Duration = Duration::from_secs(2);
+
+impl Publisher<'_> {
+    /// Waits for the decision about our candidate, and removes it when there is none in time.
+    pub(super) async fn await_decision(
+        &mut self,
+        own: &OwnCandidate,
+        revision: Revision,
+    ) -> Result<Standing, CommandError> {
+        let deadline = Instant::now() + self.times.decision;
+        let mut watch = self.watch_outcome(revision).await;
+        loop {
+            if let Some(outcome) = next_outcome(&mut watch, own, deadline).await {
+                let view = ProfileView {
+                    outcome: Some(outcome),
+                    ..ProfileView::default()
+                };
+                return Ok(standing(&view, own));
+            }
+            let found = self.look(own).await;
+            match found {
+                Ok(Standing::Pending { .. }) if Instant::now() < deadline => {}
+                Ok(Standing::Pending { revision }) => return self.give_up(own, revision).await,
+                Ok(Standing::Absent) => return Err(self.undecided(own, "it expired")),
+                Ok(decided) => return Ok(decided),
+                Err(error) if Instant::now() >= deadline && self.retry.is_over() => {
+                    return Err(self.outcome_unknown(own, &error.message));
+                }
+                Err(error) => log::info!("{error}"),
+            }
+        }
+    }
+
+    /// Opens a watch on the outcome. Without one, reads have to do.
+    async fn watch_outcome(&self, revision: Revision) -> Option<WatchStream> {
+        let key = keys::outcome(&self.request.profile);
+        let watch = self.retry.store.watch(&key, revision).await;
+        watch
+            .inspect_err(|error| log::info!("reading instead of watching: {error}"))
+            .ok()
+    }
+
+    /// One read while our candidate is pending; the other entries only matter once it is gone.
+    async fn look(&self, own: &OwnCandidate) -> Result<Standing, CommandError> {
+        let mut once = StoreRetry::new(self.retry.store, 1, Duration::ZERO);
+        match read_candidate(&mut once, &self.request.profile).await? {
+            Some((candidate, revision)) if candidate.publish_id == own.publish_id => {
+                return Ok(Standing::Pending { revision });
+            }
+            _ => {}
+        }
+        let view = read_view(&mut once, &self.request.profile).await?;
+        Ok(standing(&view, own))
+    }
+
+    /// Removes our candidate if it is still there. A relay that decides at the same moment wins
+    /// against the removal, or loses against it; the comparison allows only one of both.
+    async fn give_up(
+        &mut self,
+        own: &OwnCandidate,
+        revision: Revision,
+    ) -> Result<Standing, CommandError> {
+        let key = keys::candidate(&self.request.profile);
+        let compare = Compare::ModRevision {
+            key: key.clone(),
+            revision,
+        };
+        let txn = StoreTxn::default().when(compare).delete(key);
+        let mut retry = self.retry.extended(REMOVAL_TIME);
+        let removal = retry.run(|store| store.commit(&txn)).await;
+        let view = match removal {
+            Ok(answer) if answer.succeeded => {
+                return Err(self.undecided(own, "it has been removed"));
+            }
+            Ok(_) => read_view(&mut retry, &self.request.profile).await,
+            Err(error) => Err(error),
+        };
+        let view = view.map_err(|error| self.outcome_unknown(own, &error.message))?;
+        match standing(&view, own) {
+            Standing::Absent => Err(self.undecided(own, "it is gone")),
+            Standing::Pending { .. } => Err(self.undecided(own, "it expires within 15 s")),
+            decided => Ok(decided),
+        }
+    }
+
+    fn undecided(&self, own: &OwnCandidate, fate: &str) -> CommandError {
+        let message = format!(
+            "{}: no relay decided about version {} (publish {}) in time; {fate} and the head stays \
+             as it was",
+            self.request.profile, own.version, own.publish_id
+        );
+        CommandError::new(ExitKind::Undecided, message)
+    }
+}
+
+/// Waits for our outcome on the watch, until it is time for a read.
+async fn next_outcome(
+    watch: &mut Option<WatchStream>,
+    own: &OwnCandidate,
+    deadline: Instant,
+) -> Option<OutcomeEntry> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let Some(stream) = watch else {
+        // Past the deadline the store has been failing; reads stay sparse.
+        tokio::time::sleep(POLL_INTERVAL.min(left.max(POLL_INTERVAL))).await;
+        return None;
+    };
+    let pause = if left.is_zero() {
+        POLL_INTERVAL
+    } else {
+        CHECK_INTERVAL.min(left)
+    };
+    match timeout(pause, find_outcome(stream, own)).await {
+        Ok(Some(outcome)) => Some(outcome),
+        Ok(None) => {
+            *watch = None;
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+/// Reads the watch until it shows our outcome; `None` when the watch has ended.
+async fn find_outcome(stream: &mut WatchStream, own: &OwnCandidate) -> Option<OutcomeEntry> {
+    while let Some(batch) = stream.next().await {
+        let batch = batch.inspect_err(|error| log::info!("{error}")).ok()?;
+        let puts = batch.events.iter().filter_map(|event| match event {
+            WatchEvent::Put(entry) => read_entry::<OutcomeEntry>(entry).ok(),
+            WatchEvent::Delete(_) => None,
+        });
+        let mut ours = puts.filter(|outcome| outcome.publish_id == own.publish_id);
+        if let Some(outcome) = ours.next() {
+            return Some(outcome);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/src/store_retry.rs
@@ -0,0 +1,107 @@
+//! Repeated store calls with full-jitter delays.
+
+use std::future::Future;
+use std::time::Duration;
+
+use apricotfold_store::{ConfigStore, StoreError};
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+
+use crate::CommandError;
+
+const BASE_DELAY: Duration = Duration::from_millis(50);
+const MAX_DELAY: Duration = Duration::from_secs(5);
+
+/// Delay before a repeated call: uniform between zero and a bound that doubles with each failure.
+/// The randomness keeps commands that failed together from repeating together.
+pub fn jitter_delay(generator: &mut impl RngExt, failures: u32) -> Duration {
+    let bound = BASE_DELAY
+        .saturating_mul(2_u32.saturating_pow(failures.saturating_sub(1)))
+        .min(MAX_DELAY);
+    bound.mul_f64(generator.random::<f64>())
+}
+
+/// Repeats calls that read, or that may be repeated safely, until a deadline.
+pub struct StoreRetry<'a> {
+    /// The store.
+    pub store: &'a dyn ConfigStore,
+    generator: StdRng,
+    tries: u32,
+    deadline: Instant,
+}
+
+impl<'a> StoreRetry<'a> {
+    /// Prepares calls that are made at least `tries` times, so that each endpoint of the store is
+    /// asked, and that are repeated until `wait` from now has passed.
+    #[must_use]
+    pub fn new(store: &'a dyn ConfigStore, tries: u32, wait: Duration) -> Self {
+        Self {
+            store,
+            generator: rand::make_rng(),
+            tries: tries.max(1),
+            deadline: Instant::now() + wait,
+        }
+    }
+
+    /// The same store with a deadline that is no earlier than `wait` from now.
+    #[must_use]
+    pub fn extended(&self, wait: Duration) -> Self {
+        let mut retry = Self::new(self.store, self.tries, wait);
+        retry.deadline = retry.deadline.max(self.deadline);
+        retry
+    }
+
+    /// Whether the time for repeated calls has passed.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        Instant::now() >= self.deadline
+    }
+
+    /// Makes a call until it succeeds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last error once the tries and the time are used up.
+    pub async fn run<T, F>(
+        &mut self,
+        call: impl Fn(&'a dyn ConfigStore) -> F,
+    ) -> Result<T, CommandError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let mut failures = 0;
+        loop {
+            match call(self.store).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => self.pause(&mut failures, &error).await?,
+            }
+        }
+    }
+
+    /// Waits before the next try.
+    ///
+    /// # Errors
+    ///
+    /// Returns `error` once the tries and the time are used up.
+    pub async fn pause(
+        &mut self,
+        failures: &mut u32,
+        error: &StoreError,
+    ) -> Result<(), CommandError> {
+        *failures += 1;
+        if *failures >= self.tries && self.is_over() {
+            return Err(CommandError::store_unavailable(error));
+        }
+        log::info!("store call failed and is repeated: {error}");
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let delay = jitter_delay(&mut self.generator, *failures);
+        let delay = if left.is_zero() {
+            delay
+        } else {
+            delay.min(left)
+        };
+        tokio::time::sleep(delay).await;
+        Ok(())
+    }
+}
