Add the target stand-in and the fault-injecting link

Cause: the node daemon and the testsuite need back ends with slots, late load reports and crashes, and links with delay, limited bandwidth and partitions.

Ruled out: dropping the listener's port during a cut (another process could take it; the port stays bound without listening), and delivering each piece on its own timer (bytes of one connection would overtake each other).

Before: placeholders.

--- a/crates/apricotfold-model/src/settings.rs
+++ b/crates/apricotfold-model/src/settings.rs
@@ -481,6 +481,8 @@
     pub shed_above: u32,
     /// Seed of random service times.
     pub seed: u64,
+    /// File to which every start and end of a request is appended; empty means none.
+    pub journal_file: CompactString,
 }
 
 impl TryFrom<raw::TargetStandinSettings> for TargetStandinConfig {
@@ -511,6 +513,7 @@
             report_delay: Duration::from_millis(settings.report_delay_ms.into()),
             shed_above: settings.shed_above,
             seed: settings.seed,
+            journal_file: settings.journal_file.into(),
         };
         errors.finish(config)
     }
--- a/crates/apricotfold-standins/src/http.rs
+++ b/crates/apricotfold-standins/src/http.rs
@@ -6,14 +6,17 @@
 use eyre::WrapErr as _;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::{HeaderValue, ResBody, StatusCode, header};
+use salvo::server::ServerHandle;
 use salvo::{FlowCtrl, Request, Response, Router, Server};
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 
 /// A server that is bound to its address and not serving yet.
 pub struct BoundServer {
     acceptor: TcpAcceptor,
     address: SocketAddr,
+    max_connections: usize,
 }
 
 impl BoundServer {
@@ -29,7 +32,11 @@
         let address = listener.local_addr()?;
         let acceptor = TcpAcceptor::try_from(listener)?;
         log::info!("{field} is {address}");
-        Ok(Self { acceptor, address })
+        Ok(Self {
+            acceptor,
+            address,
+            max_connections: Semaphore::MAX_PERMITS,
+        })
     }
 
     /// The address that is bound.
@@ -38,17 +45,39 @@
         self.address
     }
 
+    /// Limits the connections that are served at once. Further ones wait in the kernel's queue.
+    #[must_use]
+    pub fn with_max_connections(mut self, limit: usize) -> Self {
+        self.max_connections = limit;
+        self
+    }
+
     /// Serves until the future is dropped, which closes all connections.
     ///
     /// # Errors
     ///
     /// Returns the server's error.
     pub async fn serve(self, router: Router) -> eyre::Result<()> {
-        Server::new(self.acceptor)
+        self.serve_with_handle(router).1.await
+    }
+
+    /// Serves until the future is dropped or the handle stops the server.
+    pub fn serve_with_handle(
+        self,
+        router: Router,
+    ) -> (ServerHandle, impl Future<Output = eyre::Result<()>> + Send) {
+        let server = Server::new(self.acceptor)
             .disable_fuse()
-            .try_serve(router)
-            .await
-            .wrap_err_with(|| format!("serving on {}", self.address))
+            .max_connections(self.max_connections);
+        let handle = server.handle();
+        let address = self.address;
+        let serving = async move {
+            server
+                .try_serve(router)
+                .await
+                .wrap_err_with(|| format!("serving on {address}"))
+        };
+        (handle, serving)
     }
 }
 
--- a/crates/apricotfold-standins/src/lib.rs
+++ b/crates/apricotfold-standins/src/lib.rs
@@ -5,8 +5,12 @@
 //! servers around them only read, write and wait. See `docs/design.md`, section 1.6.
 
 mod http;
+mod link;
 mod program;
 mod store;
+mod target;
 
+pub use link::LinkServer;
 pub use program::{ProgramInfo, run_program, stop_signal};
 pub use store::StoreServer;
+pub use target::TargetServer;
--- /dev/null
+++ b/crates/apricotfold-standins/src/link/connection.rs
@@ -0,0 +1,72 @@
+//! One connection of the link: both directions, until both end, one breaks or the link is cut.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::net::TcpStream;
+
+use super::pump::DataPump;
+use super::state::{Direction, LinkState};
+
+/// Forwards one accepted connection to the upstream.
+pub async fn forward(state: Arc<LinkState>, mut client: TcpStream, upstream: SocketAddr) {
+    let _guard = state.open_connection();
+    let mut server = match connect(&state, upstream).await {
+        Ok(server) => server,
+        Err(error) => {
+            log::info!("connection to upstream {upstream}: {error}");
+            state.count_unreachable();
+            reset(&client);
+            return;
+        }
+    };
+    if let Err(error) = exchange(&state, &mut client, &mut server).await {
+        log::debug!("connection to upstream {upstream}: {error}");
+        reset(&client);
+        reset(&server);
+    }
+}
+
+async fn connect(state: &LinkState, upstream: SocketAddr) -> io::Result<TcpStream> {
+    let mut rules = state.rules();
+    tokio::select! {
+        connected = TcpStream::connect(upstream) => connected,
+        _ = rules.wait_for(super::state::LinkRules::is_cut) => Err(cut_error()),
+    }
+}
+
+async fn exchange(
+    state: &Arc<LinkState>,
+    client: &mut TcpStream,
+    server: &mut TcpStream,
+) -> io::Result<()> {
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let mut rules = state.rules();
+    let (client_source, client_sink) = client.split();
+    let (server_source, server_sink) = server.split();
+    let to_upstream = DataPump::new(state, Direction::ToUpstream);
+    let to_client = DataPump::new(state, Direction::ToClient);
+    let pumps = async {
+        tokio::try_join!(
+            to_upstream.run(client_source, server_sink),
+            to_client.run(server_source, client_sink),
+        )
+    };
+    tokio::select! {
+        ended = pumps => ended.map(|_| ()),
+        _ = rules.wait_for(super::state::LinkRules::is_cut) => Err(cut_error()),
+    }
+}
+
+fn cut_error() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, "link cut")
+}
+
+/// Lets the connection end with a reset, so that its peer sees a failure and not an orderly end.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::debug!("resetting a connection: {error}");
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/link/schedule.rs
@@ -0,0 +1,91 @@
+//! When data that entered one direction of the link leaves it. Does no input or output and reads no
+//! clock.
+
+use std::time::{Duration, Instant};
+
+use apricotfold_model::LinkRule;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+/// How far transmission may run behind the clock and catch up. Timers wake up to a millisecond late;
+/// without this a single connection would not reach the bandwidth.
+const CATCH_UP: Duration = Duration::from_millis(5);
+
+/// State that all connections of a direction share: the line that transmits one piece after the
+/// other, and the source of jitter.
+#[derive(Debug)]
+pub struct DirectionSchedule {
+    line_free: Instant,
+    random: StdRng,
+}
+
+/// Times of one piece of data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PieceTimes {
+    /// When its last byte is on the line; the connection's next piece may start then.
+    pub transmitted: Instant,
+    /// When it arrives at the other end, unless an earlier piece of its connection arrives later.
+    pub arrives: Instant,
+}
+
+impl DirectionSchedule {
+    /// Starts with a free line.
+    #[must_use]
+    pub fn new(seed: u64, now: Instant) -> Self {
+        Self {
+            line_free: now,
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Puts a piece of `bytes` on the line.
+    pub fn transmit(&mut self, rule: &LinkRule, bytes: usize, now: Instant) -> PieceTimes {
+        let transmitted = self.take_line(rule, bytes, now);
+        let jitter = self.random.random_range(Duration::ZERO..=rule.jitter);
+        PieceTimes {
+            transmitted,
+            arrives: transmitted + rule.delay + jitter,
+        }
+    }
+
+    fn take_line(&mut self, rule: &LinkRule, bytes: usize, now: Instant) -> Instant {
+        let Some(bandwidth) = rule.bandwidth else {
+            return now;
+        };
+        let earliest = now.checked_sub(CATCH_UP).unwrap_or(now);
+        let start = self.line_free.max(earliest);
+        self.line_free = start + transmission_time(bytes, bandwidth);
+        self.line_free.max(now)
+    }
+}
+
+fn transmission_time(bytes: usize, bandwidth: u64) -> Duration {
+    let nanoseconds = bytes as u128 * 1_000_000_000 / u128::from(bandwidth.max(1));
+    Duration::from_nanos(u64::try_from(nanoseconds).unwrap_or(u64::MAX))
+}
+
+/// Bytes of one connection and direction that still pass before it goes half-open.
+#[derive(Debug, Default)]
+pub struct HalfOpenCounter {
+    passed: u64,
+}
+
+impl HalfOpenCounter {
+    /// Number of the next `bytes` that pass; the rest is dropped.
+    pub fn pass(&mut self, rule: &LinkRule, bytes: usize) -> usize {
+        let left = match rule.half_open_after {
+            Some(limit) => limit.saturating_sub(self.passed),
+            None => u64::MAX,
+        };
+        let passing = bytes.min(usize::try_from(left).unwrap_or(usize::MAX));
+        self.passed += passing as u64;
+        passing
+    }
+
+    /// True if nothing passes any more, not even the end of the connection.
+    #[must_use]
+    pub fn is_half_open(&self, rule: &LinkRule) -> bool {
+        rule.half_open_after
+            .is_some_and(|limit| self.passed >= limit)
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/link/server.rs
@@ -0,0 +1,143 @@
+//! The link's listener and its admin server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricotfold_model::LinkConfig;
+use eyre::WrapErr as _;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch::Receiver;
+use tokio::task::JoinSet;
+
+use super::admin::admin_router;
+use super::connection::forward;
+use super::state::{LinkRules, LinkState};
+use crate::http::BoundServer;
+
+/// Connections that the kernel queues before they are accepted.
+const BACKLOG: u32 = 1024;
+/// Pause before a listener that failed is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// A fault-injecting link that is bound to its addresses.
+pub struct LinkServer {
+    listener: TcpListener,
+    address: SocketAddr,
+    admin: BoundServer,
+    upstream: SocketAddr,
+    state: Arc<LinkState>,
+}
+
+impl LinkServer {
+    /// Binds both addresses of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn bind(config: &LinkConfig) -> eyre::Result<Self> {
+        let listener = reserve(config.address)
+            .and_then(|socket| socket.listen(BACKLOG))
+            .wrap_err_with(|| format!("listening on address {}", config.address))?;
+        let address = listener.local_addr()?;
+        log::info!("address is {address}, upstream is {}", config.upstream);
+        let admin = BoundServer::bind("admin_address", config.admin_address).await?;
+        Ok(Self {
+            listener,
+            address,
+            admin,
+            upstream: config.upstream,
+            state: Arc::new(LinkState::new(config)),
+        })
+    }
+
+    /// The address that clients connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The address of the admin endpoints.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Forwards connections until `stop` completes. Open connections are then closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the admin server's error.
+    pub async fn run(self, stop: impl Future<Output = ()> + Send) -> eyre::Result<()> {
+        let router = admin_router(&self.state);
+        let listening = listen(self.listener, self.address, self.upstream, &self.state);
+        tokio::select! {
+            served = self.admin.serve(router) => served,
+            () = listening => Ok(()),
+            () = stop => Ok(()),
+        }
+    }
+}
+
+/// Binds a port without accepting connections on it.
+fn reserve(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+async fn listen(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    upstream: SocketAddr,
+    state: &Arc<LinkState>,
+) {
+    let mut rules = state.rules();
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((client, _)) => {
+                    connections.spawn(forward(Arc::clone(state), client, upstream));
+                }
+                Err(error) => {
+                    log::warn!("accepting on {address}: {error}");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+            () = wait_for_cut(&mut rules) => {
+                drop(listener);
+                listener = reopen(address, &mut rules).await;
+            }
+        }
+    }
+}
+
+async fn wait_for_cut(rules: &mut Receiver<LinkRules>) {
+    // The sender lives in the shared state that the listener holds, so this cannot fail.
+    let _ = rules.wait_for(LinkRules::is_cut).await;
+}
+
+/// Holds the port without listening, so that connections are refused and no other process takes the
+/// port, and listens again at the end of the cut.
+async fn reopen(address: SocketAddr, rules: &mut Receiver<LinkRules>) -> TcpListener {
+    log::info!("cut: {address} refuses connections");
+    loop {
+        let reserved = reserve(address);
+        let _ = rules.wait_for(|rules| !rules.is_cut()).await;
+        match reserved.and_then(|socket| socket.listen(BACKLOG)) {
+            Ok(listener) => {
+                log::info!("cut ended: {address} accepts connections");
+                return listener;
+            }
+            Err(error) => log::warn!("listening on {address} again: {error}"),
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/target/announcer.rs
@@ -0,0 +1,92 @@
+//! Announces the target to its node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricotfold_model::StepError;
+use apricotfold_schema::settings::TargetAnnouncement;
+use eyre::WrapErr as _;
+
+use super::state::TargetState;
+
+/// Interval of announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for the node's answer.
+const NODE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Tells the node about the target.
+#[derive(Clone)]
+pub struct NodeAnnouncer {
+    client: reqwest::Client,
+    node_url: String,
+    state: Arc<TargetState>,
+}
+
+impl NodeAnnouncer {
+    /// Prepares announcements to a node's admin URL.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client cannot be set up.
+    pub fn new(node_url: &str, state: &Arc<TargetState>) -> eyre::Result<Self> {
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .timeout(NODE_TIMEOUT)
+            .build()
+            .wrap_err("setting up the HTTP client")?;
+        Ok(Self {
+            client,
+            node_url: node_url.trim_end_matches('/').to_owned(),
+            state: Arc::clone(state),
+        })
+    }
+
+    /// Announces once a second until the future is dropped.
+    pub async fn run(&self) {
+        let mut ticks = tokio::time::interval(ANNOUNCE_INTERVAL);
+        let mut reachable = true;
+        loop {
+            ticks.tick().await;
+            if self.state.reports_paused() {
+                continue;
+            }
+            let result = self.announce().await;
+            match &result {
+                Err(error) if reachable => log::warn!("{error}"),
+                Ok(()) if !reachable => log::info!("node {} answers again", self.node_url),
+                _ => {}
+            }
+            reachable = result.is_ok();
+        }
+    }
+
+    /// Announces the present state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node does not accept it.
+    pub async fn announce(&self) -> Result<(), StepError> {
+        self.post("announce", &self.state.announcement()).await
+    }
+
+    /// Takes leave of the node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node does not accept it.
+    pub async fn leave(&self) -> Result<(), StepError> {
+        self.post("leave", &self.state.announcement()).await
+    }
+
+    async fn post(
+        &self,
+        step: &'static str,
+        announcement: &TargetAnnouncement,
+    ) -> Result<(), StepError> {
+        let url = format!("{}/v1/{step}", self.node_url);
+        let sent = self.client.post(&url).json(announcement).send().await;
+        sent.and_then(reqwest::Response::error_for_status)
+            .map(|_| ())
+            .map_err(|error| StepError::new(step, url, error))
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/target/download.rs
@@ -0,0 +1,116 @@
+//! Long answers that are streamed at an even rate and end with a checksum.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream::{self, Stream};
+use sha2::{Digest as _, Sha256};
+
+use super::state::RunningRequest;
+
+/// Largest piece that is sent at once.
+const MAX_PIECE_BYTES: u64 = 64 * 1024;
+/// Wanted time between two pieces.
+const PIECE_INTERVAL: Duration = Duration::from_millis(10);
+/// The content repeats after this many bytes. It shares no divisor with the sizes of buffers, so that
+/// lost or repeated pieces change the content.
+const CONTENT_PERIOD: u64 = 251;
+
+/// Times and sizes of the pieces of a download. Does no input or output and reads no clock.
+#[derive(Clone, Copy, Debug)]
+pub struct DownloadPlan {
+    bytes: u64,
+    duration: Duration,
+}
+
+impl DownloadPlan {
+    /// Plans `bytes` over `duration`.
+    #[must_use]
+    pub fn new(bytes: u64, duration: Duration) -> Self {
+        Self { bytes, duration }
+    }
+
+    /// Size of the piece that starts at `offset`; 0 at the end.
+    #[must_use]
+    pub fn piece_bytes(&self, offset: u64) -> u64 {
+        let pieces = self.duration.as_millis() / PIECE_INTERVAL.as_millis();
+        let pieces = u64::try_from(pieces).unwrap_or(u64::MAX).max(1);
+        let even = self.bytes.div_ceil(pieces);
+        even.clamp(1, MAX_PIECE_BYTES).min(self.bytes - offset)
+    }
+
+    /// Time after the start at which the bytes up to `offset` are sent.
+    #[must_use]
+    pub fn due(&self, offset: u64) -> Duration {
+        if self.bytes == 0 {
+            return self.duration;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a share of a duration")]
+        let share = offset as f64 / self.bytes as f64;
+        self.duration.mul_f64(share)
+    }
+}
+
+struct DownloadState {
+    plan: DownloadPlan,
+    started: Instant,
+    offset: u64,
+    checksum: Sha256,
+    deadline: Option<Instant>,
+    running: RunningRequest,
+}
+
+/// Pieces of a download, then the line `sha256:` with the checksum of the bytes before it. The
+/// request ends whole when all of it was taken, and is cancelled if the stream is dropped before. At
+/// the deadline the stream ends with an error, which closes the connection.
+pub fn download_pieces(
+    plan: DownloadPlan,
+    deadline: Option<Instant>,
+    running: RunningRequest,
+) -> impl Stream<Item = io::Result<Bytes>> + Send + use<> {
+    let state = DownloadState {
+        plan,
+        started: Instant::now(),
+        offset: 0,
+        checksum: Sha256::new(),
+        deadline,
+        running,
+    };
+    stream::unfold(
+        Some(state),
+        |state| async move { state?.next_piece().await },
+    )
+}
+
+impl DownloadState {
+    /// The next piece, and the state unless this was the last one.
+    async fn next_piece(mut self) -> Option<(io::Result<Bytes>, Option<Self>)> {
+        let piece_bytes = self.plan.piece_bytes(self.offset);
+        let due = self.started + self.plan.due(self.offset + piece_bytes);
+        if let Some(deadline) = self.deadline.filter(|deadline| *deadline < due) {
+            tokio::time::sleep_until(deadline.into()).await;
+            return Some((Err(io::ErrorKind::TimedOut.into()), None));
+        }
+        tokio::time::sleep_until(due.into()).await;
+        if piece_bytes == 0 {
+            return Some((Ok(self.finish()), None));
+        }
+        let piece = content(self.offset, piece_bytes);
+        self.offset += piece_bytes;
+        self.checksum.update(&piece);
+        Some((Ok(piece), Some(self)))
+    }
+
+    fn finish(self) -> Bytes {
+        self.running.finish();
+        let digest = hex::encode(self.checksum.finalize());
+        Bytes::from(format!("\nsha256:{digest}\n"))
+    }
+}
+
+fn content(offset: u64, bytes: u64) -> Bytes {
+    (offset..offset + bytes)
+        .map(|position| u8::try_from(position % CONTENT_PERIOD).unwrap_or_default())
+        .collect()
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/target/server.rs
@@ -0,0 +1,92 @@
+//! The target's HTTP server and its life from the first announcement to the exit.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use apricotfold_model::TargetStandinConfig;
+use salvo::Router;
+
+use super::admin::admin_router;
+use super::announcer::NodeAnnouncer;
+use super::state::TargetState;
+use super::work::WorkHandler;
+use crate::http::BoundServer;
+
+/// A target stand-in that is bound to its address.
+pub struct TargetServer {
+    server: BoundServer,
+    state: Arc<TargetState>,
+    announcer: NodeAnnouncer,
+}
+
+impl TargetServer {
+    /// Binds the address of the settings and opens the journal.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound or the journal cannot be opened.
+    pub async fn bind(config: &TargetStandinConfig) -> eyre::Result<Self> {
+        let server = BoundServer::bind("address", config.address)
+            .await?
+            .with_max_connections(config.connections as usize);
+        let state = TargetState::new(config, server.address())?;
+        let announcer = NodeAnnouncer::new(&config.node_url, &state)?;
+        Ok(Self {
+            server,
+            state,
+            announcer,
+        })
+    }
+
+    /// The address that is bound.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Serves until `stop` completes, then drains: announces it, finishes the work in flight, leaves
+    /// the node and closes the connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns the server's error.
+    pub async fn run(self, stop: impl Future<Output = ()> + Send) -> eyre::Result<()> {
+        let router =
+            Router::new()
+                .push(admin_router(&self.state))
+                .push(Router::with_path("{**path}").goal(WorkHandler {
+                    state: Arc::clone(&self.state),
+                }));
+        let (handle, serving) = self.server.serve_with_handle(router);
+        let life = async {
+            tokio::select! {
+                () = self.announcer.run() => {}
+                () = stop => {}
+            }
+            drain(&self.state, &self.announcer).await;
+            handle.stop_graceful(None);
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            served = serving => served,
+            () = life => Ok(()),
+        }
+    }
+}
+
+async fn drain(state: &TargetState, announcer: &NodeAnnouncer) {
+    state.drain();
+    log::info!("draining");
+    if let Err(error) = announcer.announce().await {
+        log::warn!("{error}");
+    }
+    tokio::select! {
+        // The node forgets targets that do not announce themselves.
+        () = announcer.run() => {}
+        () = state.wait_for_idle() => {}
+    }
+    match announcer.leave().await {
+        Ok(()) => log::info!("left the node"),
+        Err(error) => log::warn!("{error}"),
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/target/state.rs
@@ -0,0 +1,210 @@
+//! State that all requests of a target share: slots, load, service times and the journal.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{TargetStandinConfig, WorkClass};
+use apricotfold_schema::settings::TargetAnnouncement;
+use serde::Serialize;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+
+use super::journal::{JournalEntry, RequestJournal, RequestLabel};
+use super::load_history::LoadHistory;
+use super::service_time::ServiceTimes;
+
+/// State of one target.
+pub struct TargetState {
+    config: TargetStandinConfig,
+    address: SocketAddr,
+    times: Mutex<ServiceTimes>,
+    history: Mutex<LoadHistory>,
+    slots: Arc<Semaphore>,
+    load: watch::Sender<u32>,
+    draining: AtomicBool,
+    reports_paused: AtomicBool,
+    shed: AtomicU32,
+    /// Every request that started.
+    pub journal: Arc<RequestJournal>,
+}
+
+/// What the admin endpoint tells of the target.
+#[derive(Clone, Debug, Serialize)]
+pub struct TargetReport {
+    /// Requests that wait or run.
+    pub in_flight: u32,
+    /// Slots without a request.
+    pub free_slots: usize,
+    /// Requests that were shed.
+    pub shed: u32,
+    /// True once the target is leaving.
+    pub draining: bool,
+    /// Factor that stands for a straggler.
+    pub slow_factor: u32,
+    /// True while announcements are paused.
+    pub reports_paused: bool,
+}
+
+impl TargetState {
+    /// Starts the state of a target that listens on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the journal file cannot be opened.
+    pub fn new(config: &TargetStandinConfig, address: SocketAddr) -> eyre::Result<Arc<Self>> {
+        let state = Self {
+            address,
+            times: Mutex::new(ServiceTimes::new(config, Instant::now())),
+            history: Mutex::new(LoadHistory::new(config.report_delay)),
+            slots: Arc::new(Semaphore::new(config.slots as usize)),
+            load: watch::Sender::new(0),
+            draining: AtomicBool::new(false),
+            reports_paused: AtomicBool::new(false),
+            shed: AtomicU32::new(0),
+            journal: Arc::new(RequestJournal::open(&config.journal_file)?),
+            config: config.clone(),
+        };
+        Ok(Arc::new(state))
+    }
+
+    fn times(&self) -> MutexGuard<'_, ServiceTimes> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn history(&self) -> MutexGuard<'_, LoadHistory> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Name in answers, which tells targets of one service apart.
+    #[must_use]
+    pub fn name(&self) -> String {
+        format!("{}@{}", self.config.service, self.address)
+    }
+
+    /// Admits a request, or returns `None` if it is shed.
+    pub fn admit(self: &Arc<Self>) -> Option<LoadGuard> {
+        let limit = match self.config.shed_above {
+            0 => u32::MAX,
+            limit => limit,
+        };
+        let admitted = self.load.send_if_modified(|load| {
+            let admits = *load < limit;
+            *load += u32::from(admits);
+            admits
+        });
+        if !admitted {
+            self.shed.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        self.record_load();
+        Some(LoadGuard(Arc::clone(self)))
+    }
+
+    fn release(&self) {
+        self.load.send_modify(|load| *load -= 1);
+        self.record_load();
+    }
+
+    fn record_load(&self) {
+        let load = *self.load.borrow();
+        self.history().record(load, Instant::now());
+    }
+
+    /// Waits for a slot and records the start of the request.
+    pub async fn start(self: &Arc<Self>, load: LoadGuard, label: RequestLabel) -> RunningRequest {
+        let slot = Arc::clone(&self.slots).acquire_owned().await;
+        RunningRequest {
+            entry: self.journal.start(label),
+            // The semaphore is never closed, so there always is a permit.
+            _slot: slot.ok(),
+            _load: load,
+        }
+    }
+
+    /// Time of one request of a class.
+    pub fn draw_time(&self, class: WorkClass) -> Duration {
+        self.times().draw(class, Instant::now())
+    }
+
+    /// Time of work that would take `base` on a warm and healthy target.
+    pub fn scale_time(&self, base: Duration) -> Duration {
+        self.times().scale(base, Instant::now())
+    }
+
+    /// Changes the factor that stands for a straggler.
+    pub fn set_slow_factor(&self, factor: u32) {
+        self.times().set_slow_factor(factor);
+    }
+
+    /// Stops or resumes announcements.
+    pub fn pause_reports(&self, paused: bool) {
+        self.reports_paused.store(paused, Ordering::Relaxed);
+    }
+
+    /// True while announcements are paused.
+    pub fn reports_paused(&self) -> bool {
+        self.reports_paused.load(Ordering::Relaxed)
+    }
+
+    /// Marks the target as leaving.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits until no request is in flight.
+    pub async fn wait_for_idle(&self) {
+        let mut load = self.load.subscribe();
+        // The sender lives in this state, so this cannot fail.
+        let _ = load.wait_for(|load| *load == 0).await;
+    }
+
+    /// What the target tells its node. The load is as old as the settings say.
+    pub fn announcement(&self) -> TargetAnnouncement {
+        TargetAnnouncement {
+            service: self.config.service.to_string(),
+            profile: self.config.profile.to_string(),
+            address: self.address.to_string(),
+            slots: self.config.slots,
+            connections: self.config.connections,
+            reported_load: self.history().reported(Instant::now()),
+            draining: self.draining.load(Ordering::Relaxed),
+        }
+    }
+
+    /// What the admin endpoint tells.
+    pub fn report(&self) -> TargetReport {
+        TargetReport {
+            in_flight: *self.load.borrow(),
+            free_slots: self.slots.available_permits(),
+            shed: self.shed.load(Ordering::Relaxed),
+            draining: self.draining.load(Ordering::Relaxed),
+            slow_factor: self.times().slow_factor(),
+            reports_paused: self.reports_paused(),
+        }
+    }
+}
+
+/// Counts a request as in flight.
+pub struct LoadGuard(Arc<TargetState>);
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.0.release();
+    }
+}
+
+/// A request that holds a slot. Dropping it before [`RunningRequest::finish`] cancels it. The fields
+/// are dropped in this order: the journal's end comes before the slot is free.
+pub struct RunningRequest {
+    entry: JournalEntry,
+    _slot: Option<OwnedSemaphorePermit>,
+    _load: LoadGuard,
+}
+
+impl RunningRequest {
+    /// Records that the request ended whole and frees its slot.
+    pub fn finish(self) {
+        self.entry.finish();
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-standins/src/target/work.rs
@@ -0,0 +1,270 @@
+//! Work that callers ask for.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallOutcome, RefusalReason, WorkClass, headers};
+use bytes::Bytes;
+use salvo::http::{HeaderValue, ResBody, StatusCode, header};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+
+use super::download::{DownloadPlan, download_pieces};
+use super::journal::RequestLabel;
+use super::state::{RunningRequest, TargetState};
+use crate::http::abort_connection;
+
+/// Largest body of a request.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Largest download, so that a mistyped size does not fill a disk.
+const MAX_DOWNLOAD_BYTES: u64 = 16 * 1024 * 1024 * 1024;
+/// Path prefix of long work.
+const LONG_PREFIX: &str = "/long";
+/// Header that identifies a request in the journal.
+const REQUEST_ID: &str = "x-request-id";
+/// Header that makes the target crash while it runs the request.
+const CRASH: &str = "x-crash";
+/// Header of answers that tells which target gave them.
+const SERVED_BY: &str = "x-served-by";
+
+enum WorkKind {
+    Echo(Bytes),
+    Download(DownloadPlan),
+    Text(String),
+}
+
+/// A request that was read and understood.
+struct WorkOrder {
+    kind: WorkKind,
+    duration: Duration,
+    deadline: Option<Instant>,
+    crashes: bool,
+    label: RequestLabel,
+}
+
+/// Why work gives no answer of its own.
+enum WorkFailure {
+    BadRequest(String),
+    Shed,
+    DeadlineBeforeStart,
+    DeadlineWhileRunning,
+}
+
+/// Runs whatever is asked for on paths outside `/admin`.
+pub struct WorkHandler {
+    /// The target.
+    pub state: Arc<TargetState>,
+}
+
+#[async_trait]
+impl Handler for WorkHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        flow: &mut FlowCtrl,
+    ) {
+        // Nothing runs before the whole body is here: a cut request must not count as run.
+        let Ok(body) = request.payload_with_max_size(MAX_BODY_BYTES).await else {
+            return abort_connection(flow).await;
+        };
+        let body = body.clone();
+        if let Ok(name) = HeaderValue::from_str(&self.state.name()) {
+            response.headers_mut().insert(SERVED_BY, name);
+        }
+        let result = match self.read_order(request, body) {
+            Ok(order) => self.run(order).await,
+            Err(failure) => Err(failure),
+        };
+        match result {
+            Ok(body) => answer(response, body),
+            Err(failure) => refuse(response, &failure),
+        }
+    }
+}
+
+impl WorkHandler {
+    fn read_order(&self, request: &Request, body: Bytes) -> Result<WorkOrder, WorkFailure> {
+        let path = request.uri().path();
+        let (kind, duration) = match path {
+            "/echo" => (WorkKind::Echo(body), self.draw_time(request)),
+            "/work" => {
+                let base = read_milliseconds(request, "ms")?;
+                (WorkKind::Text(self.text(path)), self.state.scale_time(base))
+            }
+            "/download" => {
+                let bytes = read_number(request, "bytes")?.min(MAX_DOWNLOAD_BYTES);
+                let duration = self.state.scale_time(read_milliseconds(request, "ms")?);
+                let plan = DownloadPlan::new(bytes, duration);
+                (WorkKind::Download(plan), Duration::ZERO)
+            }
+            _ => (WorkKind::Text(self.text(path)), self.draw_time(request)),
+        };
+        Ok(WorkOrder {
+            kind,
+            duration,
+            deadline: read_deadline(request)?,
+            crashes: read_header(request, CRASH).is_some_and(|value| value == "1"),
+            label: read_label(request),
+        })
+    }
+
+    fn draw_time(&self, request: &Request) -> Duration {
+        self.state.draw_time(work_class(request))
+    }
+
+    fn text(&self, path: &str) -> String {
+        format!("{} {path}\n", self.state.name())
+    }
+
+    async fn run(&self, order: WorkOrder) -> Result<ResBody, WorkFailure> {
+        let load = self.state.admit().ok_or(WorkFailure::Shed)?;
+        let starting = self.state.start(load, order.label);
+        let running = before(order.deadline, starting)
+            .await
+            .ok_or(WorkFailure::DeadlineBeforeStart)?;
+        if order.crashes {
+            crash_during(order.duration).await;
+        }
+        let plan = match order.kind {
+            WorkKind::Download(plan) => plan,
+            WorkKind::Echo(body) => {
+                return finish_in(order.duration, order.deadline, running, body.into()).await;
+            }
+            WorkKind::Text(text) => {
+                return finish_in(order.duration, order.deadline, running, text.into()).await;
+            }
+        };
+        Ok(ResBody::stream(download_pieces(
+            plan,
+            order.deadline,
+            running,
+        )))
+    }
+}
+
+/// Works for a duration, then gives the answer.
+async fn finish_in(
+    duration: Duration,
+    deadline: Option<Instant>,
+    running: RunningRequest,
+    body: ResBody,
+) -> Result<ResBody, WorkFailure> {
+    before(deadline, tokio::time::sleep(duration))
+        .await
+        .ok_or(WorkFailure::DeadlineWhileRunning)?;
+    running.finish();
+    Ok(body)
+}
+
+/// Ends the process in the middle of a request.
+async fn crash_during(duration: Duration) {
+    tokio::time::sleep(duration / 2).await;
+    log::error!("crash requested by header {CRASH}");
+    std::process::abort();
+}
+
+/// Waits for a future until the deadline; `None` if the deadline comes first.
+async fn before<T>(deadline: Option<Instant>, future: impl Future<Output = T>) -> Option<T> {
+    match deadline {
+        Some(deadline) => tokio::time::timeout_at(deadline.into(), future).await.ok(),
+        None => Some(future.await),
+    }
+}
+
+fn work_class(request: &Request) -> WorkClass {
+    let long_header = read_header(request, headers::CLASS).is_some_and(|class| class == "long");
+    if long_header || request.uri().path().starts_with(LONG_PREFIX) {
+        WorkClass::Long
+    } else {
+        WorkClass::Short
+    }
+}
+
+fn read_header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+fn read_label(request: &Request) -> RequestLabel {
+    let path = request.uri().path_and_query();
+    RequestLabel {
+        method: request.method().as_str().into(),
+        path: path.map_or("/", |path| path.as_str()).into(),
+        idempotency_key: read_header(request, headers::IDEMPOTENCY_KEY).map(Into::into),
+        request_id: read_header(request, REQUEST_ID).map(Into::into),
+    }
+}
+
+fn read_deadline(request: &Request) -> Result<Option<Instant>, WorkFailure> {
+    let Some(value) = request.headers().get(headers::DEADLINE_MS) else {
+        return Ok(None);
+    };
+    let parsed = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u32>().ok());
+    let milliseconds = parsed.ok_or_else(|| {
+        let name = headers::DEADLINE_MS;
+        WorkFailure::BadRequest(format!("{name}: found {value:?}, expected milliseconds"))
+    })?;
+    Ok(Some(
+        Instant::now() + Duration::from_millis(milliseconds.into()),
+    ))
+}
+
+fn read_milliseconds(request: &Request, name: &str) -> Result<Duration, WorkFailure> {
+    let milliseconds = read_number(request, name)?.min(u32::MAX.into());
+    Ok(Duration::from_millis(milliseconds))
+}
+
+/// Reads a number of the query; 0 if it is missing.
+fn read_number(request: &Request, name: &str) -> Result<u64, WorkFailure> {
+    let Some(text) = request.queries().get(name) else {
+        return Ok(0);
+    };
+    text.parse().map_err(|_| {
+        WorkFailure::BadRequest(format!("{name}: found {text:?}, expected a whole number"))
+    })
+}
+
+fn answer(response: &mut Response, body: ResBody) {
+    response.status_code(StatusCode::OK);
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    response.replace_body(body);
+}
+
+fn refuse(response: &mut Response, failure: &WorkFailure) {
+    let (status, outcome, reason) = match failure {
+        WorkFailure::BadRequest(_) => (
+            StatusCode::BAD_REQUEST,
+            CallOutcome::NotRun,
+            RefusalReason::BadRequest,
+        ),
+        WorkFailure::Shed => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            CallOutcome::NotRun,
+            RefusalReason::Overloaded,
+        ),
+        WorkFailure::DeadlineBeforeStart => (
+            StatusCode::GATEWAY_TIMEOUT,
+            CallOutcome::NotRun,
+            RefusalReason::DeadlinePassed,
+        ),
+        WorkFailure::DeadlineWhileRunning => (
+            StatusCode::GATEWAY_TIMEOUT,
+            CallOutcome::MayHaveRun,
+            RefusalReason::DeadlinePassed,
+        ),
+    };
+    let text = match failure {
+        WorkFailure::BadRequest(text) => text.clone(),
+        _ => reason.to_string(),
+    };
+    answer(response, ResBody::from(text));
+    response.status_code(status);
+    let outcome = HeaderValue::from_static(outcome.into());
+    response.headers_mut().insert(headers::OUTCOME, outcome);
+    let reason = HeaderValue::from_static(reason.into());
+    response.headers_mut().insert(headers::REASON, reason);
+}
