--- a/crates/apricotfold-model/src/outcome.rs
+++ b/crates/apricotfold-model/src/outcome.rs
@@ -105,6 +105,8 @@
     pub const SERVICE: &str = "apricotfold-service";
     /// Set on requests whose route requires a claim before they run.
     pub const CLAIM: &str = "apricotfold-claim";
+    /// Secret of the cluster, for its targets.
+    pub const SECRET: &str = "apricotfold-secret";
     /// The caller's key for a request that must run at most once.
     pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 }
--- /dev/null
+++ b/crates/apricotfold-node/src/balance.rs
@@ -0,0 +1,199 @@
+//! One balancer per service and work class, with the budgets and the hedge timer of its calls.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{
+    DataCentreName, NodeConfig, NodeId, PickerKind, RefusalReason, RegionName, RetryRule,
+    ServiceName, WorkClass, log_event,
+};
+use apricotfold_policy::{
+    AttemptResult, CallBudgets, CallPlan, HedgeTimer, LoadReport, LocalityTier, PlanActions,
+    PlanEvent, ServiceBalancer, TargetChange, TargetChoice, TargetEntry,
+};
+
+use crate::view::MeshView;
+
+/// Balancers of all services that this node calls.
+pub struct BalancerSet {
+    calls: Mutex<HashMap<CallKind, ServiceCalls>>,
+    kind: PickerKind,
+    seed: u64,
+    region: RegionName,
+    data_centre: DataCentreName,
+}
+
+/// Service and work class of a call. Downloads have a balancer of their own, since their latency
+/// would make a fast target look slow to short work.
+pub type CallKind = (ServiceName, WorkClass);
+
+struct ServiceCalls {
+    balancer: ServiceBalancer,
+    budgets: CallBudgets,
+    hedge: Option<(u32, HedgeTimer)>,
+}
+
+impl BalancerSet {
+    /// Starts without services.
+    pub fn new(config: &NodeConfig, seed: u64) -> Self {
+        Self {
+            calls: Mutex::new(HashMap::new()),
+            kind: config.target_choice,
+            seed,
+            region: config.region.clone(),
+            data_centre: config.data_centre.clone(),
+        }
+    }
+
+    /// Takes over the targets of every service that has been called.
+    pub fn update(&self, view: &MeshView, now: Instant) {
+        let mut known = self.calls.lock().expect("no panic while locked");
+        for ((service, _), calls) in known.iter_mut() {
+            calls
+                .balancer
+                .update_targets(self.entries(view, service), now);
+        }
+    }
+
+    /// Chooses a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no target can be chosen.
+    pub fn pick(
+        &self,
+        kind: &CallKind,
+        excluded: &[NodeId],
+        view: &MeshView,
+        now: Instant,
+    ) -> Result<TargetChoice, RefusalReason> {
+        self.with(kind, view, now, |calls| {
+            let choice = calls.balancer.pick(excluded, now)?;
+            calls.balancer.start_attempt(&choice.node, now);
+            Ok(choice)
+        })
+    }
+
+    /// Notes the end of an attempt that [`pick`](Self::pick) started.
+    pub fn finish(
+        &self,
+        kind: &CallKind,
+        node: &NodeId,
+        result: AttemptResult,
+        latency: Duration,
+        load: Option<LoadReport>,
+    ) {
+        let now = Instant::now();
+        let mut known = self.calls.lock().expect("no panic while locked");
+        let Some(calls) = known.get_mut(kind) else {
+            return;
+        };
+        match calls
+            .balancer
+            .finish_attempt(node, result, latency, load, now)
+        {
+            Some(TargetChange::Quarantined { until }) => {
+                let time = until.saturating_duration_since(now);
+                log_event!(
+                    warn,
+                    TargetQuarantined,
+                    "{node} for {time:?} after {result:?}"
+                );
+            }
+            Some(TargetChange::Released) => log_event!(info, TargetQuarantined, "{node} released"),
+            None => {}
+        }
+        if let Some((_, timer)) = &mut calls.hedge {
+            timer.record(latency, now);
+        }
+    }
+
+    /// Time after which a call is hedged.
+    pub fn hedge_delay(
+        &self,
+        kind: &CallKind,
+        rule: &RetryRule,
+        view: &MeshView,
+        now: Instant,
+    ) -> Option<Duration> {
+        let percentile = rule.hedge_percentile?;
+        self.with(kind, view, now, |calls| {
+            let known = calls.hedge.take().filter(|(known, _)| *known == percentile);
+            let (_, timer) = calls
+                .hedge
+                .insert(known.unwrap_or_else(|| (percentile, HedgeTimer::new(percentile))));
+            timer.delay(now)
+        })
+    }
+
+    /// Starts a call's plan within the budgets of its service.
+    pub fn start_plan(
+        &self,
+        kind: &CallKind,
+        rule: &RetryRule,
+        plan: &mut CallPlan,
+        view: &MeshView,
+        now: Instant,
+    ) -> PlanActions {
+        self.with(kind, view, now, |calls| {
+            calls.budgets.set_rule(rule);
+            plan.start(&mut calls.budgets, now)
+        })
+    }
+
+    /// Passes an event to a call's plan within the budgets of its service.
+    pub fn advance_plan(
+        &self,
+        kind: &CallKind,
+        plan: &mut CallPlan,
+        event: PlanEvent,
+        view: &MeshView,
+        now: Instant,
+    ) -> PlanActions {
+        self.with(kind, view, now, |calls| {
+            plan.handle(event, &mut calls.budgets, now)
+        })
+    }
+
+    fn with<T>(
+        &self,
+        kind: &CallKind,
+        view: &MeshView,
+        now: Instant,
+        run: impl FnOnce(&mut ServiceCalls) -> T,
+    ) -> T {
+        let mut known = self.calls.lock().expect("no panic while locked");
+        if let Some(calls) = known.get_mut(kind) {
+            return run(calls);
+        }
+        let mut balancer = ServiceBalancer::new(self.kind, self.seed);
+        balancer.update_targets(self.entries(view, &kind.0), now);
+        let calls = known.entry(kind.clone()).or_insert(ServiceCalls {
+            balancer,
+            budgets: CallBudgets::new(&RetryRule::default()),
+            hedge: None,
+        });
+        run(calls)
+    }
+
+    fn entries(&self, view: &MeshView, service: &str) -> Vec<TargetEntry> {
+        let entry = |info: &crate::view::EndpointInfo| TargetEntry {
+            node: info.node.clone(),
+            tier: self.tier(&info.region, &info.data_centre),
+            slots: info.slots,
+            draining: info.draining,
+        };
+        view.targets(service).map(entry).collect()
+    }
+
+    fn tier(&self, region: &str, data_centre: &str) -> LocalityTier {
+        if self.data_centre == data_centre {
+            return LocalityTier::SameDataCentre;
+        }
+        if self.region == region {
+            return LocalityTier::SameRegion;
+        }
+        LocalityTier::Remote
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/claim_desk.rs
@@ -0,0 +1,271 @@
+//! Writes claims of keyed orders for the nodes of a data centre. It serves on the acting relay.
+//!
+//! Claims need no fencing number: each is created only if absent, so a relay that has lost its
+//! slot can do no harm. See `docs/design.md`, section 6.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{ClaimEntry, keys, log_event};
+use apricotfold_policy::{ClaimBatch, ClaimRequest, ClaimTicket};
+use apricotfold_schema::peer;
+use apricotfold_store::{
+    Compare, ConfigStore, LeaseId, StoreEntry, StoreError, StoreTxn, WriteEffect,
+};
+use tokio::sync::{Notify, oneshot};
+use tonic::Status;
+
+use crate::measure;
+
+/// Time for which a claim is kept.
+const CLAIM_TTL: Duration = Duration::from_hours(24);
+/// Age at which new claims get a new lease, so that one lease serves many claims.
+const LEASE_AGE: Duration = Duration::from_hours(1);
+/// Times that a batch is written again after a lost answer.
+const SETTLE_TRIES: u32 = 2;
+
+type ClaimAnswer = Result<peer::ClaimReply, Status>;
+
+/// Collects claims and writes them in batches.
+pub struct ClaimDesk {
+    store: Arc<dyn ConfigStore>,
+    batch: Mutex<ClaimBatch>,
+    waiting: Mutex<HashMap<ClaimTicket, Waiter>>,
+    wake: Notify,
+    next_ticket: AtomicU64,
+    lease: tokio::sync::Mutex<Option<(LeaseId, Instant)>>,
+}
+
+struct Waiter {
+    replaces: String,
+    sender: oneshot::Sender<ClaimAnswer>,
+}
+
+impl ClaimDesk {
+    /// Starts the task that writes batches.
+    pub fn start(store: Arc<dyn ConfigStore>) -> Arc<Self> {
+        let desk = Arc::new(Self {
+            store,
+            batch: Mutex::new(ClaimBatch::new()),
+            waiting: Mutex::new(HashMap::new()),
+            wake: Notify::new(),
+            next_ticket: AtomicU64::new(1),
+            lease: tokio::sync::Mutex::new(None),
+        });
+        tokio::spawn(desk.clone().write_batches());
+        desk
+    }
+
+    /// Claims an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not answer; the claim may then have been written.
+    pub async fn claim(&self, request: peer::ClaimRequest) -> ClaimAnswer {
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        let waiter = Waiter {
+            replaces: request.replaces,
+            sender,
+        };
+        self.waiting
+            .lock()
+            .expect("no panic while locked")
+            .insert(ticket, waiter);
+        let claim = ClaimRequest {
+            ticket,
+            service: request.service.into(),
+            key: request.key.into(),
+            entry: ClaimEntry {
+                claim_id: request.claim_id.into(),
+                node: request.node.into(),
+                incarnation: request.incarnation,
+            },
+        };
+        self.batch
+            .lock()
+            .expect("no panic while locked")
+            .add(claim, Instant::now());
+        self.wake.notify_one();
+        receiver
+            .await
+            .unwrap_or_else(|_| Err(Status::unavailable("the relay is stopping")))
+    }
+
+    async fn write_batches(self: Arc<Self>) {
+        loop {
+            let due = self.batch.lock().expect("no panic while locked").next_due();
+            match due {
+                None => self.wake.notified().await,
+                Some(due) => tokio::select! {
+                    () = self.wake.notified() => {}
+                    () = tokio::time::sleep_until(due.into()) => {}
+                },
+            }
+            loop {
+                let now = Instant::now();
+                let taken = self
+                    .batch
+                    .lock()
+                    .expect("no panic while locked")
+                    .take_due(now);
+                let Some(claims) = taken else { break };
+                tokio::spawn(self.clone().write(claims));
+            }
+        }
+    }
+
+    /// Writes a batch. Claims that exist already are answered with their holder, and the others
+    /// are written without them.
+    async fn write(self: Arc<Self>, mut claims: Vec<ClaimRequest>) {
+        while !claims.is_empty() {
+            let found = match self.commit(&claims).await {
+                Ok(None) => {
+                    claims.drain(..).for_each(|claim| self.grant(&claim));
+                    return;
+                }
+                Ok(Some(found)) => found,
+                Err(error) => {
+                    log_event!(warn, StoreUnavailable, "{} claims: {error}", claims.len());
+                    for claim in &claims {
+                        self.reply(claim, Err(Status::unavailable(error.to_string())));
+                    }
+                    return;
+                }
+            };
+            let mut rest = Vec::new();
+            for claim in claims {
+                let key = keys::claim(&claim.service, &claim.key);
+                match found.iter().find(|entry| entry.key == key) {
+                    Some(entry) => self.settle(&claim, entry).await,
+                    None => rest.push(claim),
+                }
+            }
+            claims = rest;
+        }
+    }
+
+    /// Returns `None` when the whole batch was written, and the entries in its way otherwise. A
+    /// batch whose answer was lost is written again: if it had taken effect, the entries in its
+    /// way are its own.
+    async fn commit(&self, claims: &[ClaimRequest]) -> Result<Option<Vec<StoreEntry>>, StoreError> {
+        let lease = self.current_lease().await?;
+        let mut txn = StoreTxn::default();
+        for claim in claims {
+            let key = keys::claim(&claim.service, &claim.key);
+            txn = txn.when(Compare::Absent { key: key.clone() }).put_leased(
+                key,
+                encode(&claim.entry),
+                lease,
+            );
+        }
+        let mut tries = 0;
+        loop {
+            measure::record_store_call("claim");
+            match self.store.commit(&txn).await {
+                Ok(answer) if answer.succeeded => return Ok(None),
+                Ok(answer) => return Ok(Some(answer.found)),
+                Err(error) if error.effect == WriteEffect::Unknown && tries < SETTLE_TRIES => {
+                    tries += 1;
+                    log_event!(info, LostAnswerSettled, "{} claims: {error}", claims.len());
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    async fn current_lease(&self) -> Result<LeaseId, StoreError> {
+        let mut lease = self.lease.lock().await;
+        if let Some((id, granted)) = *lease
+            && granted.elapsed() < LEASE_AGE
+        {
+            return Ok(id);
+        }
+        measure::record_store_call("grant");
+        let id = self
+            .store
+            .grant(CLAIM_TTL + LEASE_AGE)
+            .await
+            .map_err(|error| StoreError {
+                effect: WriteEffect::None,
+                ..error
+            })?;
+        *lease = Some((id, Instant::now()));
+        Ok(id)
+    }
+
+    /// Answers a claim whose key exists: it is its own after a lost answer, it may be replaced, or
+    /// somebody else holds it.
+    async fn settle(&self, claim: &ClaimRequest, entry: &StoreEntry) {
+        let Ok(holder) = serde_json::from_str::<ClaimEntry>(&entry.value) else {
+            self.reply(
+                claim,
+                Err(Status::data_loss("the claim in the store is not readable")),
+            );
+            return;
+        };
+        if holder.claim_id == claim.entry.claim_id {
+            self.grant(claim);
+            return;
+        }
+        let replaced = self.may_replace(claim, &holder) && self.replace(claim, entry).await;
+        if replaced {
+            self.grant(claim);
+            return;
+        }
+        let reply = peer::ClaimReply {
+            granted: false,
+            holder_node: holder.node.into(),
+            holder_incarnation: holder.incarnation,
+            holder_claim_id: holder.claim_id.into(),
+        };
+        self.reply(claim, Ok(reply));
+    }
+
+    fn may_replace(&self, claim: &ClaimRequest, holder: &ClaimEntry) -> bool {
+        let waiting = self.waiting.lock().expect("no panic while locked");
+        waiting
+            .get(&claim.ticket)
+            .is_some_and(|waiter| waiter.replaces == holder.claim_id.as_str())
+    }
+
+    async fn replace(&self, claim: &ClaimRequest, entry: &StoreEntry) -> bool {
+        let txn = StoreTxn::default()
+            .when(Compare::ModRevision {
+                key: entry.key.clone(),
+                revision: entry.mod_revision,
+            })
+            .put_leased(&entry.key, encode(&claim.entry), entry.lease);
+        measure::record_store_call("claim");
+        self.store
+            .commit(&txn)
+            .await
+            .is_ok_and(|answer| answer.succeeded)
+    }
+
+    fn grant(&self, claim: &ClaimRequest) {
+        let reply = peer::ClaimReply {
+            granted: true,
+            ..peer::ClaimReply::default()
+        };
+        self.reply(claim, Ok(reply));
+    }
+
+    fn reply(&self, claim: &ClaimRequest, answer: ClaimAnswer) {
+        let waiter = self
+            .waiting
+            .lock()
+            .expect("no panic while locked")
+            .remove(&claim.ticket);
+        if let Some(waiter) = waiter {
+            // The asker may have given up.
+            let _ = waiter.sender.send(answer);
+        }
+    }
+}
+
+fn encode(entry: &ClaimEntry) -> String {
+    serde_json::to_string(entry).expect("a claim always has a JSON form")
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/control_loop.rs
@@ -0,0 +1,325 @@
+//! Feeds the control plane's decisions and carries out what they ask for.
+//!
+//! One task owns the [`ControlCore`]. Streams, the store session and the admin endpoints send it
+//! events; see `docs/design.md`, section 5.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use apricotfold_control::{
+    ControlAction, ControlConfig, ControlCore, ControlEvent, StreamDirection, StreamId,
+};
+use apricotfold_model::{HeadState, MeshProfile, ProfileBundle, log_event};
+use apricotfold_schema::peer::{CandidateBody, HeadBody, Hello, PeerMessage, peer_message};
+use tokio::sync::mpsc;
+use tonic::Status;
+
+use crate::control_view::{read_status, read_view};
+use crate::enforce::ProfileEnforcer;
+use crate::peer_streams::{self, StreamSender};
+use crate::state::NodeState;
+use crate::store_session::StoreSession;
+
+const TICK: Duration = Duration::from_millis(50);
+/// Least time between two rebuilds of the view. The loss of a data centre changes hundreds of
+/// endpoints at nearly the same moment.
+const VIEW_INTERVAL: Duration = Duration::from_millis(100);
+/// Events that may wait for the loop; a full queue slows the streams down.
+const EVENT_QUEUE: usize = 1024;
+
+/// One input of the loop.
+pub enum LoopInput {
+    /// An event for the core.
+    Event(ControlEvent),
+    /// A stream is up and can be written to.
+    Opened {
+        /// The stream.
+        stream: StreamId,
+        /// What the peer said.
+        hello: Hello,
+        /// Which side opened it.
+        direction: StreamDirection,
+        /// Messages to the peer.
+        sender: StreamSender,
+    },
+}
+
+/// Sends inputs to the loop.
+pub type LoopSender = mpsc::Sender<LoopInput>;
+
+/// Creates the queue of the loop.
+pub fn queue() -> (LoopSender, mpsc::Receiver<LoopInput>) {
+    mpsc::channel(EVENT_QUEUE)
+}
+
+/// The task's state.
+pub struct ControlLoop {
+    state: Arc<NodeState>,
+    core: ControlCore,
+    enforcer: ProfileEnforcer,
+    store: StoreSession,
+    streams: HashMap<StreamId, StreamSender>,
+    inputs: mpsc::Receiver<LoopInput>,
+    sender: LoopSender,
+    view_dirty: bool,
+    view_built: Instant,
+}
+
+impl ControlLoop {
+    /// Prepares the loop.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store client cannot be set up.
+    pub fn new(
+        state: Arc<NodeState>,
+        sender: LoopSender,
+        inputs: mpsc::Receiver<LoopInput>,
+    ) -> eyre::Result<Self> {
+        let now = Instant::now();
+        let config = &state.config;
+        let control = ControlConfig {
+            node: config.node.clone(),
+            region: config.region.clone(),
+            data_centre: config.data_centre.clone(),
+            control_address: config.advertised_control.clone(),
+            mesh_address: config.advertised_mesh.clone(),
+            admin_address: config.admin_address.to_string().into(),
+            incarnation: state.incarnation,
+            contacts: config.contacts.to_vec(),
+            seed: state.seed,
+        };
+        Ok(Self {
+            core: ControlCore::new(control, now),
+            enforcer: ProfileEnforcer::new(state.clone()),
+            store: StoreSession::new(&config.store, sender.clone())?,
+            streams: HashMap::new(),
+            inputs,
+            sender,
+            view_dirty: true,
+            view_built: now,
+            state,
+        })
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut target = self.state.watch_target();
+        let mut crashes = self.state.crash_reports.subscribe();
+        let mut draining = false;
+        loop {
+            tokio::select! {
+                _ = tick.tick() => {
+                    self.handle(ControlEvent::Tick);
+                    self.refresh_view();
+                }
+                Some(input) = self.inputs.recv() => self.note_input(input),
+                Ok(()) = target.changed() => {
+                    let known = self.state.target();
+                    self.handle(ControlEvent::TargetChanged(known));
+                    if self.state.draining.load(Ordering::Relaxed) && !draining {
+                        draining = true;
+                        self.handle(ControlEvent::DrainStarted);
+                    }
+                    if self.state.leaving.load(Ordering::Relaxed) {
+                        self.handle(ControlEvent::Leaving);
+                    }
+                }
+                Ok(fingerprint) = crashes.recv() => {
+                    self.handle(ControlEvent::CrashSeen { fingerprint });
+                }
+            }
+        }
+    }
+
+    fn note_input(&mut self, input: LoopInput) {
+        match input {
+            LoopInput::Event(event) => {
+                if let ControlEvent::StreamClosed { stream } = &event {
+                    self.streams.remove(stream);
+                }
+                self.handle(event);
+            }
+            LoopInput::Opened {
+                stream,
+                hello,
+                direction,
+                sender,
+            } => self.open_stream(stream, hello, direction, sender),
+        }
+    }
+
+    /// Hands a new stream to the core. An inbound peer gets our greeting only after the core has
+    /// accepted the stream, so that a refused peer never takes the stream for open.
+    fn open_stream(
+        &mut self,
+        stream: StreamId,
+        hello: Hello,
+        direction: StreamDirection,
+        sender: StreamSender,
+    ) {
+        let greet = direction == StreamDirection::Inbound;
+        let event = ControlEvent::StreamOpened {
+            stream,
+            hello,
+            direction,
+        };
+        let actions = self.core.handle(event, Instant::now());
+        let refused = |action: &ControlAction| matches!(action, ControlAction::RefuseStream { stream: refused, .. } if *refused == stream);
+        self.streams.insert(stream, sender);
+        if greet && !actions.iter().any(refused) {
+            let body = peer_message::Body::Hello(self.core.hello());
+            self.send(stream, PeerMessage { body: Some(body) });
+        }
+        self.carry_out(actions);
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let actions = self.core.handle(event, Instant::now());
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<ControlAction>) {
+        for action in actions {
+            match action {
+                ControlAction::OpenStream { address } => {
+                    let hello = self.core.hello();
+                    peer_streams::open(&self.state, address, hello, self.sender.clone());
+                }
+                ControlAction::CloseStream { stream } => {
+                    self.streams.remove(&stream);
+                }
+                ControlAction::RefuseStream {
+                    stream,
+                    retry_after,
+                } => self.refuse(stream, retry_after),
+                ControlAction::Send { stream, message } => self.send(stream, message),
+                ControlAction::Prepare { candidate } => self.prepare(candidate),
+                ControlAction::Apply { head } => self.apply(&head),
+                ControlAction::EndpointsChanged => self.view_dirty = true,
+                ControlAction::CrashCounts { fingerprint, count } => {
+                    self.state.merge_crashes(&fingerprint, count);
+                }
+                ControlAction::StoreRequest { id, request } => self.store.start(id, request),
+                ControlAction::Log { level, code, text } => {
+                    let message = apricotfold_model::event_message(code);
+                    log::log!(level, "{} {message}: {text}", code.as_ref());
+                }
+            }
+        }
+    }
+
+    fn refuse(&mut self, stream: StreamId, retry_after: Duration) {
+        log_event!(warn, PeerRefused, "stream {} for {retry_after:?}", stream.0);
+        if let Some(sender) = self.streams.remove(&stream) {
+            let _ = sender.try_send(Err(peer_streams::refusal(retry_after)));
+        }
+    }
+
+    /// Sends a message. A peer that does not keep up loses its stream; the records that it missed
+    /// are repaired after it has reconnected.
+    fn send(&mut self, stream: StreamId, message: PeerMessage) {
+        let Some(sender) = self.streams.get(&stream) else {
+            return;
+        };
+        if sender.try_send(Ok::<_, Status>(message)).is_err() {
+            self.streams.remove(&stream);
+            let event = LoopInput::Event(ControlEvent::StreamClosed { stream });
+            let _ = self.sender.try_send(event);
+        }
+    }
+
+    fn prepare(&mut self, candidate: CandidateBody) {
+        let result = self.check(&candidate);
+        let (profile, version) = (&candidate.profile, candidate.version);
+        match &result {
+            Ok(()) => log_event!(info, VersionPrepared, "profile {profile} version {version}"),
+            Err(reason) => {
+                log_event!(
+                    warn,
+                    VersionRefused,
+                    "profile {profile} version {version}: {reason}"
+                );
+            }
+        }
+        self.handle(ControlEvent::PrepareResult {
+            profile: candidate.profile.into(),
+            version,
+            publish_id: candidate.publish_id.into(),
+            result: result.map_err(Into::into),
+        });
+    }
+
+    fn check(&self, candidate: &CandidateBody) -> Result<(), String> {
+        if candidate.withdrawn {
+            return Ok(());
+        }
+        let bundle = ProfileBundle::expand(&candidate.bundle, &candidate.digest)
+            .map_err(|error| error.to_string())?;
+        self.enforcer
+            .prepare(&bundle.profile)
+            .map_err(|missing| format!("no {missing} on this node"))
+    }
+
+    fn apply(&mut self, head: &HeadBody) {
+        let event = match self.enforce(head) {
+            Ok(()) => ControlEvent::Applied {
+                profile: head.profile.as_str().into(),
+                version: head.version,
+            },
+            Err(reason) => {
+                let (profile, version) = (&head.profile, head.version);
+                log_event!(
+                    error,
+                    VersionStuck,
+                    "profile {profile} version {version}: {reason}"
+                );
+                ControlEvent::ApplyFailed {
+                    profile: profile.as_str().into(),
+                    version,
+                    reason: reason.into(),
+                }
+            }
+        };
+        self.handle(event);
+        self.view_dirty = true;
+    }
+
+    fn enforce(&mut self, head: &HeadBody) -> Result<(), String> {
+        let profile = if head.withdrawn {
+            MeshProfile::default()
+        } else {
+            let bundle = ProfileBundle::expand(&head.bundle, &head.digest);
+            bundle.map_err(|error| error.to_string())?.profile
+        };
+        let state = if head.withdrawn {
+            HeadState::Withdrawn
+        } else {
+            HeadState::Published
+        };
+        log::debug!("head {} version {} {state}", head.profile, head.version);
+        self.enforcer
+            .apply(profile, head.version)
+            .map_err(|missing| format!("no {missing} on this node"))
+    }
+
+    fn refresh_view(&mut self) {
+        let now = Instant::now();
+        let status = read_status(&self.core, &self.state, now);
+        self.state.ready.store(status.ready, Ordering::Relaxed);
+        self.state.control.store(Arc::new(status));
+        if !self.view_dirty || now.duration_since(self.view_built) < VIEW_INTERVAL {
+            return;
+        }
+        self.view_dirty = false;
+        self.view_built = now;
+        let view = read_view(&self.core);
+        self.enforcer.set_services(view.services());
+        self.state.balancers.update(&view, now);
+        self.state.view.store(Arc::new(view));
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/crash.rs
@@ -0,0 +1,21 @@
+//! Recognises equal requests, so that one which crashes targets can be stopped.
+
+use apricotfold_model::headers;
+use apricotfold_policy::RequestFingerprint;
+use sha2::{Digest, Sha256};
+
+use crate::forward::HeldRequest;
+
+/// Digest over method, path and body, or idempotency key where there is one.
+pub fn fingerprint(request: &HeldRequest) -> RequestFingerprint {
+    let mut digest = Sha256::new();
+    digest.update(request.method.as_str());
+    digest.update([0]);
+    digest.update(&request.path);
+    digest.update([0]);
+    match request.headers.get(headers::IDEMPOTENCY_KEY) {
+        Some(key) => digest.update(key.as_bytes()),
+        None => digest.update(&request.body),
+    }
+    hex::encode(&digest.finalize()[..16]).into()
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/entry.rs
@@ -0,0 +1,162 @@
+//! The side that callers see: matches a route and makes the call.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{
+    ActiveRoute, CallOutcome, InactiveRoute, ListenerName, RefusalReason, headers, log_event,
+};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+
+use crate::answer::{CallRefusal, header_text, read_header, set_outcome};
+use crate::call::{CallAnswer, CallRun};
+use crate::forward::{HeldRequest, copy_answer, set_header, stream_body};
+use crate::measure;
+use crate::state::NodeState;
+
+/// Nodes that a call tree may pass. Calls go up to 9 deep and pass two nodes per call.
+const MAX_HOPS: u32 = 18;
+
+/// Serves the callers of one listener.
+pub struct EntryHandler {
+    state: Arc<NodeState>,
+    listener: ListenerName,
+}
+
+impl EntryHandler {
+    /// Prepares the handler of a listener.
+    pub fn new(state: Arc<NodeState>, listener: ListenerName) -> Self {
+        Self { state, listener }
+    }
+
+    async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), CallRefusal> {
+        let arrived = Instant::now();
+        if self.state.draining.load(Ordering::Relaxed) {
+            return Err(CallRefusal::not_run(RefusalReason::Draining, ""));
+        }
+        let route = self.find_route(req)?;
+        let deadline = read_deadline(req, route.rule.timeout, arrived);
+        let mut request = HeldRequest::read(req).await?;
+        prepare_headers(&mut request, &route, &self.state)?;
+        self.check_poison(&request)?;
+        let call = CallRun::new(&self.state, &route, &request, deadline).run();
+        let CallAnswer {
+            answer,
+            tier,
+            guard,
+        } = call.await?;
+        copy_answer(&answer, res);
+        res.headers_mut().remove(headers::LOAD);
+        set_outcome(res.headers_mut(), CallOutcome::Ran);
+        let guard = (guard, self.state.in_flight.enter());
+        stream_body(answer, res, deadline, Some(tier), guard);
+        Ok(())
+    }
+
+    fn find_route(&self, req: &Request) -> Result<ActiveRoute, CallRefusal> {
+        let snapshot = self.state.snapshot.load();
+        let path = req.uri().path();
+        let found = snapshot.find_route(&self.listener, req.method().as_str(), path);
+        found.cloned().map_err(|inactive| self.explain(inactive))
+    }
+
+    fn explain(&self, inactive: Option<&InactiveRoute>) -> CallRefusal {
+        if let Some(route) = inactive {
+            let detail = format!("route {}: no {}", route.rule.name, route.missing);
+            return CallRefusal::not_run(RefusalReason::RouteInactive, detail);
+        }
+        if !self.state.ready.load(Ordering::Relaxed) {
+            let detail = "no profile version is known yet";
+            return CallRefusal::not_run(RefusalReason::NotReady, detail);
+        }
+        CallRefusal::not_run(RefusalReason::NoRoute, "")
+    }
+
+    fn check_poison(&self, request: &HeldRequest) -> Result<(), CallRefusal> {
+        if !self.state.is_poison(request) {
+            return Ok(());
+        }
+        log_event!(
+            warn,
+            RequestBlocked,
+            "{} {}",
+            request.method,
+            request.plain_path()
+        );
+        let detail = "targets died while they ran this request";
+        Err(CallRefusal::not_run(RefusalReason::PoisonRequest, detail))
+    }
+}
+
+/// Takes the earlier of the caller's deadline and the route's timeout.
+fn read_deadline(req: &Request, timeout: Duration, arrived: Instant) -> Instant {
+    let asked = read_header(req.headers(), headers::DEADLINE_MS).map(Duration::from_millis);
+    arrived + asked.map_or(timeout, |asked| asked.min(timeout))
+}
+
+/// Sets what the target's node needs to know.
+fn prepare_headers(
+    request: &mut HeldRequest,
+    route: &ActiveRoute,
+    state: &NodeState,
+) -> Result<(), CallRefusal> {
+    let hops = read_header(&request.headers, headers::HOPS).unwrap_or(0u32) + 1;
+    if hops > MAX_HOPS {
+        let detail = format!("more than {MAX_HOPS} nodes");
+        return Err(CallRefusal::not_run(RefusalReason::TooDeep, detail));
+    }
+    let rule = &route.rule;
+    if rule.require_key && !request.headers.contains_key(headers::IDEMPOTENCY_KEY) {
+        let detail = format!("route {} needs the header idempotency-key", rule.name);
+        return Err(CallRefusal::not_run(RefusalReason::KeyMissing, detail));
+    }
+    let target = &mut request.headers;
+    set_header(target, headers::HOPS, hops);
+    set_header(target, headers::CLASS, rule.class);
+    set_header(target, headers::PRIORITY, rule.priority);
+    set_header(target, headers::SERVICE, &route.cluster.service);
+    target.remove(headers::CLAIM);
+    if rule.require_key {
+        set_header(target, headers::CLAIM, "required");
+    }
+    let secret = route.cluster.secret.as_ref();
+    let secret = secret.and_then(|name| {
+        state
+            .config
+            .secrets
+            .iter()
+            .find(|known| known.name == *name)
+    });
+    if let Some(secret) = secret {
+        set_header(target, headers::SECRET, &secret.value);
+    }
+    Ok(())
+}
+
+#[async_trait]
+impl Handler for EntryHandler {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let started = Instant::now();
+        let _in_flight = self.state.in_flight.enter();
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let Err(refusal) = self.answer(req, res).await else {
+            measure::record_call(CallOutcome::Ran, None, started.elapsed());
+            return;
+        };
+        measure::record_call(refusal.outcome, Some(refusal.reason), started.elapsed());
+        let id = header_text(req, "x-request-id");
+        let CallRefusal {
+            outcome,
+            reason,
+            detail,
+        } = &refusal;
+        log_event!(
+            info,
+            CallRefused,
+            "{method} {path} {id} {outcome} {reason} {detail}"
+        );
+        refusal.write(res);
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/measure.rs
@@ -0,0 +1,58 @@
+//! Metrics of the daemon, in the text format that the admin endpoint serves.
+
+use std::time::Duration;
+
+use apricotfold_model::{CallOutcome, RefusalReason};
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Starts the recorder.
+pub fn install() -> eyre::Result<PrometheusHandle> {
+    Ok(PrometheusBuilder::new().install_recorder()?)
+}
+
+/// Counts a finished call at its entry node.
+pub fn record_call(outcome: CallOutcome, reason: Option<RefusalReason>, elapsed: Duration) {
+    let reason: &'static str = reason.map_or("none", Into::into);
+    let outcome: &'static str = outcome.into();
+    counter!("apricotfold_calls_total", "outcome" => outcome, "reason" => reason).increment(1);
+    histogram!("apricotfold_call_seconds").record(elapsed.as_secs_f64());
+}
+
+/// Counts a further attempt of a call; `kind` is `retry` or `hedge`.
+pub fn record_extra_attempt(kind: &'static str) {
+    counter!("apricotfold_extra_attempts_total", "kind" => kind).increment(1);
+}
+
+/// Counts bytes of answers that came from another region.
+pub fn record_answer_bytes(tier: &'static str, bytes: usize) {
+    counter!("apricotfold_answer_bytes_total", "tier" => tier).increment(bytes as u64);
+}
+
+/// Publishes the applied version.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "gauges are floating-point numbers"
+)]
+pub fn record_version(version: u64) {
+    gauge!("apricotfold_applied_version").set(version as f64);
+}
+
+/// Counts control bytes by kind and link; `direction` is `sent` or `received`.
+pub fn record_control_bytes(
+    kind: &'static str,
+    link: &'static str,
+    direction: &'static str,
+    bytes: usize,
+) {
+    counter!(
+        "apricotfold_control_bytes_total",
+        "kind" => kind, "link" => link, "direction" => direction
+    )
+    .increment(bytes as u64);
+}
+
+/// Counts calls to the store.
+pub fn record_store_call(kind: &'static str) {
+    counter!("apricotfold_store_calls_total", "kind" => kind).increment(1);
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/orders.rs
@@ -0,0 +1,331 @@
+//! Orders that carry an idempotency key and must run at most once, see `docs/design.md`,
+//! section 6.
+//!
+//! The target's node claims the order in the store before it passes it on. A repeat finds the
+//! claim, asks its holder, and gets the same answer.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallOutcome, NodeId, RefusalReason, StepError, headers, log_event};
+use apricotfold_policy::{ClaimId, OrderKey, OrderLedger, OrderOutcome, StoredAnswer};
+use apricotfold_schema::peer::peer_control_client::PeerControlClient;
+use apricotfold_schema::peer::{
+    AnswerHeader, ClaimReply, ClaimRequest, OrderState, OutcomeReply, OutcomeRequest,
+};
+use apricotfold_store::ConfigStore;
+use compact_str::format_compact;
+use tonic::Status;
+
+use crate::answer::{CallRefusal, read_header};
+use crate::claim_desk::ClaimDesk;
+use crate::forward::HeldRequest;
+use crate::peer_streams::endpoint;
+use crate::state::NodeState;
+
+/// Longest wait for a relay's answer. A claim waits up to 20 ms for others and crosses the link
+/// between regions twice.
+const CLAIM_LIMIT: Duration = Duration::from_secs(1);
+/// Time between two questions about an order that is still running.
+const ASK_INTERVAL: Duration = Duration::from_millis(50);
+/// Times that a claim whose holder did not run the order is replaced within one call.
+const REPLACE_TRIES: u32 = 3;
+
+/// Keyed orders of this node, and claims for others while it is the acting relay.
+pub struct OrderDesk {
+    state: Arc<NodeState>,
+    ledger: Mutex<OrderLedger>,
+    claims: Arc<ClaimDesk>,
+}
+
+/// A claimed order that may now run.
+pub struct ClaimHold {
+    order: OrderKey,
+    claim: ClaimId,
+}
+
+/// What a claim came to.
+pub enum ClaimResult {
+    /// The order may run.
+    Granted(ClaimHold),
+    /// The order ran before; this is its answer.
+    Replay(Arc<StoredAnswer>),
+}
+
+impl OrderDesk {
+    /// Starts the desk.
+    pub fn start(state: Arc<NodeState>, store: Arc<dyn ConfigStore>) -> Arc<Self> {
+        Arc::new(Self {
+            state,
+            ledger: Mutex::new(OrderLedger::new()),
+            claims: ClaimDesk::start(store),
+        })
+    }
+
+    /// Claims a request's order, or finds the answer that it had before.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the order does not run now. The outcome is `not-run` only when no earlier
+    /// attempt can have run either.
+    pub async fn claim(
+        &self,
+        request: &HeldRequest,
+        deadline: Instant,
+    ) -> Result<ClaimResult, CallRefusal> {
+        let (service, key) = read_key(request)?;
+        let order: OrderKey = format_compact!("{service}/{key}");
+        let claim: ClaimId = format_compact!(
+            "{}-{}-{:016x}",
+            self.state.config.node,
+            self.state.incarnation,
+            self.state.random()
+        );
+        let mut replaces = String::new();
+        for _ in 0..REPLACE_TRIES {
+            let begun = self.ledger().begin(&order, &claim);
+            if let Err(known) = begun {
+                return self.follow_local(&order, known, deadline).await;
+            }
+            let asked = self.ask_relay(&service, &key, &claim, &replaces).await;
+            let reply = asked.map_err(|error| {
+                // The claim may have been written. The ledger then tells a repeat that this
+                // attempt did not run, and the repeat replaces it.
+                self.ledger().fail_not_run(&order, &claim);
+                CallRefusal::not_run(RefusalReason::StoreUnavailable, error.to_string())
+            })?;
+            if reply.granted {
+                log_event!(info, OrderClaim, "{order} granted to {claim}");
+                return Ok(ClaimResult::Granted(ClaimHold { order, claim }));
+            }
+            self.ledger().fail_not_run(&order, &claim);
+            let holder = &reply.holder_node;
+            log_event!(
+                info,
+                OrderClaim,
+                "{order} held by {holder} claim {}",
+                reply.holder_claim_id
+            );
+            match self.follow_holder(&service, &key, &reply, deadline).await {
+                OrderOutcome::Answered(answer) => return Ok(ClaimResult::Replay(answer)),
+                OrderOutcome::NotRun => replaces = reply.holder_claim_id,
+                other => return Err(explain(&other)),
+            }
+        }
+        Err(CallRefusal::not_run(
+            RefusalReason::AlreadyClaimed,
+            "other attempts came first",
+        ))
+    }
+
+    /// Notes the answer of an order that ran.
+    pub fn finish(&self, hold: &ClaimHold, answer: StoredAnswer) {
+        self.ledger().finish(&hold.order, &hold.claim, answer);
+    }
+
+    /// Notes why an order that may run has no answer.
+    pub fn fail(&self, hold: &ClaimHold, outcome: CallOutcome) {
+        if outcome == CallOutcome::NotRun {
+            self.ledger().fail_not_run(&hold.order, &hold.claim);
+        } else {
+            self.ledger().fail_may_have_run(&hold.order, &hold.claim);
+        }
+    }
+
+    /// Claims an order for another node of the data centre.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not answer.
+    pub async fn claim_for(&self, request: ClaimRequest) -> Result<ClaimReply, Status> {
+        self.claims.claim(request).await
+    }
+
+    /// Tells another node what became of an order that this node claimed.
+    pub fn tell(&self, request: &OutcomeRequest) -> OutcomeReply {
+        let order: OrderKey = format_compact!("{}/{}", request.service, request.key);
+        let claim = request.claim_id.as_str().into();
+        write_outcome(&self.ledger().outcome(&order, &claim))
+    }
+
+    fn ledger(&self) -> std::sync::MutexGuard<'_, OrderLedger> {
+        self.ledger.lock().expect("no panic while locked")
+    }
+
+    async fn ask_relay(
+        &self,
+        service: &str,
+        key: &str,
+        claim: &ClaimId,
+        replaces: &str,
+    ) -> Result<ClaimReply, StepError> {
+        let request = ClaimRequest {
+            service: service.to_owned(),
+            key: key.to_owned(),
+            claim_id: claim.to_string(),
+            node: self.state.config.node.to_string(),
+            incarnation: self.state.incarnation,
+            replaces: replaces.to_owned(),
+        };
+        let relay = self.state.control.load().acting_relay.clone();
+        let Some(relay) = relay else {
+            return Err(StepError::new(
+                "claim",
+                "relay",
+                eyre::eyre!("no acting relay is known"),
+            ));
+        };
+        let ask = async {
+            if relay.node == self.state.config.node {
+                return self.claims.claim(request).await;
+            }
+            let mut client = connect(&relay.control_address).await?;
+            Ok(client.claim(request).await?.into_inner())
+        };
+        let answer = tokio::time::timeout(CLAIM_LIMIT, ask).await;
+        let fail = |cause| StepError::new("claim", relay.node.clone(), cause);
+        match answer {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(status)) => Err(fail(eyre::Report::from(status))),
+            Err(elapsed) => Err(fail(elapsed.into())),
+        }
+    }
+
+    /// Waits for an order that this node already works on.
+    async fn follow_local(
+        &self,
+        order: &OrderKey,
+        mut known: OrderOutcome,
+        deadline: Instant,
+    ) -> Result<ClaimResult, CallRefusal> {
+        while known == OrderOutcome::Running && Instant::now() < deadline {
+            tokio::time::sleep(ASK_INTERVAL).await;
+            known = self.ledger().current(order);
+        }
+        match known {
+            OrderOutcome::Answered(answer) => Ok(ClaimResult::Replay(answer)),
+            OrderOutcome::NotRun => {
+                let detail = "an earlier attempt did not run; ask again";
+                Err(CallRefusal::not_run(RefusalReason::AlreadyClaimed, detail))
+            }
+            other => Err(explain(&other)),
+        }
+    }
+
+    /// Asks the holder of a claim until the order has ended.
+    async fn follow_holder(
+        &self,
+        service: &str,
+        key: &str,
+        reply: &ClaimReply,
+        deadline: Instant,
+    ) -> OrderOutcome {
+        let request = OutcomeRequest {
+            service: service.to_owned(),
+            key: key.to_owned(),
+            claim_id: reply.holder_claim_id.clone(),
+        };
+        let holder: NodeId = reply.holder_node.as_str().into();
+        loop {
+            let outcome = self.ask_holder(&holder, &request).await;
+            let running = outcome == OrderOutcome::Running;
+            if !running || Instant::now() + ASK_INTERVAL >= deadline {
+                return outcome;
+            }
+            tokio::time::sleep(ASK_INTERVAL).await;
+        }
+    }
+
+    async fn ask_holder(&self, holder: &NodeId, request: &OutcomeRequest) -> OrderOutcome {
+        if *holder == self.state.config.node {
+            return read_outcome(self.tell(request));
+        }
+        let view = self.state.view.load();
+        let Some(member) = view.members.get(holder) else {
+            return OrderOutcome::MayHaveRun;
+        };
+        let ask = async {
+            let mut client = connect(&member.control_address).await?;
+            Ok::<_, Status>(client.outcome(request.clone()).await?.into_inner())
+        };
+        match tokio::time::timeout(CLAIM_LIMIT, ask).await {
+            Ok(Ok(reply)) => read_outcome(reply),
+            _ => OrderOutcome::MayHaveRun,
+        }
+    }
+}
+
+async fn connect(address: &str) -> Result<PeerControlClient<tonic::transport::Channel>, Status> {
+    let failed = |error: tonic::transport::Error| Status::unavailable(error.to_string());
+    let channel = endpoint(address)
+        .map_err(failed)?
+        .connect()
+        .await
+        .map_err(failed)?;
+    Ok(PeerControlClient::new(channel))
+}
+
+fn read_key(request: &HeldRequest) -> Result<(String, String), CallRefusal> {
+    let service = read_header(&request.headers, headers::SERVICE);
+    let key: Option<String> = read_header(&request.headers, headers::IDEMPOTENCY_KEY);
+    let key = key.filter(|key| is_valid_key(key));
+    if let (Some(service), Some(key)) = (service, key) {
+        return Ok((service, key));
+    }
+    let detail = "idempotency-key must be 1 to 128 letters, digits, - or _";
+    Err(CallRefusal::not_run(RefusalReason::KeyMissing, detail))
+}
+
+/// Keys become part of a store key, so they hold no slash and no control characters.
+fn is_valid_key(key: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    (1..=128).contains(&key.len()) && key.bytes().all(allowed)
+}
+
+fn explain(outcome: &OrderOutcome) -> CallRefusal {
+    let detail = match outcome {
+        OrderOutcome::Running => "an earlier attempt is still running; ask again",
+        OrderOutcome::AnswerDropped => "an earlier attempt ran; its answer was too large to keep",
+        _ => "an earlier attempt may have run and its answer is lost",
+    };
+    CallRefusal::may_have_run(RefusalReason::AlreadyClaimed, detail)
+}
+
+fn write_outcome(outcome: &OrderOutcome) -> OutcomeReply {
+    let state = match outcome {
+        OrderOutcome::Running => OrderState::Running,
+        OrderOutcome::Answered(_) => OrderState::Done,
+        OrderOutcome::NotRun => OrderState::NotRun,
+        OrderOutcome::AnswerDropped | OrderOutcome::MayHaveRun => OrderState::Unknown,
+    };
+    let mut reply = OutcomeReply {
+        state: state.into(),
+        ..OutcomeReply::default()
+    };
+    if let OrderOutcome::Answered(answer) = outcome {
+        let header = |(name, value): &(compact_str::CompactString, Vec<u8>)| AnswerHeader {
+            name: name.to_string(),
+            value: value.clone().into(),
+        };
+        reply.status = answer.status.into();
+        reply.headers = answer.headers.iter().map(header).collect();
+        reply.answer = answer.body.clone().into();
+    }
+    reply
+}
+
+fn read_outcome(reply: OutcomeReply) -> OrderOutcome {
+    match reply.state() {
+        OrderState::Unknown => OrderOutcome::MayHaveRun,
+        OrderState::Running => OrderOutcome::Running,
+        OrderState::NotRun => OrderOutcome::NotRun,
+        OrderState::Done => {
+            let header = |header: AnswerHeader| (header.name.into(), header.value.to_vec());
+            OrderOutcome::Answered(Arc::new(StoredAnswer {
+                status: u16::try_from(reply.status).unwrap_or(502),
+                headers: reply.headers.into_iter().map(header).collect(),
+                body: reply.answer.to_vec(),
+            }))
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/server.rs
@@ -0,0 +1,75 @@
+//! Opens the daemon's HTTP addresses.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use apricotfold_model::{StepError, log_event};
+use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::server::ServerHandle;
+use salvo::{Handler, Router, Server};
+use tokio::net::{TcpListener, TcpSocket};
+
+use crate::admin;
+use crate::entry::EntryHandler;
+use crate::mesh::MeshHandler;
+use crate::orders::OrderDesk;
+use crate::state::NodeState;
+
+/// Connections that wait to be accepted. A herd of callers reconnects at once after a cut.
+const BACKLOG: u32 = 1024;
+
+/// The running HTTP servers.
+pub struct ServerSet {
+    /// Servers that callers and other nodes use; stopped once in-flight work has ended.
+    pub calls: Vec<ServerHandle>,
+}
+
+/// Opens all addresses, so that a wrong one is reported before the node announces itself.
+pub fn start_all(
+    state: &Arc<NodeState>,
+    metrics: PrometheusHandle,
+    orders: &Arc<OrderDesk>,
+) -> eyre::Result<ServerSet> {
+    let config = &state.config;
+    let mut calls = Vec::new();
+    for listener in &config.listeners {
+        let handler = EntryHandler::new(state.clone(), listener.name.clone());
+        calls.push(serve(listener.address, catch_all(handler))?);
+    }
+    let mesh = MeshHandler::new(state.clone(), orders.clone());
+    calls.push(serve(config.mesh_address, catch_all(mesh))?);
+    serve(config.admin_address, admin::router(state, metrics))?;
+    Ok(ServerSet { calls })
+}
+
+/// Passes every path and method to one handler.
+fn catch_all(handler: impl Handler) -> Router {
+    Router::with_path("{**rest}").goal(handler)
+}
+
+fn serve(address: SocketAddr, router: Router) -> eyre::Result<ServerHandle> {
+    let listener = open(address).inspect_err(|error| {
+        log_event!(error, ListenFailed, "{error}");
+    })?;
+    let server = Server::new(TcpAcceptor::try_from(listener)?);
+    let handle = server.handle();
+    tokio::spawn(server.serve(router));
+    Ok(handle)
+}
+
+/// Opens a listening socket. Accepted sockets inherit `TCP_NODELAY`; without it, the second small
+/// write of an answer can wait 40 ms for a delayed acknowledgement.
+pub fn open(address: SocketAddr) -> Result<TcpListener, StepError> {
+    let listen = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.set_nodelay(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen().map_err(|error| StepError::new("listen", address.to_string(), error))
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/shutdown.rs
@@ -0,0 +1,54 @@
+//! Graceful shutdown: announce, refuse new work, finish what is in flight, exit.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::log_event;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::server::ServerSet;
+use crate::state::NodeState;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time that connections get to send the last bytes of finished answers.
+const FLUSH_LIMIT: Duration = Duration::from_secs(2);
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns an error when signals cannot be received.
+pub async fn wait_for_signal() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Drains the node. Work that outlives the profile's grace period is cut.
+pub async fn drain(state: &Arc<NodeState>, servers: ServerSet) {
+    let rule = state.snapshot.load().profile.drain;
+    state.start_drain();
+    tokio::time::sleep(rule.notice).await;
+    let limit = Instant::now() + rule.grace;
+    while state.in_flight.count() > 0 && Instant::now() < limit {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    for number in 0..state.in_flight.count() {
+        log_event!(
+            warn,
+            DrainExpired,
+            "request {number} outlived {:?}",
+            rule.grace
+        );
+    }
+    state.leave();
+    for server in servers.calls {
+        server.stop_graceful(FLUSH_LIMIT);
+    }
+    tokio::time::sleep(POLL_INTERVAL).await;
+    log_event!(info, Stopped, "node {}", state.config.node);
+}
--- /dev/null
+++ b/crates/apricotfold-node/src/store_session.rs
@@ -0,0 +1,312 @@
+//! Carries out the control plane's store requests, each in a task of its own.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use apricotfold_control::{
+    ControlEvent, RequestId, StoreCompare, StoreEntry, StoreReply, StoreRequest, StoreWrite,
+};
+use apricotfold_model::{RelayEntry, StoreConfig, keys, log_event};
+use apricotfold_store::{
+    Compare, ConfigStore, HttpStore, LeaseId, RangeAnswer, Revision, StoreError, StoreTxn,
+    WatchEvent, WriteEffect,
+};
+use compact_str::CompactString;
+use futures_util::StreamExt;
+use tokio::task::AbortHandle;
+
+use crate::control_loop::{LoopInput, LoopSender};
+use crate::measure;
+
+/// Time between two attempts to reach a store that does not answer.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The node's use of the store.
+pub struct StoreSession {
+    link: StoreLink,
+    watches: HashMap<CompactString, AbortHandle>,
+}
+
+/// What each task needs.
+#[derive(Clone)]
+struct StoreLink {
+    store: Arc<dyn ConfigStore>,
+    inputs: LoopSender,
+    lost: Arc<AtomicBool>,
+}
+
+impl StoreSession {
+    /// Prepares a session. The store is contacted only on request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the client cannot be set up.
+    pub fn new(config: &StoreConfig, inputs: LoopSender) -> eyre::Result<Self> {
+        Ok(Self {
+            link: StoreLink {
+                store: Arc::new(HttpStore::new(config)?),
+                inputs,
+                lost: Arc::new(AtomicBool::new(false)),
+            },
+            watches: HashMap::new(),
+        })
+    }
+
+    /// Starts a request; its answer reaches the loop as an event.
+    pub fn start(&mut self, id: RequestId, request: StoreRequest) {
+        let link = self.link.clone();
+        match request {
+            StoreRequest::Watch { prefix } => {
+                let watched = prefix.clone();
+                let task = tokio::spawn(async move { link.watch(watched).await });
+                if let Some(former) = self.watches.insert(prefix, task.abort_handle()) {
+                    former.abort();
+                }
+            }
+            StoreRequest::Unwatch { prefix } => {
+                if let Some(watch) = self.watches.remove(&prefix) {
+                    watch.abort();
+                }
+            }
+            request => {
+                tokio::spawn(async move { link.answer(id, request).await });
+            }
+        }
+    }
+}
+
+impl StoreLink {
+    async fn answer(self, id: RequestId, request: StoreRequest) {
+        let reply = match self.call(request).await {
+            Ok(Some(reply)) => reply,
+            Ok(None) => return,
+            Err(error) => {
+                self.note_lost(&error).await;
+                match error.effect {
+                    WriteEffect::None => StoreReply::Unavailable,
+                    WriteEffect::Unknown => StoreReply::Uncertain,
+                }
+            }
+        };
+        self.report(ControlEvent::StoreResult { id, reply }).await;
+    }
+
+    async fn call(&self, request: StoreRequest) -> Result<Option<StoreReply>, StoreError> {
+        let reply = match request {
+            StoreRequest::List { prefix } => {
+                measure::record_store_call("list");
+                let answer = self.store.list(&prefix).await?;
+                StoreReply::Listed {
+                    entries: read_entries(answer),
+                }
+            }
+            StoreRequest::TakeSlot { key, entry, ttl } => self.take_slot(&key, &entry, ttl).await?,
+            StoreRequest::KeepSlot { lease } => {
+                measure::record_store_call("keep-alive");
+                if self.store.keep_alive(lease).await?.is_zero() {
+                    StoreReply::SlotLost
+                } else {
+                    StoreReply::SlotKept
+                }
+            }
+            StoreRequest::ReleaseSlot { lease } => {
+                measure::record_store_call("revoke");
+                self.store.revoke(lease).await?;
+                return Ok(None);
+            }
+            StoreRequest::Commit { compares, writes } => self.commit(compares, writes).await?,
+            StoreRequest::ReadBundle { digest } => {
+                measure::record_store_call("get");
+                let answer = self.store.get(&keys::bundle(&digest)).await?;
+                StoreReply::Bundle {
+                    json: answer.entries.into_iter().next().map(|entry| entry.value),
+                }
+            }
+            StoreRequest::Watch { .. } | StoreRequest::Unwatch { .. } => return Ok(None),
+        };
+        Ok(Some(reply))
+    }
+
+    /// Creates the slot's key under a new lease. When the answer is lost, the key is read back: it
+    /// names the lease that holds it.
+    async fn take_slot(
+        &self,
+        key: &str,
+        entry: &RelayEntry,
+        ttl: Duration,
+    ) -> Result<StoreReply, StoreError> {
+        measure::record_store_call("grant");
+        let lease = self.store.grant(ttl).await?;
+        let value = serde_json::to_string(entry).expect("a relay entry always has a JSON form");
+        let txn = StoreTxn::default()
+            .when(Compare::Absent {
+                key: key.to_owned(),
+            })
+            .put_leased(key, value, lease);
+        measure::record_store_call("commit");
+        match self.store.commit(&txn).await {
+            Ok(answer) if answer.succeeded => Ok(StoreReply::SlotTaken {
+                revision: answer.revision,
+                lease,
+            }),
+            Ok(_) => {
+                measure::record_store_call("revoke");
+                self.store.revoke(lease).await?;
+                Ok(StoreReply::SlotOccupied)
+            }
+            Err(error) if error.effect == WriteEffect::Unknown => self.read_slot(key, lease).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn read_slot(&self, key: &str, lease: LeaseId) -> Result<StoreReply, StoreError> {
+        measure::record_store_call("get");
+        let answer = self.store.get(key).await?;
+        log_event!(info, LostAnswerSettled, "{key}");
+        let held = answer.entries.iter().find(|entry| entry.lease == lease);
+        Ok(
+            held.map_or(StoreReply::SlotOccupied, |entry| StoreReply::SlotTaken {
+                revision: entry.mod_revision,
+                lease,
+            }),
+        )
+    }
+
+    async fn commit(
+        &self,
+        compares: Vec<StoreCompare>,
+        writes: Vec<StoreWrite>,
+    ) -> Result<StoreReply, StoreError> {
+        let mut txn = StoreTxn::default();
+        for StoreCompare { key, revision } in compares {
+            let key = key.into();
+            txn = txn.when(Compare::ModRevision { key, revision });
+        }
+        for write in writes {
+            txn = match write {
+                StoreWrite::Delete { key } => txn.delete(key),
+                StoreWrite::Put { key, value, ttl } => {
+                    let lease = self.grant_for(ttl).await?;
+                    txn.put_leased(key, String::from_utf8_lossy(&value), lease)
+                }
+            };
+        }
+        measure::record_store_call("commit");
+        let answer = self.store.commit(&txn).await?;
+        Ok(if answer.succeeded {
+            StoreReply::Committed
+        } else {
+            StoreReply::Conflict
+        })
+    }
+
+    async fn grant_for(&self, ttl: Option<Duration>) -> Result<LeaseId, StoreError> {
+        let Some(ttl) = ttl else {
+            return Ok(0);
+        };
+        measure::record_store_call("grant");
+        // Nothing has been written yet, so a lost answer leaves only an unused lease behind.
+        let no_effect = |error| StoreError {
+            effect: WriteEffect::None,
+            ..error
+        };
+        self.store.grant(ttl).await.map_err(no_effect)
+    }
+
+    /// Reports a prefix and its changes until the store is lost or the task is stopped.
+    async fn watch(self, prefix: CompactString) {
+        let Err(error) = self.follow(&prefix).await else {
+            return;
+        };
+        self.note_lost(&error).await;
+    }
+
+    async fn follow(&self, prefix: &CompactString) -> Result<(), StoreError> {
+        measure::record_store_call("list");
+        let listing = self.store.list(prefix).await?;
+        let start = listing.revision + 1;
+        self.report_entries(prefix, read_entries(listing), true)
+            .await;
+        measure::record_store_call("watch");
+        let mut watch = self.store.watch(prefix, start).await?;
+        while let Some(batch) = watch.next().await {
+            for event in batch?.events {
+                match event {
+                    WatchEvent::Put(entry) => {
+                        let entry = read_entry(entry);
+                        self.report_entries(prefix, vec![entry], false).await;
+                    }
+                    WatchEvent::Delete(key) => {
+                        self.report(ControlEvent::StoreDeleted { key: key.into() })
+                            .await;
+                    }
+                }
+            }
+        }
+        Err(watch_ended(prefix))
+    }
+
+    async fn report_entries(
+        &self,
+        prefix: &CompactString,
+        entries: Vec<StoreEntry>,
+        complete: bool,
+    ) {
+        let prefix = prefix.clone();
+        let event = ControlEvent::StoreEntries {
+            prefix,
+            entries,
+            complete,
+        };
+        self.report(event).await;
+    }
+
+    /// Tells the loop once that the store is lost, and again when it answers.
+    async fn note_lost(&self, error: &StoreError) {
+        if self.lost.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log_event!(warn, StoreUnavailable, "{error}");
+        self.report(ControlEvent::StoreLost).await;
+        let link = self.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(PROBE_INTERVAL).await;
+                measure::record_store_call("probe");
+                if link.store.get(keys::ROOT).await.is_ok() {
+                    break;
+                }
+            }
+            link.lost.store(false, Ordering::Relaxed);
+            log_event!(info, StoreAvailable, "the store answers again");
+            link.report(ControlEvent::StoreBack).await;
+        });
+    }
+
+    async fn report(&self, event: ControlEvent) {
+        let _ = self.inputs.send(LoopInput::Event(event)).await;
+    }
+}
+
+fn watch_ended(prefix: &str) -> StoreError {
+    let cause = eyre::eyre!("the watch of {prefix} ended");
+    StoreError {
+        error: apricotfold_model::StepError::new("watch", "store", cause),
+        effect: WriteEffect::None,
+    }
+}
+
+fn read_entries(answer: RangeAnswer) -> Vec<StoreEntry> {
+    answer.entries.into_iter().map(read_entry).collect()
+}
+
+fn read_entry(entry: apricotfold_store::StoreEntry) -> StoreEntry {
+    let revision: Revision = entry.mod_revision;
+    StoreEntry {
+        key: entry.key.into(),
+        value: entry.value.into_bytes(),
+        revision,
+    }
+}
--- a/crates/apricotfold-policy/src/ledger.rs
+++ b/crates/apricotfold-policy/src/ledger.rs
@@ -127,6 +127,13 @@
             .map_or(OrderOutcome::MayHaveRun, |known| known.outcome.clone())
     }
 
+    /// Tells what became of the latest attempt of an order on this node.
+    #[must_use]
+    pub fn current(&self, key: &OrderKey) -> OrderOutcome {
+        let known = self.orders.get(key);
+        known.map_or(OrderOutcome::MayHaveRun, |known| known.outcome.clone())
+    }
+
     fn settle(&mut self, key: &OrderKey, claim: &ClaimId, outcome: OrderOutcome) {
         let Some(known) = self.orders.get_mut(key) else {
             return;
--- a/crates/apricotfold-testkit/src/lib.rs
+++ b/crates/apricotfold-testkit/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Starts meshes of real processes on loopback addresses.
+//!
+//! The testsuite, the demonstration and the measurements share it. Each mesh has a network of its
+//! own within 127.0.0.0/8, so that meshes of parallel tests never meet. See `docs/design.md`,
+//! section 1.6.
+
+mod announcer;
+mod builder;
+mod mesh;
+mod network;
+mod process;
+
+pub use announcer::TargetAnnouncer;
+pub use builder::{MeshBuilder, NodePlan, TargetPlan};
+pub use mesh::{CallReply, CommandOutput, Mesh, MeshNode};
+pub use network::MeshNetwork;
+pub use process::{MeshProcess, ProcessUsage};
--- /dev/null
+++ b/tests/testsuite/support.rs
@@ -0,0 +1,40 @@
+//! What several features need: the profile that most tests publish, and places of nodes.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+/// Places of the calendar publisher's nodes.
+pub const POA_A: (&str, &str) = ("rs-gaucho", "poa-a");
+pub const POA_B: (&str, &str) = ("rs-gaucho", "poa-b");
+pub const FLN_A: (&str, &str) = ("sc-litoral", "fln-a");
+pub const FLN_B: (&str, &str) = ("sc-litoral", "fln-b");
+
+/// Longest time until a change is in force on every node, from the brief's target.
+pub const CONVERGENCE_LIMIT: Duration = Duration::from_secs(5);
+/// Time that a mesh of a few processes gets to form; not a target of the product.
+pub const FORMATION_LIMIT: Duration = Duration::from_secs(20);
+
+/// Profile of the service parish-desk.
+pub fn almanac() -> Value {
+    json!({
+        "name": "almanac",
+        "listeners": ["callers"],
+        "secrets": ["mesh-token"],
+        "clusters": [
+            {"name": "desk", "service": "parish-desk"},
+            {"name": "press", "service": "press-room", "secret": "mesh-token"}
+        ],
+        "routes": [
+            {"name": "orders", "listener": "callers", "path_prefix": "/orders",
+             "methods": ["POST"], "cluster": "press", "timeout_ms": 5000, "require_key": true},
+            {"name": "proofs", "listener": "callers", "path_prefix": "/proofs",
+             "cluster": "press", "class": "long", "timeout_ms": 30000, "idempotent": true},
+            {"name": "press", "listener": "callers", "path_prefix": "/press",
+             "cluster": "press", "timeout_ms": 5000},
+            {"name": "pages", "listener": "callers", "path_prefix": "/",
+             "cluster": "desk", "timeout_ms": 5000, "idempotent": true}
+        ],
+        "retries": {"max_attempts": 3, "budget_percent": 20}
+    })
+}
