Count the target's present state as a change for new followers

Ruled out: a lost announcement (the node's own status page named the service).

Change: watch_target marks the present state as unseen.

--- a/crates/apricotfold-node/src/state.rs
+++ b/crates/apricotfold-node/src/state.rs
@@ -144,9 +144,12 @@
         self.target.borrow().as_ref().map(|(_, at)| *at)
     }
 
-    /// Follows changes of the local target.
+    /// Follows changes of the local target. The present state counts as a change, because an
+    /// announcement may have come before the subscription.
     pub fn watch_target(&self) -> watch::Receiver<Option<(TargetState, Instant)>> {
-        self.target.subscribe()
+        let mut receiver = self.target.subscribe();
+        receiver.mark_changed();
+        receiver
     }
 
     /// Takes over an announcement, or its absence. Watchers hear only of changes that matter to
