--- a/crates/apricotfold-control/src/action.rs
+++ b/crates/apricotfold-control/src/action.rs
@@ -72,3 +72,38 @@
         text: CompactString,
     },
 }
+
+/// Collects the actions of one call of `handle`.
+#[derive(Debug, Default)]
+pub(crate) struct ActionQueue {
+    pub(crate) actions: Vec<ControlAction>,
+    last_request: u64,
+}
+
+impl ActionQueue {
+    pub(crate) fn push(&mut self, action: ControlAction) {
+        self.actions.push(action);
+    }
+
+    pub(crate) fn send(&mut self, stream: StreamId, body: crate::MessageBody) {
+        let message = PeerMessage { body: Some(body) };
+        self.push(ControlAction::Send { stream, message });
+    }
+
+    pub(crate) fn ask_store(&mut self, request: StoreRequest) -> RequestId {
+        self.last_request += 1;
+        let id = RequestId(self.last_request);
+        self.push(ControlAction::StoreRequest { id, request });
+        id
+    }
+
+    pub(crate) fn log(
+        &mut self,
+        level: log::Level,
+        code: EventCode,
+        text: impl Into<CompactString>,
+    ) {
+        let text = text.into();
+        self.push(ControlAction::Log { level, code, text });
+    }
+}
--- a/crates/apricotfold-control/src/control_core.rs
+++ b/crates/apricotfold-control/src/control_core.rs
@@ -1,98 +1,302 @@
 //! Joins the parts of the control plane behind one entry point.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use apricotfold_schema::peer::{HeadBody, Hello};
+use apricotfold_model::{CandidateEntry, EventCode, TargetState};
+use apricotfold_schema::peer::Hello;
+use compact_str::{CompactString, format_compact};
+use log::Level;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    ControlAction, ControlConfig, ControlEvent, LiveEndpoint, MemberInfo, RelayInfo, WaitReason,
+    ControlAction, ControlConfig, ControlEvent, RecordTable, StreamDirection, StreamId,
+    VersionFloor,
+    action::ActionQueue,
+    bundle_cache::BundleCache,
+    member_ring::MemberRing,
+    member_watch::MemberWatch,
+    peer_overlay::{OpenOutcome, PeerOverlay},
+    publish_decision::PublishDecision,
+    publish_duty::PublishDuty,
+    push_tree::{NodePlace, PushTree},
+    relay_duty::RelayDuty,
+    relay_view::RelayView,
+    start_reads::StartReads,
+    store_feed::StoreFeed,
+    table_sync::TableSync,
 };
 
+/// Wait before the relay entries are read, in which a contact usually answers.
+const RELAY_READ_DELAY: Duration = Duration::from_secs(2);
+/// Wait before the heads are read. One peer is enough after 2 s, and the read should not come
+/// before that rule had its chance.
+const HEAD_READ_DELAY: Duration = Duration::from_secs(3);
+/// Spread of the first reads, so that nodes that start together do not read together.
+const READ_JITTER: Duration = Duration::from_secs(2);
+
+/// How far the node is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum NodePhase {
+    Serving,
+    Draining,
+    Leaving,
+}
+
 /// All control state of one node.
 #[derive(Debug)]
 pub struct ControlCore {
-    config: ControlConfig,
-    actions: Vec<ControlAction>,
+    pub(crate) config: ControlConfig,
+    pub(crate) rng: StdRng,
+    pub(crate) queue: ActionQueue,
+    pub(crate) table: RecordTable,
+    pub(crate) cache: BundleCache,
+    pub(crate) overlay: PeerOverlay,
+    pub(crate) tree: PushTree,
+    pub(crate) sync: TableSync,
+    pub(crate) ring: MemberRing,
+    pub(crate) watch: MemberWatch,
+    pub(crate) relay: RelayDuty,
+    pub(crate) relay_view: RelayView,
+    pub(crate) feed: StoreFeed,
+    pub(crate) duty: PublishDuty,
+    pub(crate) decision: PublishDecision,
+    pub(crate) floor: VersionFloor,
+    pub(crate) reads: StartReads,
+    pub(crate) target: Option<TargetState>,
+    pub(crate) lag_reason: CompactString,
+    /// Update count of the own endpoint within the incarnation.
+    pub(crate) sequence: u64,
+    pub(crate) phase: NodePhase,
+    pub(crate) watching: bool,
+    pub(crate) gateway_since: Option<Instant>,
+    pub(crate) ring_changed: bool,
+    pub(crate) endpoints_changed: bool,
+    pub(crate) last_tick: Instant,
+    pub(crate) next_expiry: Instant,
 }
 
 impl ControlCore {
     /// Starts a node that knows nothing but its own settings.
     #[must_use]
-    pub fn new(config: ControlConfig, _now: Instant) -> Self {
-        let actions = Vec::new();
-        Self { config, actions }
+    pub fn new(config: ControlConfig, now: Instant) -> Self {
+        let mut rng = StdRng::seed_from_u64(config.seed);
+        let jitter = READ_JITTER.mul_f64(rng.random_range(0.0..1.0));
+        let relays_at = now + RELAY_READ_DELAY + jitter;
+        let heads_at = now + HEAD_READ_DELAY + jitter;
+        let mut core = Self {
+            rng,
+            queue: ActionQueue::default(),
+            table: RecordTable::default(),
+            cache: BundleCache::default(),
+            overlay: PeerOverlay::default(),
+            tree: PushTree::default(),
+            sync: TableSync::default(),
+            ring: MemberRing::new(&config.node, std::iter::empty()),
+            watch: MemberWatch::default(),
+            relay: RelayDuty::new(now),
+            relay_view: RelayView::default(),
+            feed: StoreFeed::default(),
+            duty: PublishDuty::default(),
+            decision: PublishDecision::default(),
+            floor: VersionFloor::new(now),
+            reads: StartReads::new(relays_at, heads_at),
+            target: None,
+            lag_reason: CompactString::default(),
+            sequence: 0,
+            phase: NodePhase::Serving,
+            watching: false,
+            gateway_since: None,
+            ring_changed: true,
+            endpoints_changed: false,
+            last_tick: now,
+            next_expiry: now,
+            config,
+        };
+        core.publish_endpoint(now);
+        core
     }
 
     /// Takes one event and returns what the daemon has to do, in order.
-    pub fn handle(&mut self, _event: ControlEvent, _now: Instant) -> Vec<ControlAction> {
-        std::mem::take(&mut self.actions)
+    pub fn handle(&mut self, event: ControlEvent, now: Instant) -> Vec<ControlAction> {
+        self.take_event(event, now);
+        self.finish(now);
+        std::mem::take(&mut self.queue.actions)
     }
 
-    /// First message for a new stream.
-    #[must_use]
-    pub fn hello(&self) -> Hello {
-        Hello {
-            node: self.config.node.to_string(),
-            region: self.config.region.to_string(),
-            data_centre: self.config.data_centre.to_string(),
-            incarnation: self.config.incarnation,
-            control_address: self.config.control_address.to_string(),
+    fn take_event(&mut self, event: ControlEvent, now: Instant) {
+        match event {
+            ControlEvent::Tick => self.tick(now),
+            ControlEvent::StreamOpened {
+                stream,
+                hello,
+                direction,
+            } => self.stream_opened(stream, &hello, direction, now),
+            ControlEvent::StreamFailed {
+                address,
+                refused,
+                retry_after,
+            } => self.stream_failed(&address, refused, retry_after, now),
+            ControlEvent::StreamClosed { stream } => self.stream_closed(stream),
+            ControlEvent::Message { stream, message } => self.take_message(stream, message, now),
+            ControlEvent::TargetChanged(target) => self.target_changed(target, now),
+            ControlEvent::PrepareResult {
+                profile,
+                version,
+                publish_id,
+                result,
+            } => {
+                let vote = self
+                    .duty
+                    .prepared(&profile, version, &publish_id, result, &self.table);
+                if let Some((version, body)) = vote {
+                    self.publish_vote(version, body, now);
+                }
+            }
+            ControlEvent::Applied { profile, version } => self.applied(&profile, version, now),
+            ControlEvent::ApplyFailed {
+                profile,
+                version,
+                reason,
+            } => self.apply_failed(&profile, version, reason, now),
+            ControlEvent::CrashSeen { fingerprint } => self.publish_crash(&fingerprint, now),
+            ControlEvent::DrainStarted => {
+                self.phase = self.phase.max(NodePhase::Draining);
+                self.publish_endpoint(now);
+            }
+            ControlEvent::Leaving => self.publish_leave(now),
+            ControlEvent::StoreEntries {
+                prefix,
+                entries,
+                complete,
+            } => self.store_entries(&prefix, &entries, complete, now),
+            ControlEvent::StoreDeleted { key } => self.store_deleted(&key),
+            ControlEvent::StoreResult { id, reply } => self.store_result(id, &reply, now),
+            ControlEvent::StoreLost => self.store_lost(now),
+            ControlEvent::StoreBack => self.relay.store_changed(false, now),
         }
     }
 
-    /// Current incarnation; it grows when the node refutes a suspicion.
-    #[must_use]
-    pub fn incarnation(&self) -> u64 {
-        self.config.incarnation
+    /// Follows up on what the event changed.
+    fn finish(&mut self, now: Instant) {
+        if self.ring_changed {
+            self.rebuild_ring();
+        }
+        self.check_candidate(now);
+        self.offer_head();
+        if std::mem::take(&mut self.endpoints_changed) {
+            self.queue.push(ControlAction::EndpointsChanged);
+        }
     }
 
-    /// Live targets of every service in all data centres, draining ones included.
-    #[must_use]
-    pub fn live_endpoints(&self) -> Vec<LiveEndpoint> {
-        Vec::new()
+    fn stream_opened(
+        &mut self,
+        stream: StreamId,
+        hello: &Hello,
+        direction: StreamDirection,
+        now: Instant,
+    ) {
+        let outbound = matches!(direction, StreamDirection::Outbound { .. });
+        let own = &self.config.node;
+        let outcome = self
+            .overlay
+            .open(stream, hello, direction, own, now, &mut self.queue);
+        if outcome == OpenOutcome::Dropped {
+            return;
+        }
+        self.watch.heard_from(&hello.node, now);
+        let place = self.place(now);
+        if outbound && let Some(link) = self.overlay.links.get_mut(&stream) {
+            TableSync::ask(stream, link, &self.table, &place, now, &mut self.queue);
+        }
     }
 
-    /// Known head of a profile, with its compressed bundle.
-    #[must_use]
-    pub fn head(&self, _profile: &str) -> Option<&HeadBody> {
-        None
+    fn stream_failed(
+        &mut self,
+        address: &CompactString,
+        refused: bool,
+        retry_after: Option<Duration>,
+        now: Instant,
+    ) {
+        self.overlay
+            .dial_failed(address, retry_after, now, &mut self.rng);
+        let member = self
+            .ring
+            .successors()
+            .find(|member| member.address == *address);
+        let Some(node) = member.map(|member| member.node.clone()) else {
+            return;
+        };
+        // A node that asks to try again later is alive.
+        if retry_after.is_some() {
+            self.watch.heard_from(&node, now);
+        } else if refused {
+            self.watch.refused(&node, now);
+        }
     }
 
-    /// Every known node, gone ones included until their records are removed.
-    #[must_use]
-    pub fn members(&self) -> Vec<MemberInfo> {
-        Vec::new()
+    fn stream_closed(&mut self, stream: StreamId) {
+        if let Some(link) = self.overlay.forget(stream) {
+            let text = format_compact!("node {} in {}", link.node, link.data_centre);
+            self.queue.log(Level::Debug, EventCode::PeerLost, text);
+        }
     }
 
-    /// Every known relay.
-    #[must_use]
-    pub fn relays(&self, _now: Instant) -> Vec<RelayInfo> {
-        Vec::new()
+    fn target_changed(&mut self, target: Option<TargetState>, now: Instant) {
+        let old = self.target.take();
+        let profile_of = |state: &Option<TargetState>| {
+            state
+                .as_ref()
+                .map(|state| state.profile.clone())
+                .unwrap_or_default()
+        };
+        let (before, after) = (profile_of(&old), profile_of(&target));
+        self.target = target;
+        if before != after {
+            self.lag_reason = CompactString::default();
+            self.duty.forget(&after);
+            // The daemon left this profile's configuration and needs it again. The floor stays.
+            self.floor.allow_again(&after);
+        }
+        self.publish_endpoint(now);
     }
 
-    /// The relay that acts for this node's data centre, for claims.
-    #[must_use]
-    pub fn acting_relay(&self, now: Instant) -> Option<RelayInfo> {
-        self.relays(now)
-            .into_iter()
-            .find(|relay| relay.acting && relay.data_centre == self.config.data_centre)
+    /// Profile that the own service picked; empty for the built-in default.
+    pub(crate) fn picked_profile(&self) -> CompactString {
+        self.target
+            .as_ref()
+            .map(|target| target.profile.clone())
+            .unwrap_or_default()
     }
 
-    /// Whether this node holds a relay slot, or fills the role while the store is away.
-    #[must_use]
-    pub fn is_relay(&self) -> bool {
-        false
+    pub(crate) fn place(&self, now: Instant) -> NodePlace {
+        NodePlace {
+            region: self.config.region.clone(),
+            data_centre: self.config.data_centre.clone(),
+            is_relay: self.relay.is_relay(),
+            is_gateway: self.is_gateway(now),
+        }
     }
 
-    /// Whether this node is the gateway of its region.
-    #[must_use]
-    pub fn is_gateway(&self, _now: Instant) -> bool {
-        false
+    pub(crate) fn rebuild_ring(&mut self) {
+        self.ring_changed = false;
+        let members = self.members_view();
+        let local = members
+            .known()
+            .map(|(_, body)| body)
+            .filter(|body| body.data_centre == self.config.data_centre.as_str())
+            .map(|body| {
+                let address: CompactString = body.control_address.as_str().into();
+                (body.node.as_str().into(), address)
+            });
+        self.ring = MemberRing::new(&self.config.node, local);
     }
 
-    /// Why no profile version is in force; nothing once one is.
+    /// Candidates of the store that this relay sees, for the status page.
     #[must_use]
-    pub fn waiting_for(&self) -> Option<WaitReason> {
-        None
+    pub fn open_publishes(&self) -> Vec<CandidateEntry> {
+        let candidates = self.feed.candidates.values();
+        candidates
+            .map(|candidate| candidate.entry.clone())
+            .collect()
     }
 }
--- /dev/null
+++ b/crates/apricotfold-control/src/core_views.rs
@@ -0,0 +1,149 @@
+//! Read access for the daemon.
+
+use std::time::Instant;
+
+use apricotfold_model::ServiceName;
+use apricotfold_schema::peer::{HeadBody, Hello, RecordKind};
+
+use crate::{
+    ControlCore, LiveEndpoint, MemberInfo, RecordBody, RecordTable, RelayInfo, WaitReason,
+};
+
+impl ControlCore {
+    /// First message for a new stream.
+    #[must_use]
+    pub fn hello(&self) -> Hello {
+        Hello {
+            node: self.config.node.to_string(),
+            region: self.config.region.to_string(),
+            data_centre: self.config.data_centre.to_string(),
+            incarnation: self.config.incarnation,
+            control_address: self.config.control_address.to_string(),
+        }
+    }
+
+    /// Current incarnation; it grows when the node refutes a suspicion.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.config.incarnation
+    }
+
+    /// Live targets of every service in all data centres, draining ones included.
+    #[must_use]
+    pub fn live_endpoints(&self) -> Vec<LiveEndpoint> {
+        let live = self.members_view().iter();
+        live.filter(|(_, body)| !body.service.is_empty())
+            .map(|(version, body)| LiveEndpoint {
+                node: body.node.as_str().into(),
+                region: body.region.as_str().into(),
+                data_centre: body.data_centre.as_str().into(),
+                mesh_address: body.mesh_address.as_str().into(),
+                service: body.service.as_str().into(),
+                slots: body.slots,
+                draining: body.draining,
+                incarnation: version.epoch,
+            })
+            .collect()
+    }
+
+    /// Live targets of one service.
+    #[must_use]
+    pub fn service_endpoints(&self, service: &ServiceName) -> Vec<LiveEndpoint> {
+        let mut endpoints = self.live_endpoints();
+        endpoints.retain(|endpoint| endpoint.service == *service);
+        endpoints
+    }
+
+    /// Known head of a profile, with its compressed bundle.
+    #[must_use]
+    pub fn head(&self, profile: &str) -> Option<&HeadBody> {
+        match self.table.body(RecordKind::Head, profile)? {
+            RecordBody::Head(head) => Some(head),
+            _ => None,
+        }
+    }
+
+    /// Every known node, gone ones included until their records are removed.
+    #[must_use]
+    pub fn members(&self) -> Vec<MemberInfo> {
+        let members = self.members_view();
+        members
+            .known()
+            .map(|(version, body)| MemberInfo {
+                node: body.node.as_str().into(),
+                region: body.region.as_str().into(),
+                data_centre: body.data_centre.as_str().into(),
+                control_address: body.control_address.as_str().into(),
+                admin_address: body.admin_address.as_str().into(),
+                service: body.service.as_str().into(),
+                profile: body.profile.as_str().into(),
+                applied_version: body.applied_version,
+                lag_reason: body.lag_reason.as_str().into(),
+                draining: body.draining,
+                live: members.is_live(version, body),
+            })
+            .collect()
+    }
+
+    /// Every known relay.
+    #[must_use]
+    pub fn relays(&self, now: Instant) -> Vec<RelayInfo> {
+        self.relay_view.infos(now)
+    }
+
+    /// The relay that acts for this node's data centre, for claims.
+    #[must_use]
+    pub fn acting_relay(&self, now: Instant) -> Option<RelayInfo> {
+        let mut relays = self.relays(now).into_iter();
+        relays.find(|relay| relay.acting && relay.data_centre == self.config.data_centre)
+    }
+
+    /// Whether this node holds a relay slot, or fills the role while the store is away.
+    #[must_use]
+    pub fn is_relay(&self) -> bool {
+        self.relay.is_relay()
+    }
+
+    /// Whether this node is the gateway of its region.
+    #[must_use]
+    pub fn is_gateway(&self, now: Instant) -> bool {
+        self.relay_view.is_gateway(&self.config, now)
+    }
+
+    /// Slot and fencing number of this node while its lease is certain, for claim transactions.
+    #[must_use]
+    pub fn write_fence(&self, now: Instant) -> Option<(u32, i64)> {
+        self.relay.write_fence(now)
+    }
+
+    /// Why no profile version is in force; nothing once one is, or when the service picked no
+    /// profile and runs under the built-in default.
+    #[must_use]
+    pub fn waiting_for(&self) -> Option<WaitReason> {
+        if let Some(reason) = self.floor.waiting_for() {
+            return Some(reason);
+        }
+        let Some(target) = &self.target else {
+            return Some(WaitReason::NoTarget);
+        };
+        if target.profile.is_empty() || self.floor.applied(&target.profile) > 0 {
+            return None;
+        }
+        if self.head(&target.profile).is_none() {
+            return Some(WaitReason::NoHead);
+        }
+        Some(WaitReason::NotApplied)
+    }
+
+    /// Number of open peer streams.
+    #[must_use]
+    pub fn stream_count(&self) -> usize {
+        self.overlay.links.len()
+    }
+
+    /// All replicated records.
+    #[must_use]
+    pub fn records(&self) -> &RecordTable {
+        &self.table
+    }
+}
--- a/crates/apricotfold-control/src/lib.rs
+++ b/crates/apricotfold-control/src/lib.rs
@@ -6,14 +6,39 @@
 //! 3 to 5.
 
 mod action;
+mod bundle_cache;
 mod control_core;
+mod core_records;
+mod core_steps;
+mod core_views;
+mod dial_book;
 mod event;
+mod live_members;
+mod member_ring;
+mod member_watch;
+mod peer_link;
+mod peer_overlay;
+mod publish_decision;
+mod publish_duty;
+mod push_tree;
+mod record_body;
+mod record_table;
+mod relay_duty;
+mod relay_view;
+mod stable_hash;
+mod start_reads;
 mod store;
+mod store_feed;
+mod table_sync;
+mod version_floor;
 mod view;
 
 pub use action::ControlAction;
 pub use apricotfold_schema::peer::peer_message::Body as MessageBody;
 pub use control_core::ControlCore;
 pub use event::{ControlConfig, ControlEvent, StreamDirection, StreamId};
+pub use record_body::{RecordBody, RecordKey, RecordVersion};
+pub use record_table::{BUCKETS, MergeOutcome, RECORD_TTL, RecordScope, RecordTable, StoredRecord};
 pub use store::{RequestId, StoreCompare, StoreEntry, StoreReply, StoreRequest, StoreWrite};
+pub use version_floor::VersionFloor;
 pub use view::{LiveEndpoint, MemberInfo, RelayInfo, WaitReason};
--- /dev/null
+++ b/crates/apricotfold-control/src/live_members.rs
@@ -0,0 +1,40 @@
+//! Endpoints that are considered alive, by the table and the member watch together.
+
+use apricotfold_schema::peer::{EndpointBody, RecordKind};
+
+use crate::{RecordBody, RecordTable, RecordVersion, member_watch::MemberWatch};
+
+/// Both sources of liveness.
+#[derive(Clone, Copy)]
+pub(crate) struct LiveMembers<'a> {
+    pub(crate) table: &'a RecordTable,
+    pub(crate) watch: &'a MemberWatch,
+}
+
+impl<'a> LiveMembers<'a> {
+    /// Endpoints that were not removed, gone ones included.
+    pub(crate) fn known(self) -> impl Iterator<Item = (RecordVersion, &'a EndpointBody)> {
+        let stored = self.table.range(RecordKind::Endpoint, "");
+        stored.filter_map(|(_, stored)| match &stored.body {
+            RecordBody::Endpoint(body) => Some((stored.version, body)),
+            _ => None,
+        })
+    }
+
+    /// Endpoints of live members in data centres that are not lost.
+    pub(crate) fn iter(self) -> impl Iterator<Item = (RecordVersion, &'a EndpointBody)> {
+        self.known()
+            .filter(move |(version, body)| self.is_live(*version, body))
+    }
+
+    pub(crate) fn is_live(self, version: RecordVersion, body: &EndpointBody) -> bool {
+        !self.watch.is_gone(&body.node, version.epoch) && !self.watch.is_lost(&body.data_centre)
+    }
+
+    /// Live members that picked the profile.
+    pub(crate) fn with_profile(self, profile: &'a str) -> impl Iterator<Item = &'a EndpointBody> {
+        self.iter()
+            .map(|(_, body)| body)
+            .filter(move |body| body.profile == profile)
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-control/src/member_ring.rs
@@ -0,0 +1,76 @@
+//! Live members of the own data centre in the order of their hashes.
+
+use apricotfold_model::NodeId;
+use compact_str::CompactString;
+
+use crate::stable_hash::stable_hash;
+
+/// One member of the ring.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RingMember {
+    pub(crate) hash: u64,
+    pub(crate) node: NodeId,
+    pub(crate) address: CompactString,
+}
+
+/// Members sorted by hash. The own node is always one of them.
+#[derive(Debug, Default)]
+pub(crate) struct MemberRing {
+    members: Vec<RingMember>,
+    own: usize,
+}
+
+impl MemberRing {
+    pub(crate) fn new(own: &NodeId, others: impl Iterator<Item = (NodeId, CompactString)>) -> Self {
+        let mut members: Vec<RingMember> = others
+            .filter(|(node, _)| node != own)
+            .chain(std::iter::once((own.clone(), CompactString::default())))
+            .map(|(node, address)| RingMember {
+                hash: stable_hash(&[node.as_bytes()]),
+                node,
+                address,
+            })
+            .collect();
+        members.sort_unstable();
+        let own = members
+            .iter()
+            .position(|member| member.node == *own)
+            .unwrap_or_default();
+        Self { members, own }
+    }
+
+    /// Number of members, the own node included.
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// All other members, nearest successor first.
+    pub(crate) fn successors(&self) -> impl Iterator<Item = &RingMember> {
+        let (before, after) = self.members.split_at(self.own);
+        after.iter().skip(1).chain(before)
+    }
+
+    /// Another member by its distance along the ring, from 0.
+    pub(crate) fn successor(&self, distance: usize) -> Option<&RingMember> {
+        if distance + 1 >= self.members.len() {
+            return None;
+        }
+        let index = (self.own + 1 + distance) % self.members.len();
+        self.members.get(index)
+    }
+
+    /// Members by their rank for the relay slots of the data centre. The rank depends on the data
+    /// centre too, so that it is unrelated to the order of the ring.
+    pub(crate) fn ranked(&self, data_centre: &str) -> Vec<&NodeId> {
+        let mut ranked: Vec<(u64, &NodeId)> = self
+            .members
+            .iter()
+            .map(|member| {
+                let hash = stable_hash(&[member.node.as_bytes(), data_centre.as_bytes()]);
+                (hash, &member.node)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, node)| node).collect()
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-control/src/member_watch.rs
@@ -0,0 +1,321 @@
+//! Which members are alive. See `docs/design.md`, section 5.4.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::{Duration, Instant},
+};
+
+use apricotfold_model::{DataCentreName, NodeId};
+use apricotfold_schema::peer::RecordKind;
+use compact_str::CompactString;
+
+use crate::{
+    RecordBody, RecordTable, RecordVersion, member_ring::MemberRing, peer_overlay::RING_LINKS,
+};
+
+/// Time between two pings to a ring successor.
+pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(500);
+const SUSPECT_AFTER: Duration = Duration::from_millis(1500);
+/// Doublings of the silence after refutations; 1.5 s grows to 48 s at most.
+const MAX_REFUTED: u32 = 5;
+const GONE_AFTER: Duration = Duration::from_secs(1);
+const DATA_CENTRE_LOST_AFTER: Duration = Duration::from_secs(3);
+/// Monitors that have to agree, if there are that many.
+const MONITORS: usize = 2;
+/// Addresses of gone members that are tried again.
+const MAX_GONE: usize = 64;
+
+/// Changes that one tick has found.
+#[derive(Debug, Default)]
+pub(crate) struct WatchReport {
+    /// Members that this node starts to suspect, with their incarnation.
+    pub(crate) suspected: Vec<(NodeId, u64)>,
+    /// Members that answer again.
+    pub(crate) cleared: Vec<NodeId>,
+    /// Members that are now considered gone, with their incarnation.
+    pub(crate) gone: Vec<(NodeId, u64)>,
+    /// Members that are no longer considered gone.
+    pub(crate) returned: Vec<NodeId>,
+    /// Data centres that became lost (true) or came back (false).
+    pub(crate) data_centres: Vec<(DataCentreName, bool)>,
+}
+
+#[derive(Debug)]
+struct Probe {
+    heard: Instant,
+    /// Incarnation that this node suspects.
+    suspected: Option<u64>,
+    /// Suspicions that the member refuted although this node never heard from it.
+    refuted: u32,
+}
+
+impl Probe {
+    /// Silence after which the member is suspected. It doubles with each refutation, since a
+    /// broken link to a live member would otherwise cost a suspicion and a refutation each 1.5 s.
+    fn patience(&self) -> Duration {
+        SUSPECT_AFTER * (1 << self.refuted.min(MAX_REFUTED))
+    }
+}
+
+/// Pings, suspicions and the heartbeats of data centres.
+#[derive(Debug, Default)]
+pub(crate) struct MemberWatch {
+    probes: BTreeMap<NodeId, Probe>,
+    /// Suspected members with their incarnation and the time since which enough monitors agree.
+    agreed: BTreeMap<NodeId, (u64, Instant)>,
+    gone: BTreeMap<NodeId, u64>,
+    gone_addresses: VecDeque<(NodeId, CompactString)>,
+    heard: BTreeMap<DataCentreName, Instant>,
+    lost: BTreeSet<DataCentreName>,
+}
+
+impl MemberWatch {
+    /// Any message of a member counts as its answer.
+    pub(crate) fn heard_from(&mut self, node: &str, now: Instant) {
+        if let Some(probe) = self.probes.get_mut(node) {
+            probe.heard = now;
+            probe.refuted = 0;
+        }
+    }
+
+    /// A refused connection means that no process listens there.
+    pub(crate) fn refused(&mut self, node: &str, now: Instant) {
+        if let Some(probe) = self.probes.get_mut(node)
+            && let Some(past) = now.checked_sub(SUSPECT_AFTER)
+        {
+            probe.heard = probe.heard.min(past);
+        }
+    }
+
+    /// Starts all waits anew, because this node itself was paused and heard nobody.
+    pub(crate) fn resumed(&mut self, now: Instant) {
+        for probe in self.probes.values_mut() {
+            probe.heard = now;
+        }
+        for heard in self.heard.values_mut() {
+            *heard = now;
+        }
+        for (_, since) in self.agreed.values_mut() {
+            *since = now;
+        }
+    }
+
+    pub(crate) fn data_centre_seen(&mut self, name: &str, now: Instant) {
+        if !self.heard.contains_key(name) {
+            self.heard.insert(name.into(), now);
+        }
+    }
+
+    pub(crate) fn heartbeat(&mut self, name: &str, now: Instant) {
+        self.heard.insert(name.into(), now);
+    }
+
+    pub(crate) fn is_lost(&self, data_centre: &str) -> bool {
+        self.lost.contains(data_centre)
+    }
+
+    pub(crate) fn is_gone(&self, node: &str, incarnation: u64) -> bool {
+        self.gone.get(node) == Some(&incarnation)
+    }
+
+    /// Remembers where a gone member was, so that it is found again after a partition.
+    pub(crate) fn remember_address(&mut self, node: NodeId, address: CompactString) {
+        self.gone_addresses.retain(|(known, _)| *known != node);
+        self.gone_addresses.push_back((node, address));
+        if self.gone_addresses.len() > MAX_GONE {
+            self.gone_addresses.pop_front();
+        }
+    }
+
+    pub(crate) fn forget_address(&mut self, node: &str) {
+        self.gone_addresses.retain(|(known, _)| known != node);
+    }
+
+    pub(crate) fn gone_addresses(&self) -> Vec<CompactString> {
+        self.gone_addresses
+            .iter()
+            .map(|(_, address)| address.clone())
+            .collect()
+    }
+
+    /// Members that this node pings now: the nearest successors that nobody suspects, and those
+    /// that it suspects itself.
+    pub(crate) fn pinged(&self) -> impl Iterator<Item = &NodeId> {
+        self.probes.keys()
+    }
+
+    /// True when this node's own suspicion helped to find the member gone.
+    pub(crate) fn suspects(&self, node: &str) -> bool {
+        self.probes
+            .get(node)
+            .is_some_and(|probe| probe.suspected.is_some())
+    }
+
+    pub(crate) fn tick(
+        &mut self,
+        own: &NodeId,
+        own_data_centre: &str,
+        ring: &MemberRing,
+        table: &RecordTable,
+        now: Instant,
+    ) -> WatchReport {
+        let mut report = WatchReport::default();
+        let suspicions = collect_suspicions(table);
+        self.choose_probes(ring, &suspicions, now);
+        self.check_probes(table, now, &mut report);
+        self.check_agreement(own, ring, &suspicions, now, &mut report);
+        self.check_data_centres(own_data_centre, now, &mut report);
+        report
+    }
+
+    /// Goes on to the next successors past suspected members, so that a row of members that died
+    /// together is found from its beginning to its end without waiting for dead monitors. The
+    /// suspected ones stay among the probes, because a second monitor has to confirm them.
+    fn choose_probes(
+        &mut self,
+        ring: &MemberRing,
+        suspicions: &BTreeMap<NodeId, Suspicion>,
+        now: Instant,
+    ) {
+        let mut open = 0;
+        let near: BTreeSet<&NodeId> = ring
+            .successors()
+            .take_while(|member| {
+                let is_needed = open < RING_LINKS;
+                open += usize::from(!suspicions.contains_key(&member.node));
+                is_needed
+            })
+            .map(|member| &member.node)
+            .collect();
+        self.probes.retain(|node, _| near.contains(node));
+        for node in near {
+            self.probes.entry(node.clone()).or_insert(Probe {
+                heard: now,
+                suspected: None,
+                refuted: 0,
+            });
+        }
+    }
+
+    fn check_probes(&mut self, table: &RecordTable, now: Instant, report: &mut WatchReport) {
+        for (node, probe) in &mut self.probes {
+            let Some(version) = endpoint_version(table, node) else {
+                continue;
+            };
+            if probe.suspected.is_some_and(|known| known < version.epoch) {
+                probe.suspected = None;
+                probe.refuted += 1;
+                probe.heard = now;
+            }
+            let is_silent = now.saturating_duration_since(probe.heard) >= probe.patience();
+            if is_silent && probe.suspected.is_none() {
+                probe.suspected = Some(version.epoch);
+                report.suspected.push((node.clone(), version.epoch));
+            }
+            if !is_silent && probe.suspected.take().is_some() {
+                report.cleared.push(node.clone());
+            }
+        }
+    }
+
+    fn check_agreement(
+        &mut self,
+        own: &NodeId,
+        ring: &MemberRing,
+        suspicions: &BTreeMap<NodeId, Suspicion>,
+        now: Instant,
+        report: &mut WatchReport,
+    ) {
+        let open = ring
+            .successors()
+            .map(|member| &member.node)
+            .chain(std::iter::once(own))
+            .filter(|node| !suspicions.contains_key(*node))
+            .count();
+        let mut agreed = BTreeMap::new();
+        for (node, suspicion) in suspicions {
+            // The subject itself is suspected and hence not among the open members.
+            let needed = open.clamp(1, MONITORS);
+            if suspicion.monitors.len() < needed || node == own {
+                continue;
+            }
+            let since = match self.agreed.get(node) {
+                Some((incarnation, since)) if *incarnation == suspicion.incarnation => *since,
+                _ => now,
+            };
+            agreed.insert(node.clone(), (suspicion.incarnation, since));
+        }
+        self.agreed = agreed;
+        let mut gone = BTreeMap::new();
+        for (node, (incarnation, since)) in &self.agreed {
+            if now.saturating_duration_since(*since) >= GONE_AFTER {
+                gone.insert(node.clone(), *incarnation);
+            }
+        }
+        for (node, incarnation) in &gone {
+            if self.gone.get(node) != Some(incarnation) {
+                report.gone.push((node.clone(), *incarnation));
+            }
+        }
+        for node in self.gone.keys() {
+            if !gone.contains_key(node) {
+                report.returned.push(node.clone());
+            }
+        }
+        self.gone = gone;
+    }
+
+    fn check_data_centres(&mut self, own: &str, now: Instant, report: &mut WatchReport) {
+        for (name, heard) in &self.heard {
+            let is_silent = now.saturating_duration_since(*heard) >= DATA_CENTRE_LOST_AFTER;
+            let is_lost = name != own && is_silent;
+            let changed = if is_lost {
+                self.lost.insert(name.clone())
+            } else {
+                self.lost.remove(name)
+            };
+            if changed {
+                report.data_centres.push((name.clone(), is_lost));
+            }
+        }
+    }
+}
+
+/// Who suspects the current incarnation of a member.
+#[derive(Debug)]
+pub(crate) struct Suspicion {
+    pub(crate) incarnation: u64,
+    pub(crate) monitors: BTreeSet<NodeId>,
+}
+
+/// Valid suspicions: about the current incarnation of a live member, by a live member.
+fn collect_suspicions(table: &RecordTable) -> BTreeMap<NodeId, Suspicion> {
+    let mut suspicions: BTreeMap<NodeId, Suspicion> = BTreeMap::new();
+    for (_, stored) in table.range(RecordKind::Suspicion, "") {
+        let RecordBody::Suspicion(body) = &stored.body else {
+            continue;
+        };
+        let is_current = endpoint_version(table, &body.subject)
+            .is_some_and(|version| version.epoch == body.incarnation);
+        if !is_current || endpoint_version(table, &body.monitor).is_none() {
+            continue;
+        }
+        suspicions
+            .entry(body.subject.as_str().into())
+            .or_insert_with(|| Suspicion {
+                incarnation: body.incarnation,
+                monitors: BTreeSet::new(),
+            })
+            .monitors
+            .insert(body.monitor.as_str().into());
+    }
+    suspicions
+}
+
+/// Version of a member's endpoint unless it was removed.
+fn endpoint_version(table: &RecordTable, node: &str) -> Option<RecordVersion> {
+    table
+        .get(RecordKind::Endpoint, node)
+        .filter(|stored| !stored.is_removed())
+        .map(|stored| stored.version)
+}
--- /dev/null
+++ b/crates/apricotfold-control/src/publish_duty.rs
@@ -0,0 +1,412 @@
+//! Votes on candidates: this node's own, and those of its data centre when it acts as relay. See
+//! `docs/design.md`, section 4.2.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use apricotfold_model::{
+    EventCode, NodeRefusal, ProfileName, ProfileVersion, PublishId, VoteEntry, keys,
+};
+use apricotfold_schema::peer::{CandidateBody, RecordKind, VoteBody};
+use compact_str::{CompactString, format_compact};
+use log::Level;
+
+use crate::{
+    ControlAction, ControlConfig, RecordBody, RecordTable, RecordVersion, RequestId, StoreCompare,
+    StoreEntry, StoreReply, StoreRequest, StoreWrite, VersionFloor, action::ActionQueue,
+    live_members::LiveMembers, store_feed::known_version,
+};
+
+/// Time after which nodes that have not answered count as unreachable.
+const VOTE_WAIT: Duration = Duration::from_secs(2);
+/// Life of a vote entry; as long as that of the candidate.
+const VOTE_TTL: Duration = Duration::from_secs(15);
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// A request without an answer is repeated after this time.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Refusals that an entry names; one is enough to reject.
+pub(crate) const MAX_REFUSALS: usize = 8;
+/// Longest reason in bytes that is shared, so that a message with thousands of lines stays small.
+const MAX_REASON: usize = 400;
+
+/// A candidate record as this node knows it.
+#[derive(Clone, Copy)]
+pub(crate) struct KnownCandidate<'a> {
+    pub(crate) version: RecordVersion,
+    pub(crate) body: &'a CandidateBody,
+}
+
+/// Open candidates of the table. One whose version became the head is decided already.
+pub(crate) fn open_candidates(table: &RecordTable) -> impl Iterator<Item = KnownCandidate<'_>> {
+    let stored = table.range(RecordKind::Candidate, "");
+    stored.filter_map(|(_, stored)| match &stored.body {
+        RecordBody::Candidate(body) => {
+            let is_decided = match table.body(RecordKind::Head, &body.profile) {
+                Some(RecordBody::Head(head)) => head.publish_id == body.publish_id,
+                _ => false,
+            };
+            let version = stored.version;
+            (!is_decided).then_some(KnownCandidate { version, body })
+        }
+        _ => None,
+    })
+}
+
+/// Where the write of a data centre's vote stands.
+#[derive(Debug)]
+enum VoteStep {
+    /// Nothing is on its way; the entry has this revision, 0 for none.
+    Idle { revision: i64, refusals: usize },
+    /// A write with this number of refusals is on its way.
+    Writing { id: RequestId, refusals: usize },
+    /// The key is read because the outcome of the write is not known.
+    Reading { id: RequestId },
+}
+
+/// One candidate in the eyes of an acting relay.
+#[derive(Debug)]
+struct VoteRound {
+    version: RecordVersion,
+    publish_id: PublishId,
+    /// Key of the data centre's vote entry.
+    key: CompactString,
+    seen: Instant,
+    step: VoteStep,
+    /// True once an entry of this publish stands in the store.
+    written: bool,
+    next: Instant,
+    asked: Instant,
+}
+
+/// What vote decisions depend on.
+pub(crate) struct VoteTurn<'a> {
+    pub(crate) config: &'a ControlConfig,
+    pub(crate) members: LiveMembers<'a>,
+    /// Key and revision of the slot; nothing unless this node acts and may write.
+    pub(crate) slot: Option<(CompactString, i64)>,
+    pub(crate) now: Instant,
+    pub(crate) queue: &'a mut ActionQueue,
+}
+
+/// The own vote and those of the data centre.
+#[derive(Debug, Default)]
+pub(crate) struct PublishDuty {
+    /// Candidates that the daemon checks or has checked, by profile.
+    prepared: BTreeMap<ProfileName, (RecordVersion, PublishId)>,
+    rounds: BTreeMap<ProfileName, VoteRound>,
+}
+
+impl PublishDuty {
+    /// Looks at the candidate of the picked profile. Returns the own vote when the known versions
+    /// already forbid it; otherwise asks the daemon to check it.
+    pub(crate) fn consider(
+        &mut self,
+        profile: &str,
+        table: &RecordTable,
+        floor: &VersionFloor,
+        queue: &mut ActionQueue,
+    ) -> Option<(RecordVersion, VoteBody)> {
+        let candidate = open_candidates(table).find(|known| known.body.profile == profile)?;
+        let publish_id: PublishId = candidate.body.publish_id.as_str().into();
+        let mark = (candidate.version, publish_id);
+        if self.prepared.get(profile) == Some(&mark) {
+            return None;
+        }
+        self.prepared.insert(profile.into(), mark);
+        let version = candidate.body.version;
+        let head = known_version(table, profile);
+        match floor.check_candidate(profile, version, head) {
+            Ok(()) => {
+                let candidate = candidate.body.clone();
+                queue.push(ControlAction::Prepare { candidate });
+                None
+            }
+            Err(reason) => Some((candidate.version, vote_body(candidate.body, Err(reason)))),
+        }
+    }
+
+    /// Lets the candidate of a profile be checked again, because the target or profile changed.
+    pub(crate) fn forget(&mut self, profile: &str) {
+        self.prepared.remove(profile);
+    }
+
+    /// Turns the daemon's answer into the own vote, if the candidate is still the current one.
+    pub(crate) fn prepared(
+        &self,
+        profile: &str,
+        version: ProfileVersion,
+        publish_id: &str,
+        result: Result<(), CompactString>,
+        table: &RecordTable,
+    ) -> Option<(RecordVersion, VoteBody)> {
+        let (known, id) = self.prepared.get(profile)?;
+        if id != publish_id || known.epoch != version {
+            return None;
+        }
+        let RecordBody::Candidate(body) = table.body(RecordKind::Candidate, profile)? else {
+            return None;
+        };
+        if body.publish_id != publish_id {
+            return None;
+        }
+        Some((*known, vote_body(body, result)))
+    }
+
+    /// Writes the votes of the data centre for every open candidate that is due.
+    pub(crate) fn tick(&mut self, turn: &mut VoteTurn<'_>) {
+        let table = turn.members.table;
+        let open: BTreeMap<&str, KnownCandidate<'_>> = open_candidates(table)
+            .map(|known| (known.body.profile.as_str(), known))
+            .collect();
+        self.rounds
+            .retain(|profile, _| open.contains_key(profile.as_str()));
+        self.prepared
+            .retain(|profile, _| open.contains_key(profile.as_str()));
+        for (profile, candidate) in open {
+            let publish_id: PublishId = candidate.body.publish_id.as_str().into();
+            let fresh = || VoteRound::new(candidate, turn.config, turn.now);
+            let round = self.rounds.entry(profile.into()).or_insert_with(fresh);
+            if round.version != candidate.version || round.publish_id != publish_id {
+                *round = fresh();
+            }
+            round.tick(candidate, turn);
+        }
+    }
+
+    /// Takes the answer to a write or a read; false when it belongs to nobody here.
+    pub(crate) fn answer(
+        &mut self,
+        id: RequestId,
+        reply: &StoreReply,
+        now: Instant,
+        queue: &mut ActionQueue,
+    ) -> bool {
+        let round = self.rounds.values_mut().find(|round| round.waits_for(id));
+        let Some(round) = round else {
+            return false;
+        };
+        round.answer(reply, now, queue);
+        true
+    }
+
+    /// Reads back what was on its way when the store was lost.
+    pub(crate) fn store_lost(&mut self, now: Instant) {
+        for round in self.rounds.values_mut() {
+            round.lose_answer(now);
+        }
+    }
+}
+
+impl VoteRound {
+    fn new(candidate: KnownCandidate<'_>, config: &ControlConfig, now: Instant) -> Self {
+        let body = candidate.body;
+        Self {
+            version: candidate.version,
+            publish_id: body.publish_id.as_str().into(),
+            key: keys::vote(&body.profile, body.version, &config.data_centre).into(),
+            seen: now,
+            step: VoteStep::Idle {
+                revision: 0,
+                refusals: 0,
+            },
+            written: false,
+            next: now,
+            asked: now,
+        }
+    }
+
+    fn waits_for(&self, asked: RequestId) -> bool {
+        match self.step {
+            VoteStep::Writing { id, .. } | VoteStep::Reading { id } => id == asked,
+            VoteStep::Idle { .. } => false,
+        }
+    }
+
+    fn lose_answer(&mut self, now: Instant) {
+        if !matches!(self.step, VoteStep::Idle { .. }) {
+            // Revision 0 makes the next write fail if the entry exists, and its conflict leads to
+            // reading the key.
+            self.step = VoteStep::Idle {
+                revision: 0,
+                refusals: 0,
+            };
+            self.written = false;
+            self.next = now + RETRY_DELAY;
+        }
+    }
+
+    fn tick(&mut self, candidate: KnownCandidate<'_>, turn: &mut VoteTurn<'_>) {
+        if turn.now.saturating_duration_since(self.asked) >= ANSWER_TIMEOUT {
+            self.lose_answer(turn.now);
+        }
+        let VoteStep::Idle { revision, refusals } = self.step else {
+            return;
+        };
+        let Some((slot_key, slot_revision)) = turn.slot.clone() else {
+            return;
+        };
+        if turn.now < self.next {
+            return;
+        }
+        let count = count_votes(candidate, turn);
+        let is_late = turn.now.saturating_duration_since(self.seen) >= VOTE_WAIT;
+        let is_complete = count.answered >= count.expected || is_late;
+        let is_news = !self.written || count.refusals.len() > refusals;
+        let is_refused = !count.refusals.is_empty();
+        if count.expected == 0 || !is_news || !(is_complete || is_refused) {
+            return;
+        }
+        let key = self.key.clone();
+        let refusals = count.refusals.len();
+        let entry = VoteEntry {
+            publish_id: self.publish_id.clone(),
+            prepared: count.prepared,
+            expected: count.expected,
+            refusals: count.refusals,
+            fence: slot_revision,
+        };
+        let candidate_revision = i64::try_from(self.version.sequence).unwrap_or_default();
+        let compares = vec![
+            compare(slot_key, slot_revision),
+            compare(keys::candidate(&candidate.body.profile), candidate_revision),
+            compare(key.clone(), revision),
+        ];
+        let writes = vec![StoreWrite::Put {
+            key,
+            value: to_json(&entry),
+            ttl: Some(VOTE_TTL),
+        }];
+        let id = turn
+            .queue
+            .ask_store(StoreRequest::Commit { compares, writes });
+        self.step = VoteStep::Writing { id, refusals };
+        self.asked = turn.now;
+    }
+
+    fn answer(&mut self, reply: &StoreReply, now: Instant, queue: &mut ActionQueue) {
+        self.next = now + RETRY_DELAY;
+        let refusals = match self.step {
+            VoteStep::Writing { refusals, .. } => refusals,
+            _ => 0,
+        };
+        match reply {
+            StoreReply::Committed { revision } => {
+                self.written = true;
+                self.step = VoteStep::Idle {
+                    revision: *revision,
+                    refusals,
+                };
+            }
+            StoreReply::Conflict | StoreReply::Uncertain
+                if matches!(self.step, VoteStep::Writing { .. }) =>
+            {
+                let prefix = self.key.clone();
+                let id = queue.ask_store(StoreRequest::List { prefix });
+                self.step = VoteStep::Reading { id };
+                self.asked = now;
+            }
+            StoreReply::Listed { entries } => self.read_back(entries, queue),
+            _ => self.lose_answer(now),
+        }
+    }
+
+    /// Takes over what stands under the key: an entry of this publish, of a lost answer or of the
+    /// relay before, or one of an earlier publish that is overwritten next.
+    fn read_back(&mut self, entries: &[StoreEntry], queue: &mut ActionQueue) {
+        let Some(found) = entries.iter().find(|entry| entry.key == self.key) else {
+            self.step = VoteStep::Idle {
+                revision: 0,
+                refusals: 0,
+            };
+            return;
+        };
+        let vote = serde_json::from_slice::<VoteEntry>(&found.value).ok();
+        let own = vote.filter(|vote| vote.publish_id == self.publish_id);
+        self.written = own.is_some();
+        self.step = VoteStep::Idle {
+            revision: found.revision,
+            refusals: own.map_or(0, |vote| vote.refusals.len()),
+        };
+        if self.written {
+            let text = format_compact!("votes under {}", self.key);
+            queue.log(Level::Info, EventCode::LostAnswerSettled, text);
+        }
+    }
+}
+
+#[derive(Default)]
+struct VoteCount {
+    expected: u32,
+    answered: u32,
+    prepared: u32,
+    refusals: Vec<NodeRefusal>,
+}
+
+/// Counts the votes of the data centre's live nodes, and refusals of nodes that are no longer
+/// live, since one refusal is enough.
+fn count_votes(candidate: KnownCandidate<'_>, turn: &VoteTurn<'_>) -> VoteCount {
+    let profile = &candidate.body.profile;
+    let mut count = VoteCount::default();
+    let mut votes: BTreeMap<&str, &VoteBody> = BTreeMap::new();
+    let prefix = format!("{profile}/");
+    for (_, stored) in turn.members.table.range(RecordKind::Vote, &prefix) {
+        if let RecordBody::Vote(body) = &stored.body
+            && body.publish_id == candidate.body.publish_id
+            && stored.version == candidate.version
+        {
+            votes.insert(&body.node, body);
+        }
+    }
+    for body in turn.members.with_profile(profile) {
+        if body.data_centre != turn.config.data_centre.as_str() {
+            continue;
+        }
+        count.expected += 1;
+        if let Some(vote) = votes.get(body.node.as_str()) {
+            count.answered += 1;
+            count.prepared += u32::from(vote.prepared);
+        }
+    }
+    count.refusals = votes
+        .values()
+        .filter(|vote| !vote.prepared)
+        .take(MAX_REFUSALS)
+        .map(|vote| NodeRefusal {
+            node: vote.node.as_str().into(),
+            reason: vote.reason.as_str().into(),
+        })
+        .collect();
+    // A refusal counts even if its node has just left the live members.
+    count.expected = count
+        .expected
+        .max(u32::try_from(count.refusals.len()).unwrap_or_default());
+    count
+}
+
+fn vote_body(candidate: &CandidateBody, result: Result<(), CompactString>) -> VoteBody {
+    let prepared = result.is_ok();
+    let mut reason = result.err().unwrap_or_default();
+    let end = (0..=MAX_REASON.min(reason.len()))
+        .rev()
+        .find(|end| reason.is_char_boundary(*end));
+    reason.truncate(end.unwrap_or_default());
+    VoteBody {
+        profile: candidate.profile.clone(),
+        version: candidate.version,
+        publish_id: candidate.publish_id.clone(),
+        node: String::new(),
+        prepared,
+        reason: reason.to_string(),
+    }
+}
+
+pub(crate) fn compare(key: impl Into<CompactString>, revision: i64) -> StoreCompare {
+    let key = key.into();
+    StoreCompare { key, revision }
+}
+
+pub(crate) fn to_json(entry: &impl serde::Serialize) -> Vec<u8> {
+    serde_json::to_vec(entry).expect("store entries always have a JSON form")
+}
--- /dev/null
+++ b/crates/apricotfold-control/src/push_tree.rs
@@ -0,0 +1,205 @@
+//! Spreads new records along eager links and their ids along lazy ones, as in Plumtree. See
+//! `docs/design.md`, sections 5.2 and 5.3.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use apricotfold_model::{DataCentreName, RegionName};
+use apricotfold_schema::peer::{Advertise, Prune, Pull, RecordId};
+
+use crate::{
+    MessageBody, RecordBody, RecordKey, RecordTable, RecordVersion, StreamId,
+    action::ActionQueue,
+    bundle_cache::strip_bundle,
+    peer_link::{PeerLink, send_records},
+    record_body::{join_id, split_id},
+    record_table::{RecordScope, StoredRecord},
+};
+
+const ADVERTISE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time during which a record that was asked for is not asked for again at another link. It
+/// covers the transfer of a large bundle over the slow link between regions.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Open streams.
+pub(crate) type LinkMap = BTreeMap<StreamId, PeerLink>;
+
+/// Where this node stands; it decides which records a link may carry.
+#[derive(Clone, Debug)]
+pub(crate) struct NodePlace {
+    pub(crate) region: RegionName,
+    pub(crate) data_centre: DataCentreName,
+    pub(crate) is_relay: bool,
+    pub(crate) is_gateway: bool,
+}
+
+impl NodePlace {
+    /// Tells whether a new record goes out over a link. Between data centres only relays send, and
+    /// between regions only the gateway of the record's origin, so that one copy per region
+    /// crosses the slow link.
+    fn sends(&self, link: &PeerLink, key: &RecordKey, stored: &StoredRecord) -> bool {
+        if link.data_centre == self.data_centre {
+            return true;
+        }
+        if RecordScope::of(key.kind) == RecordScope::DataCentre || !self.is_relay {
+            return false;
+        }
+        if link.region == self.region {
+            return true;
+        }
+        self.is_gateway && stored.origin_region == self.region
+    }
+}
+
+/// What one step at the links works on.
+pub(crate) struct LinkTurn<'a> {
+    pub(crate) table: &'a RecordTable,
+    pub(crate) links: &'a mut LinkMap,
+    pub(crate) place: &'a NodePlace,
+    /// Heads whose bundle the peers have already received with the candidate.
+    pub(crate) thin: &'a [RecordKey],
+    pub(crate) now: Instant,
+    pub(crate) queue: &'a mut ActionQueue,
+}
+
+/// Records that were asked for and the state of lazy links.
+#[derive(Debug, Default)]
+pub(crate) struct PushTree {
+    pulls: BTreeMap<RecordKey, (RecordVersion, Instant)>,
+    next_advertise: Option<Instant>,
+}
+
+impl PushTree {
+    /// Sends records on over every link but the one that they came from.
+    pub(crate) fn spread(keys: &[RecordKey], source: Option<StreamId>, turn: &mut LinkTurn<'_>) {
+        let LinkTurn {
+            table, place, now, ..
+        } = *turn;
+        for (stream, link) in turn.links.iter_mut() {
+            if Some(*stream) == source {
+                continue;
+            }
+            let mut records = Vec::new();
+            for key in keys {
+                let Some(stored) = table.get(key.kind, &key.key) else {
+                    continue;
+                };
+                if !place.sends(link, key, stored) {
+                    continue;
+                }
+                if !link.eager {
+                    link.advertise_later(key, stored.version);
+                    continue;
+                }
+                link.note_sent(key, stored.version, now);
+                let mut record = table.export(key, now);
+                if let (RecordBody::Head(body), Some(record)) = (&stored.body, &mut record)
+                    && turn.thin.contains(key)
+                {
+                    strip_bundle(record, body);
+                }
+                records.extend(record);
+            }
+            send_records(*stream, records, turn.queue);
+        }
+    }
+
+    /// Forgets the pull of a record that has arrived; false when nobody asked for it.
+    pub(crate) fn arrived(&mut self, key: &RecordKey) -> bool {
+        self.pulls.remove(key).is_some()
+    }
+
+    /// Makes the link lazy at both ends, since its records arrive faster over another one.
+    pub(crate) fn prune(stream: StreamId, links: &mut LinkMap, queue: &mut ActionQueue) {
+        if let Some(link) = links.get_mut(&stream)
+            && link.eager
+        {
+            link.eager = false;
+            queue.send(stream, MessageBody::Prune(Prune {}));
+        }
+    }
+
+    /// Asks for the records of these ids that the table lacks and returns them. Grafting makes the
+    /// link eager again, because the eager links did not bring the record in time.
+    pub(crate) fn pull_missing(
+        &mut self,
+        stream: StreamId,
+        ids: &[RecordId],
+        graft: bool,
+        turn: &mut LinkTurn<'_>,
+    ) -> Vec<RecordKey> {
+        let LinkTurn { table, now, .. } = *turn;
+        let Some(link) = turn.links.get_mut(&stream) else {
+            return Vec::new();
+        };
+        let mut missing = Vec::new();
+        let mut wanted = Vec::new();
+        for (key, version) in ids.iter().filter_map(split_id) {
+            if !table.lacks(&key, version) {
+                continue;
+            }
+            if !self.is_pulled(&key, version, now) {
+                self.pulls.insert(key.clone(), (version, now));
+                wanted.push(join_id(&key, version));
+            }
+            missing.push(key);
+        }
+        if !wanted.is_empty() {
+            link.eager |= graft;
+            let pull = Pull { ids: wanted, graft };
+            turn.queue.send(stream, MessageBody::Pull(pull));
+        }
+        missing
+    }
+
+    fn is_pulled(&self, key: &RecordKey, version: RecordVersion, now: Instant) -> bool {
+        self.pulls.get(key).is_some_and(|(asked, at)| {
+            *asked >= version && now.saturating_duration_since(*at) < PULL_TIMEOUT
+        })
+    }
+
+    /// Answers a pull with what the table holds now, which may be newer than what was asked for.
+    pub(crate) fn answer_pull(stream: StreamId, pull: &Pull, turn: &mut LinkTurn<'_>) {
+        let LinkTurn {
+            table, place, now, ..
+        } = *turn;
+        let Some(link) = turn.links.get_mut(&stream) else {
+            return;
+        };
+        link.eager |= pull.graft;
+        let scope = link.scope(&place.data_centre);
+        let mut records = Vec::new();
+        for (key, _) in pull.ids.iter().filter_map(split_id) {
+            if !scope.carries(key.kind) {
+                continue;
+            }
+            if let Some(stored) = table.get(key.kind, &key.key) {
+                link.note_sent(&key, stored.version, now);
+            }
+            records.extend(table.export(&key, now));
+        }
+        send_records(stream, records, turn.queue);
+    }
+
+    /// Sends the ids that wait at lazy links.
+    pub(crate) fn tick(&mut self, links: &mut LinkMap, now: Instant, queue: &mut ActionQueue) {
+        if self.next_advertise.is_some_and(|next| now < next) {
+            return;
+        }
+        self.next_advertise = Some(now + ADVERTISE_INTERVAL);
+        self.pulls
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < PULL_TIMEOUT);
+        for (stream, link) in links.iter_mut() {
+            if link.lazy.is_empty() {
+                continue;
+            }
+            let ids = std::mem::take(&mut link.lazy)
+                .iter()
+                .map(|(key, version)| join_id(key, *version))
+                .collect();
+            queue.send(*stream, MessageBody::Advertise(Advertise { ids }));
+        }
+    }
+}
--- a/crates/apricotfold-control/src/store.rs
+++ b/crates/apricotfold-control/src/store.rs
@@ -123,7 +123,10 @@
     /// The lease has ended.
     SlotLost,
     /// The writes were made.
-    Committed,
+    Committed {
+        /// Revision of the written keys.
+        revision: i64,
+    },
     /// A compare failed and nothing was written.
     Conflict,
     /// The bundle's JSON, or nothing when the store has no such bundle.
--- /dev/null
+++ b/crates/apricotfold-control/src/table_sync.rs
@@ -0,0 +1,136 @@
+//! Anti-entropy: peers compare digests and exchange what one of them lacks. See
+//! `docs/design.md`, section 5.2.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use apricotfold_schema::peer::{BucketIds, Digest};
+use rand::{RngExt, rngs::StdRng};
+
+use crate::{
+    MessageBody, RecordKey, RecordTable, RecordVersion, StreamId,
+    action::ActionQueue,
+    peer_link::{PeerLink, send_records},
+    push_tree::{LinkTurn, NodePlace},
+    record_body::split_id,
+};
+
+const SYNC_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which a node under the restart rule asks every peer of its data centre.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Times of the next exchange.
+#[derive(Debug, Default)]
+pub(crate) struct TableSync {
+    next: Option<Instant>,
+}
+
+impl TableSync {
+    /// Starts an exchange over one stream.
+    pub(crate) fn ask(
+        stream: StreamId,
+        link: &mut PeerLink,
+        table: &RecordTable,
+        place: &NodePlace,
+        now: Instant,
+        queue: &mut ActionQueue,
+    ) {
+        link.last_digest = now;
+        let scope = link.scope(&place.data_centre);
+        let buckets = table.digest(scope).to_vec();
+        queue.send(stream, MessageBody::Digest(Digest { buckets }));
+    }
+
+    pub(crate) fn tick(&mut self, settled: bool, rng: &mut StdRng, turn: &mut LinkTurn<'_>) {
+        let LinkTurn {
+            table, place, now, ..
+        } = *turn;
+        if !settled {
+            for (stream, link) in turn.links.iter_mut() {
+                let is_local = link.data_centre == place.data_centre;
+                let is_due = now.saturating_duration_since(link.last_digest) >= SETTLE_INTERVAL;
+                if is_local && is_due {
+                    Self::ask(*stream, link, table, place, now, turn.queue);
+                }
+            }
+        }
+        if turn.links.is_empty() || self.next.is_some_and(|next| now < next) {
+            return;
+        }
+        self.next = Some(now + SYNC_INTERVAL);
+        let pick = rng.random_range(0..turn.links.len());
+        if let Some((stream, link)) = turn.links.iter_mut().nth(pick) {
+            Self::ask(*stream, link, table, place, now, turn.queue);
+        }
+    }
+
+    /// Answers a digest with the ids of the differing buckets. An answer without ids tells the
+    /// peer that both tables are equal, which its restart rule needs to know.
+    pub(crate) fn answer_digest(
+        stream: StreamId,
+        digest: &Digest,
+        settled: bool,
+        turn: &mut LinkTurn<'_>,
+    ) {
+        let table = turn.table;
+        let Some(link) = turn.links.get(&stream) else {
+            return;
+        };
+        let scope = link.scope(&turn.place.data_centre);
+        let buckets = table.differing(scope, &digest.buckets);
+        let ids = table.bucket_ids(scope, &buckets);
+        let answer = BucketIds {
+            buckets,
+            ids,
+            reply: false,
+            settled,
+        };
+        turn.queue.send(stream, MessageBody::BucketIds(answer));
+    }
+
+    /// Sends the records of the buckets that the peer lacks or holds in an older version.
+    pub(crate) fn push_newer(stream: StreamId, answer: &BucketIds, turn: &mut LinkTurn<'_>) {
+        let LinkTurn {
+            table, place, now, ..
+        } = *turn;
+        let Some(link) = turn.links.get_mut(&stream) else {
+            return;
+        };
+        let theirs: BTreeMap<RecordKey, RecordVersion> =
+            answer.ids.iter().filter_map(split_id).collect();
+        let scope = link.scope(&place.data_centre);
+        let mut records = Vec::new();
+        for (key, stored) in table.select(scope, &answer.buckets) {
+            let is_newer = theirs.get(key).is_none_or(|known| *known < stored.version);
+            if !is_newer || link.was_sent(key, stored.version, now) {
+                continue;
+            }
+            link.note_sent(key, stored.version, now);
+            records.extend(table.export(key, now));
+        }
+        send_records(stream, records, turn.queue);
+    }
+
+    /// Answers a peer that asks for the ids of some buckets.
+    pub(crate) fn answer_ids(
+        stream: StreamId,
+        request: &BucketIds,
+        settled: bool,
+        turn: &mut LinkTurn<'_>,
+    ) {
+        let table = turn.table;
+        let Some(link) = turn.links.get(&stream) else {
+            return;
+        };
+        let scope = link.scope(&turn.place.data_centre);
+        let answer = BucketIds {
+            buckets: request.buckets.clone(),
+            ids: table.bucket_ids(scope, &request.buckets),
+            reply: false,
+            settled,
+        };
+        turn.queue.send(stream, MessageBody::BucketIds(answer));
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-control/src/version_floor.rs
@@ -0,0 +1,179 @@
+//! No profile moves back to an older version. See `docs/design.md`, sections 4.3 and 4.4.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use apricotfold_model::{NodeId, ProfileName, ProfileVersion};
+use compact_str::{CompactString, format_compact};
+
+use crate::{RecordKey, WaitReason};
+
+/// Time after which the answer of one peer is enough, when the store has not answered either.
+const ONE_PEER_AFTER: Duration = Duration::from_secs(2);
+
+/// Reason for refusing a version that is not above the known one. The operators' command reads
+/// the number and tries again above it.
+#[must_use]
+pub(crate) fn stale_reason(known: ProfileVersion) -> CompactString {
+    format_compact!("stale-version: known {known}")
+}
+
+/// Decides which heads this node may apply.
+#[derive(Debug)]
+pub struct VersionFloor {
+    started: Instant,
+    applied: BTreeMap<ProfileName, ProfileVersion>,
+    offered: BTreeMap<ProfileName, ProfileVersion>,
+    /// Heads and endpoints that a peer named in its answer and that have not arrived yet. The
+    /// endpoints tell how many peers exist.
+    /// Profile that was picked anew, with the version that it had here.
+    again: Option<(ProfileName, ProfileVersion)>,
+    awaited: BTreeMap<NodeId, BTreeSet<RecordKey>>,
+    answered: BTreeSet<NodeId>,
+    settled: bool,
+}
+
+impl VersionFloor {
+    /// Starts with nothing applied and nothing heard.
+    #[must_use]
+    pub fn new(started: Instant) -> Self {
+        Self {
+            started,
+            applied: BTreeMap::new(),
+            offered: BTreeMap::new(),
+            again: None,
+            awaited: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            settled: false,
+        }
+    }
+
+    /// True once the restart rule allows to apply heads.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Notes the answer of a settled peer of the own data centre, with the heads and endpoints that
+    /// it has and this node lacks.
+    pub fn peer_answered(&mut self, peer: &NodeId, missing: BTreeSet<RecordKey>) {
+        if self.settled {
+            return;
+        }
+        if missing.is_empty() {
+            self.awaited.remove(peer);
+            self.answered.insert(peer.clone());
+        } else {
+            self.awaited.insert(peer.clone(), missing);
+        }
+    }
+
+    /// Notes that a record has arrived, from whomever.
+    pub fn record_arrived(&mut self, key: &RecordKey) {
+        for missing in self.awaited.values_mut() {
+            missing.remove(key);
+        }
+        let complete = self
+            .awaited
+            .extract_if(.., |_, missing| missing.is_empty())
+            .map(|(peer, _)| peer);
+        self.answered.extend(complete);
+    }
+
+    /// Notes that the store's heads were read in full.
+    pub fn store_answered(&mut self) {
+        self.settle();
+    }
+
+    /// Applies the restart rule: two peers, or the only one that exists, or one after 2 s.
+    /// Returns true when the node has just settled.
+    pub fn check(&mut self, other_members: usize, now: Instant) -> bool {
+        if self.settled {
+            return false;
+        }
+        let is_late = now.saturating_duration_since(self.started) >= ONE_PEER_AFTER;
+        let needed = if is_late || other_members == 1 { 1 } else { 2 };
+        if self.answered.len() < needed {
+            return false;
+        }
+        self.settle();
+        true
+    }
+
+    fn settle(&mut self) {
+        self.settled = true;
+        self.awaited.clear();
+        self.answered.clear();
+    }
+
+    /// Source that the node waits for.
+    #[must_use]
+    pub fn waiting_for(&self) -> Option<WaitReason> {
+        if self.settled {
+            return None;
+        }
+        if self.answered.is_empty() {
+            return Some(WaitReason::NoSource);
+        }
+        Some(WaitReason::SecondSource)
+    }
+
+    /// Highest version that this node has put into force since its start; 0 for none.
+    #[must_use]
+    pub fn applied(&self, profile: &str) -> ProfileVersion {
+        self.applied.get(profile).copied().unwrap_or_default()
+    }
+
+    /// Tells whether a head may be applied now, and takes it as offered if so. Each version is
+    /// offered once.
+    pub fn offer(&mut self, profile: &str, version: ProfileVersion) -> bool {
+        if !self.settled {
+            return false;
+        }
+        let again = self
+            .again
+            .take_if(|(name, applied)| name == profile && *applied > 0 && version >= *applied);
+        let offered = self.offered.get(profile).copied().unwrap_or_default();
+        let floor = offered.max(self.applied(profile));
+        if again.is_none() && version <= floor {
+            return false;
+        }
+        self.offered.insert(profile.into(), version);
+        true
+    }
+
+    /// Allows to offer the applied version once more, because the node ran under another profile
+    /// in between. Lower versions stay refused.
+    pub fn allow_again(&mut self, profile: &str) {
+        let applied = self.applied(profile);
+        self.offered.insert(profile.into(), applied);
+        self.again = Some((profile.into(), applied));
+    }
+
+    /// Notes a version that is in force.
+    pub fn confirm(&mut self, profile: &str, version: ProfileVersion) {
+        let applied = self.applied.entry(profile.into()).or_default();
+        *applied = version.max(*applied);
+    }
+
+    /// Checks a candidate against the highest version that this node knows of.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for a refusal, with the known version.
+    pub fn check_candidate(
+        &self,
+        profile: &str,
+        version: ProfileVersion,
+        head: ProfileVersion,
+    ) -> Result<(), CompactString> {
+        let offered = self.offered.get(profile).copied().unwrap_or_default();
+        let known = head.max(offered).max(self.applied(profile));
+        if version <= known {
+            return Err(stale_reason(known));
+        }
+        Ok(())
+    }
+}
