--- a/crates/apricotfold-node/src/store_session.rs
+++ b/crates/apricotfold-node/src/store_session.rs
@@ -195,10 +195,11 @@
         }
         measure::record_store_call("commit");
         let answer = self.store.commit(&txn).await?;
-        Ok(if answer.succeeded {
-            StoreReply::Committed
-        } else {
-            StoreReply::Conflict
+        if !answer.succeeded {
+            return Ok(StoreReply::Conflict);
+        }
+        Ok(StoreReply::Committed {
+            revision: answer.revision,
         })
     }
 
--- a/tests/testsuite/call_path.rs
+++ b/tests/testsuite/call_path.rs
@@ -47,3 +47,9 @@
 async fn store_watch() -> eyre::Result<()> {
     check_call("store-watch").await
 }
+
+/// Guards against a break anywhere on the path when configuration travels through peers.
+#[tokio::test]
+async fn peer_path() -> eyre::Result<()> {
+    check_call("peers").await
+}
