--- a/crates/apricotfold-node/src/admin.rs
+++ b/crates/apricotfold-node/src/admin.rs
@@ -25,6 +25,7 @@
         .push(Router::with_path("v1/leave").post(LeaveHandler(state.clone())))
         .push(Router::with_path("v1/drain").post(DrainHandler(state.clone())))
         .push(Router::with_path("v1/status").get(StatusHandler(state.clone())))
+        .push(Router::with_path("v1/version").get(VersionHandler(state.clone())))
         .push(Router::with_path("metrics").get(MetricsHandler(metrics)))
 }
 
@@ -46,6 +47,7 @@
 struct LeaveHandler(Arc<NodeState>);
 struct DrainHandler(Arc<NodeState>);
 struct StatusHandler(Arc<NodeState>);
+struct VersionHandler(Arc<NodeState>);
 struct MetricsHandler(PrometheusHandle);
 
 #[async_trait]
@@ -126,6 +128,15 @@
     }
 }
 
+/// Answers with the version in force alone, for callers that ask many nodes often.
+#[async_trait]
+impl Handler for VersionHandler {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let version = self.0.snapshot.load().version;
+        res.render(Json(serde_json::json!({"applied_version": version})));
+    }
+}
+
 #[async_trait]
 impl Handler for MetricsHandler {
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
