Test the call decisions and fix what the tests found

Cause: the decisions had no tests. A randomised test showed that a quarantined target was chosen while a target in trial was left. Review showed that a popular request, being in flight at most crashes, would be blocked after two of them, and that the eviction of crash entries depended on the order of a hash map.

Ruled out: serving the oldest waiting request first at all times.

Change: targets are ranked usable, in trial, quarantined; an answer clears the crashes of its request; eviction ties are settled by the fingerprint; ServiceBalancer takes load reports that arrive without an attempt.

--- a/crates/apricotfold-policy/src/attempt.rs
+++ b/crates/apricotfold-policy/src/attempt.rs
@@ -26,7 +26,7 @@
 }
 
 /// Load of a target's node, from the `apricotfold-load` header.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LoadReport {
     /// Requests that run or wait at the node.
     pub in_flight: u32,
--- a/crates/apricotfold-policy/src/balancer.rs
+++ b/crates/apricotfold-policy/src/balancer.rs
@@ -10,7 +10,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::picker::create_picker;
-use crate::target::TargetState;
+use crate::target::{TargetStanding, TargetState};
 use crate::{AttemptResult, ChoiceReason, LoadReport, PickCandidate, TargetPicker};
 
 /// Timeouts or lost connections in a row after which a target is quarantined. A single one may be
@@ -22,7 +22,21 @@
 const DRAIN_EXCLUSION: Duration = Duration::from_secs(5);
 
 /// Distance of a target from this node, nearest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, IntoStaticStr)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    IntoStaticStr,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum LocalityTier {
     /// In the same data centre.
@@ -34,7 +48,7 @@
 }
 
 /// A target as discovery knows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct TargetEntry {
     /// The target's node.
     pub node: NodeId,
@@ -97,7 +111,7 @@
 }
 
 /// What a balancer knows about a target, for status pages and metrics.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct TargetStatus {
     /// The target's node.
     pub node: NodeId,
@@ -179,11 +193,12 @@
             .iter()
             .filter(|target| target.is_accepting(now) && !excluded.contains(&target.node))
             .collect();
-        let heeds_quarantine = self.picker.heeds_quarantine();
-        let is_healthy = |target: &&TargetState| !heeds_quarantine || !target.is_held_back(now);
-        let only_quarantined = !usable.iter().any(is_healthy);
-        if !only_quarantined {
-            usable.retain(|target| is_healthy(&&**target));
+        let mut only_quarantined = false;
+        if self.picker.heeds_quarantine() {
+            let standing = |target: &TargetState| target.standing(now);
+            let best = usable.iter().map(|target| standing(target)).min();
+            usable.retain(|target| Some(standing(target)) == best);
+            only_quarantined = best == Some(TargetStanding::Quarantined);
         }
         let (tier, tier_reason) = choose_tier(&usable, now).ok_or(RefusalReason::NoTarget)?;
         usable.retain(|target| target.tier == tier);
@@ -253,6 +268,13 @@
         }
     }
 
+    /// Takes over a load report that arrived without an attempt.
+    pub fn record_report(&mut self, node: &NodeId, report: LoadReport, now: Instant) {
+        if let Some(target) = self.find_mut(node) {
+            target.record_report(report, now);
+        }
+    }
+
     /// Describes all targets, sorted by node.
     #[must_use]
     pub fn statuses(&self, now: Instant) -> Vec<TargetStatus> {
--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -1,6 +1,6 @@
 //! Stops requests that crash targets. See `docs/design.md`, section 6.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use apricotfold_model::NodeId;
@@ -20,6 +20,55 @@
 /// covers some 300 crashes within the lifetime.
 const MAX_ENTRIES: usize = 4_096;
 
+/// Time for which an answer clears a request of crashes that follow. A request that is answered all
+/// the time is in flight at most crashes without causing them; one that begins to crash targets gets
+/// no more answers and is counted after this time.
+const ANSWER_MEMORY: Duration = Duration::from_secs(10);
+
+/// Answered fingerprints that are kept per half of the memory.
+const MAX_ANSWERED: usize = 4_096;
+
+/// Fingerprints that were answered lately, in two halves of which the older one is dropped as a
+/// whole, so that an answer costs one insertion.
+#[derive(Clone, Debug, Default)]
+struct AnswerMemory {
+    recent: HashSet<RequestFingerprint>,
+    older: HashSet<RequestFingerprint>,
+    turned: Option<Instant>,
+}
+
+impl AnswerMemory {
+    fn record(&mut self, fingerprint: &RequestFingerprint, now: Instant) {
+        self.turn(now);
+        if self.recent.contains(fingerprint) {
+            return;
+        }
+        if self.recent.len() >= MAX_ANSWERED {
+            self.older = std::mem::take(&mut self.recent);
+        }
+        self.recent.insert(fingerprint.clone());
+    }
+
+    fn contains(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> bool {
+        self.turn(now);
+        self.recent.contains(fingerprint) || self.older.contains(fingerprint)
+    }
+
+    /// Drops what is older than the memory's time.
+    fn turn(&mut self, now: Instant) {
+        let turned = *self.turned.get_or_insert(now);
+        let age = now.saturating_duration_since(turned);
+        if age < ANSWER_MEMORY / 2 {
+            return;
+        }
+        self.older = std::mem::take(&mut self.recent);
+        if age >= ANSWER_MEMORY {
+            self.older.clear();
+        }
+        self.turned = Some(now);
+    }
+}
+
 #[derive(Clone, Debug)]
 struct CrashEntry {
     changed: Instant,
@@ -40,6 +89,11 @@
         self.total().saturating_sub(self.cleared)
     }
 
+    /// The lowest rank is evicted first.
+    fn eviction_rank(&self) -> (bool, Instant) {
+        (self.suspect_count() >= BLOCK_AFTER, self.changed)
+    }
+
     fn is_expired(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.changed) >= ENTRY_LIFETIME
     }
@@ -53,6 +107,7 @@
 pub struct CrashGuard {
     own: NodeId,
     entries: HashMap<RequestFingerprint, CrashEntry>,
+    answered: AnswerMemory,
 }
 
 impl CrashGuard {
@@ -62,19 +117,23 @@
         Self {
             own,
             entries: HashMap::new(),
+            answered: AnswerMemory::default(),
         }
     }
 
     /// Counts a crash that this node saw. Returns this node's new count, to be shared as a `crash`
-    /// record.
-    pub fn record_crash(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> u32 {
+    /// record, or `None` when the request was answered within the last seconds and is not suspect.
+    pub fn record_crash(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> Option<u32> {
+        if self.answered.contains(fingerprint, now) {
+            return None;
+        }
         let own = self.own.clone();
         let known = self.entry(fingerprint, now);
         let slot = count_slot(known, &own);
         *slot = slot.saturating_add(1);
         let count = *slot;
         known.changed = now;
-        count
+        Some(count)
     }
 
     /// Takes over another node's count. A lower or equal count than the known one changes nothing,
@@ -97,9 +156,11 @@
         }
     }
 
-    /// Notes that a target answered the request. A popular request is in flight at most crashes;
-    /// its answers tell it from one that crashes every target, so earlier crashes no longer count.
-    pub fn record_answer(&mut self, fingerprint: &RequestFingerprint) {
+    /// Notes that a target answered the request. Crashes counted so far are then a coincidence: a
+    /// popular request is in flight at most crashes, and its answers tell it from one that crashes
+    /// every target.
+    pub fn record_answer(&mut self, fingerprint: &RequestFingerprint, now: Instant) {
+        self.answered.record(fingerprint, now);
         if let Some(known) = self.entries.get_mut(fingerprint) {
             known.cleared = known.total();
         }
@@ -154,11 +215,12 @@
         if self.entries.len() < MAX_ENTRIES {
             return;
         }
-        let oldest = self
-            .entries
-            .iter()
-            .min_by_key(|(_, known)| (known.suspect_count() >= BLOCK_AFTER, known.changed))
-            .map(|(fingerprint, _)| fingerprint.clone());
+        // The fingerprint settles ties, so that the order of the map does not matter.
+        let oldest = self.entries.iter().min_by(|(left, one), (right, other)| {
+            let order = one.eviction_rank().cmp(&other.eviction_rank());
+            order.then_with(|| left.cmp(right))
+        });
+        let oldest = oldest.map(|(fingerprint, _)| fingerprint.clone());
         if let Some(fingerprint) = oldest {
             self.entries.remove(&fingerprint);
         }
--- a/crates/apricotfold-policy/src/ledger.rs
+++ b/crates/apricotfold-policy/src/ledger.rs
@@ -18,7 +18,7 @@
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
 /// An answer that can be replayed.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct StoredAnswer {
     /// HTTP status.
     pub status: u16,
--- a/crates/apricotfold-policy/src/target.rs
+++ b/crates/apricotfold-policy/src/target.rs
@@ -20,7 +20,10 @@
 /// Share of a target that has just appeared. It is above zero so that the target can warm up.
 const MIN_WARMTH: f64 = 0.1;
 
+/// Length of the first quarantine; each further one without an answer in between doubles it.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(1);
+
+/// Longest quarantine, so that a target which comes back is found within half a minute.
 const MAX_QUARANTINE: Duration = Duration::from_secs(30);
 
 /// Time after which another trial of a target may start although the last one has not ended.
@@ -70,6 +73,18 @@
     last_trial: Option<Instant>,
 }
 
+/// How far a target is trusted, best first. Targets of a worse standing are used only when there is
+/// no other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum TargetStanding {
+    /// It has no quarantine, or its quarantine has ended and it is due for a trial.
+    Usable,
+    /// Its quarantine has ended and an attempt that tries it has not been answered.
+    InTrial,
+    /// It is quarantined.
+    Quarantined,
+}
+
 /// State of one target.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetState {
@@ -174,15 +189,22 @@
             .is_some_and(|quarantine| quarantine.until > now)
     }
 
-    /// After its quarantine, a target gets one attempt at a time until it answers.
-    pub(crate) fn is_held_back(&self, now: Instant) -> bool {
+    /// Tells how far the target is trusted.
+    pub(crate) fn standing(&self, now: Instant) -> TargetStanding {
         let Some(quarantine) = self.quarantine else {
-            return false;
+            return TargetStanding::Usable;
         };
+        if quarantine.until > now {
+            return TargetStanding::Quarantined;
+        }
         let in_trial = quarantine
             .last_trial
             .is_some_and(|trial| now.saturating_duration_since(trial) < TRIAL_INTERVAL);
-        quarantine.until > now || in_trial
+        if in_trial {
+            TargetStanding::InTrial
+        } else {
+            TargetStanding::Usable
+        }
     }
 
     /// Excludes the target for a time that doubles with each quarantine since the last answer.
--- /dev/null
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -0,0 +1,74 @@
+//! Requests that crash targets.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use apricotfold_policy::{CrashGuard, RequestFingerprint};
+use support::ms;
+
+const LIFETIME: Duration = Duration::from_mins(10);
+const ALMOST: Duration = Duration::from_millis(599_999);
+const POISON: RequestFingerprint = RequestFingerprint::const_new("p");
+
+/// Guards against a request that crashes one target after the other, against a block after one
+/// coincidence, and against a block that lasts for ever.
+#[test]
+fn second_crash_blocks_for_ten_minutes() {
+    let now = Instant::now();
+    let mut guard = CrashGuard::new("n1".into());
+    assert_eq!(guard.record_crash(&POISON, now), Some(1));
+    assert!(!guard.is_blocked(&POISON, now));
+    assert_eq!(guard.record_crash(&POISON, now), Some(2));
+    assert!(guard.is_blocked(&POISON, now + ALMOST));
+    assert!(!guard.is_blocked(&"q".into(), now));
+    assert!(!guard.is_blocked(&POISON, now + LIFETIME));
+    assert_eq!(guard.record_crash(&POISON, now + LIFETIME), Some(1));
+}
+
+/// Guards against crashes at different nodes that are never added up, and against a record that
+/// counts again each time it is received.
+#[test]
+fn counts_of_other_nodes_are_merged_once() {
+    let now = Instant::now();
+    let mut guard = CrashGuard::new("n1".into());
+    for _ in 0..5 {
+        guard.merge(&POISON, &"n2".into(), 1, now);
+    }
+    assert!(!guard.is_blocked(&POISON, now));
+    guard.merge(&POISON, &"n3".into(), 1, now);
+    assert!(guard.is_blocked(&POISON, now));
+    guard.merge(&POISON, &"n3".into(), 1, now + ALMOST);
+    assert!(!guard.is_blocked(&POISON, now + LIFETIME));
+}
+
+/// Guards against popular requests that are blocked because they are in flight at most crashes, and
+/// against answers that clear a request for ever.
+#[test]
+fn answers_clear_a_request() {
+    let now = Instant::now();
+    let mut guard = CrashGuard::new("n1".into());
+    guard.record_crash(&POISON, now);
+    guard.record_answer(&POISON, now);
+    guard.merge(&POISON, &"n2".into(), 1, now);
+    assert!(!guard.is_blocked(&POISON, now));
+    assert_eq!(guard.record_crash(&POISON, now + ms(4_000)), None);
+    guard.record_crash(&POISON, now + ms(10_000));
+    assert!(guard.is_blocked(&POISON, now + ms(10_000)));
+}
+
+/// Guards against memory that grows with every crash, and against a flood of crashes that makes the
+/// guard forget a blocked request.
+#[test]
+fn size_is_bounded_and_blocks_outlive_floods() {
+    let mut now = Instant::now();
+    let mut guard = CrashGuard::new("n1".into());
+    guard.record_crash(&POISON, now);
+    guard.record_crash(&POISON, now);
+    for index in 0..5_000 {
+        now += Duration::from_micros(10);
+        guard.record_crash(&format!("f{index}").into(), now);
+    }
+    assert_eq!(guard.len(), 4_096);
+    assert!(guard.is_blocked(&POISON, now));
+}
--- /dev/null
+++ b/crates/apricotfold-policy/tests/retry_budget.rs
@@ -0,0 +1,97 @@
+//! Budget of retries, alone and through a tree of calls.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use apricotfold_model::RetryRule;
+use apricotfold_policy::{
+    AttemptResult, CallBudgets, CallLimits, CallPlan, PlanAction, PlanEvent, RetryBudget,
+};
+use support::{ANSWERED, LOST, ms};
+
+/// Guards against services that are called rarely and never retried, against a minimum that grows
+/// without bound, and against a budget that a past burst of calls leaves open.
+#[test]
+fn minimum_is_small_and_the_past_decays() {
+    let mut now = Instant::now();
+    let mut budget = RetryBudget::new(10);
+    for _ in 0..10_000 {
+        budget.record_first(now);
+    }
+    now += Duration::from_mins(2);
+    let burst = (0..1_000).filter(|_| budget.try_spend(now)).count();
+    assert_eq!(burst, 10);
+    let mut granted = 0;
+    for _ in 0..1_000 {
+        now += ms(100);
+        granted += u32::from(budget.try_spend(now));
+    }
+    assert!((80..=110).contains(&granted), "{granted} in 100 s");
+    assert!(!RetryBudget::new(0).try_spend(now));
+}
+
+/// One node at each depth; the one below the last fails.
+struct CallTree {
+    budgets: Vec<CallBudgets>,
+    attempts: Vec<u32>,
+    /// Whether each depth passes the failure on so that the one above may retry, too.
+    pass_on: bool,
+}
+
+impl CallTree {
+    fn call(&mut self, depth: usize, now: Instant) -> AttemptResult {
+        if depth == self.budgets.len() {
+            return LOST;
+        }
+        let mut plan = CallPlan::new(CallLimits {
+            idempotent: true,
+            max_attempts: 3,
+            deadline: now + ms(1_000),
+            hedge_delay: None,
+        });
+        let mut actions = plan.start(&mut self.budgets[depth], now);
+        while let PlanAction::SendAttempt { attempt, .. } = actions[0] {
+            self.attempts[depth] += 1;
+            let result = self.call(depth + 1, now);
+            let event = PlanEvent::AttemptFinished { attempt, result };
+            actions = plan.handle(event, &mut self.budgets[depth], now);
+        }
+        match actions[0] {
+            PlanAction::FinishRefused { outcome, reason } if self.pass_on => {
+                AttemptResult::Refused { reason, outcome }
+            }
+            _ => ANSWERED,
+        }
+    }
+}
+
+/// Guards against attempts that multiply from depth to depth when a leaf nine calls below fails.
+/// Without a budget, three attempts per depth would make 19,683 attempts of one call; a budget of
+/// 10 % at nine depths allows 2.36, and retries next to the failure alone 1.1.
+#[test]
+fn failing_leaf_at_depth_nine_stays_inside_the_budget() {
+    const CALLS: u32 = 2_000;
+    for pass_on in [false, true] {
+        let mut tree = CallTree {
+            budgets: vec![CallBudgets::new(&RetryRule::default()); 9],
+            attempts: vec![0; 9],
+            pass_on,
+        };
+        let mut now = Instant::now();
+        for _ in 0..CALLS {
+            now += ms(6);
+            tree.call(0, now);
+        }
+        println!("pass on {pass_on}: attempts {:?}", tree.attempts);
+        let mut firsts = CALLS;
+        for attempts in tree.attempts.iter().copied() {
+            let bound = f64::from(firsts) * 1.1 + 23.0;
+            assert!(f64::from(attempts) <= bound, "{attempts} of {bound}");
+            firsts = attempts;
+        }
+        let share = f64::from(tree.attempts[8]) / f64::from(CALLS);
+        let bound = if pass_on { 2.5 } else { 1.12 };
+        assert!((1.05..bound).contains(&share), "{share} attempts per call");
+    }
+}
