--- a/crates/apricotfold-policy/src/budget.rs
+++ b/crates/apricotfold-policy/src/budget.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// The budgets that all calls from a node to one service share.
+/// The budgets that all calls from a node to one service and work class share.
 #[derive(Clone, Debug)]
 pub struct CallBudgets {
     /// Limits retries.
--- a/crates/apricotfold-policy/src/claims.rs
+++ b/crates/apricotfold-policy/src/claims.rs
@@ -20,7 +20,7 @@
 /// A claim that a node asks the relay to write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimRequest {
-    /// Identifies the request.
+    /// Identifies the request; the relay gives each a new one.
     pub ticket: ClaimTicket,
     /// Service of the order.
     pub service: ServiceName,
--- a/crates/apricotfold-policy/src/ledger.rs
+++ b/crates/apricotfold-policy/src/ledger.rs
@@ -5,7 +5,8 @@
 
 use compact_str::CompactString;
 
-/// Identifies an order: service and idempotency key.
+/// Idempotency key of an order. A node runs orders of one service, so the key alone identifies an
+/// order there.
 pub type OrderKey = CompactString;
 /// Identifies the attempt that holds a claim.
 pub type ClaimId = CompactString;
@@ -64,8 +65,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct OrderLedger {
     orders: HashMap<OrderKey, OrderEntry>,
-    /// Finished orders, oldest first. A pair whose claim no longer matches was replaced.
-    finished: VecDeque<(OrderKey, ClaimId)>,
+    /// Finished orders, oldest first.
+    finished: VecDeque<OrderKey>,
 }
 
 impl OrderLedger {
@@ -92,7 +93,7 @@
             outcome: OrderOutcome::Running,
         };
         self.orders.insert(key.clone(), entry);
-        self.finished.retain(|(known, _)| known != key);
+        self.finished.retain(|known| known != key);
         Ok(())
     }
 
@@ -135,9 +136,9 @@
             return;
         }
         known.outcome = outcome;
-        self.finished.push_back((key.clone(), claim.clone()));
+        self.finished.push_back(key.clone());
         if self.finished.len() > MAX_FINISHED
-            && let Some((oldest, _)) = self.finished.pop_front()
+            && let Some(oldest) = self.finished.pop_front()
         {
             self.orders.remove(&oldest);
         }
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -9,6 +9,14 @@
 //! stops requests that crash targets. At the target's node, an [`AdmissionQueue`] decides what runs,
 //! an [`OrderLedger`] keeps the answers of keyed orders, and a [`ClaimBatch`] at the acting relay
 //! groups their claims.
+//!
+//! For each [`PlanAction::SendAttempt`], the daemon calls [`ServiceBalancer::pick`] with the nodes
+//! that the call was sent to before, then [`ServiceBalancer::start_attempt`]. When the attempt ends,
+//! it calls [`ServiceBalancer::finish_attempt`], [`HedgeTimer::record`] and [`CallPlan::handle`], in
+//! this order, so that a retry is chosen with what the attempt has shown. When no target can be
+//! picked, the attempt ends as refused with the reason of the pick and `not-run`.
+//!
+//! [`CallBudgets`] and [`HedgeTimer`] belong to one service and work class, as balancers do.
 
 mod admission;
 mod attempt;
--- a/crates/apricotfold-policy/src/picker.rs
+++ b/crates/apricotfold-policy/src/picker.rs
@@ -40,7 +40,7 @@
 pub enum ChoiceReason {
     /// It had the lower cost of two random candidates.
     LowerCost,
-    /// It was the only candidate.
+    /// It was the only candidate, or the only one that slow start let take part.
     OnlyCandidate,
     /// It was its turn.
     NextInTurn,
@@ -90,13 +90,10 @@
             .filter(|index| is_drawn(&candidates[*index], random))
             .collect();
         let first = *warm.choose(random)?;
-        if candidates.len() == 1 {
-            return Some((first, ChoiceReason::OnlyCandidate));
-        }
         let others: SmallVec<[usize; 16]> =
             warm.into_iter().filter(|index| *index != first).collect();
         let Some(second) = others.choose(random).copied() else {
-            return Some((first, ChoiceReason::LowerCost));
+            return Some((first, ChoiceReason::OnlyCandidate));
         };
         let typical = typical_latency(candidates);
         let first_cost = cost(&candidates[first], typical);
--- a/crates/apricotfold-policy/tests/support/mod.rs
+++ b/crates/apricotfold-policy/tests/support/mod.rs
@@ -5,8 +5,7 @@
 
 use apricotfold_model::{CallOutcome, NodeId, PickerKind, RefusalReason};
 use apricotfold_policy::{AttemptResult, LocalityTier, ServiceBalancer, TargetChange, TargetEntry};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
+use rand::{SeedableRng, rngs::StdRng};
 
 pub const ANSWERED: AttemptResult = AttemptResult::Answered;
 pub const FAILED: AttemptResult = AttemptResult::ConnectFailed;
