Write one batch of claims at a time

Cause: a burst of keyed orders fills batches faster than one every 20 ms, so the acting relay could exceed the 350 writes/s that the design allows the seven relays together.

Change: the relay awaits a transaction before it takes the next batch; the call policy's changed signatures are followed.

--- a/crates/apricotfold-node/src/claim_desk.rs
+++ b/crates/apricotfold-node/src/claim_desk.rs
@@ -112,14 +112,16 @@
                     .expect("no panic while locked")
                     .take_due(now);
                 let Some(claims) = taken else { break };
-                tokio::spawn(self.clone().write(claims));
+                // One transaction at a time: a burst fills the next batches instead of exceeding
+                // the store's rate.
+                self.write(claims).await;
             }
         }
     }
 
     /// Writes a batch. Claims that exist already are answered with their holder, and the others
     /// are written without them.
-    async fn write(self: Arc<Self>, mut claims: Vec<ClaimRequest>) {
+    async fn write(&self, mut claims: Vec<ClaimRequest>) {
         while !claims.is_empty() {
             let found = match self.commit(&claims).await {
                 Ok(None) => {
--- a/crates/apricotfold-node/src/state.rs
+++ b/crates/apricotfold-node/src/state.rs
@@ -211,7 +211,7 @@
     pub fn note_answer(&self, request: &HeldRequest) {
         let mut crashes = self.crashes.lock().expect("no panic while locked");
         if !crashes.is_empty() {
-            crashes.record_answer(&fingerprint(request));
+            crashes.record_answer(&fingerprint(request), Instant::now());
         }
     }
 
