--- a/crates/apricotfold-model/src/settings.rs
+++ b/crates/apricotfold-model/src/settings.rs
@@ -1,6 +1,6 @@
 //! Checked settings of every binary.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use apricotfold_schema::settings as raw;
@@ -118,6 +118,17 @@
     pub seed: u64,
 }
 
+impl NodeConfig {
+    /// Address that outgoing connections leave from: that of the control service, so that other
+    /// nodes and the network see one address per instance. The system chooses when the control
+    /// service listens on all addresses.
+    #[must_use]
+    pub fn local_address(&self) -> Option<IpAddr> {
+        let address = self.control_address.ip();
+        (!address.is_unspecified()).then_some(address)
+    }
+}
+
 impl TryFrom<raw::NodeSettings> for NodeConfig {
     type Error = FieldErrors;
 
--- a/crates/apricotfold-node/src/control_loop.rs
+++ b/crates/apricotfold-node/src/control_loop.rs
@@ -94,7 +94,7 @@
         Ok(Self {
             core: ControlCore::new(control, now),
             enforcer: ProfileEnforcer::new(state.clone()),
-            store: StoreSession::new(&config.store, sender.clone())?,
+            store: StoreSession::new(config, sender.clone())?,
             streams: HashMap::new(),
             inputs,
             sender,
--- a/crates/apricotfold-node/src/main.rs
+++ b/crates/apricotfold-node/src/main.rs
@@ -79,7 +79,10 @@
     let metrics = measure::install()?;
     let distribution = config.distribution;
     let state = NodeState::new(config)?;
-    let store = Arc::new(HttpStore::new(&state.config.store)?);
+    let store = Arc::new(HttpStore::new(
+        &state.config.store,
+        state.config.local_address(),
+    )?);
     let orders = OrderDesk::start(state.clone(), store);
     let servers = server::start_all(&state, metrics, &orders)?;
     let (sender, inputs) = control_loop::queue();
--- a/crates/apricotfold-node/src/orders.rs
+++ b/crates/apricotfold-node/src/orders.rs
@@ -179,7 +179,7 @@
             if relay.node == self.state.config.node {
                 return self.claims.claim(request).await;
             }
-            let mut client = connect(&relay.control_address).await?;
+            let mut client = connect(&self.state, &relay.control_address).await?;
             Ok(client.claim(request).await?.into_inner())
         };
         let answer = tokio::time::timeout(CLAIM_LIMIT, ask).await;
@@ -245,7 +245,7 @@
             return OrderOutcome::MayHaveRun;
         };
         let ask = async {
-            let mut client = connect(&member.control_address).await?;
+            let mut client = connect(&self.state, &member.control_address).await?;
             Ok::<_, Status>(client.outcome(request.clone()).await?.into_inner())
         };
         match tokio::time::timeout(CLAIM_LIMIT, ask).await {
@@ -255,13 +255,13 @@
     }
 }
 
-async fn connect(address: &str) -> Result<PeerControlClient<tonic::transport::Channel>, Status> {
+async fn connect(
+    state: &NodeState,
+    address: &str,
+) -> Result<PeerControlClient<tonic::transport::Channel>, Status> {
     let failed = |error: tonic::transport::Error| Status::unavailable(error.to_string());
-    let channel = endpoint(address)
-        .map_err(failed)?
-        .connect()
-        .await
-        .map_err(failed)?;
+    let endpoint = endpoint(&state.config, address).map_err(failed)?;
+    let channel = endpoint.connect().await.map_err(failed)?;
     Ok(PeerControlClient::new(channel))
 }
 
--- a/crates/apricotfold-node/src/peer_streams.rs
+++ b/crates/apricotfold-node/src/peer_streams.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use apricotfold_control::{ControlEvent, StreamDirection, StreamId};
-use apricotfold_model::{StepError, log_event};
+use apricotfold_model::{NodeConfig, StepError, log_event};
 use apricotfold_schema::peer::peer_control_client::PeerControlClient;
 use apricotfold_schema::peer::{Hello, PeerMessage, peer_message};
 use compact_str::CompactString;
@@ -58,8 +58,9 @@
 }
 
 /// Prepares a channel to a node's control service.
-pub fn endpoint(address: &str) -> Result<Endpoint, tonic::transport::Error> {
+pub fn endpoint(config: &NodeConfig, address: &str) -> Result<Endpoint, tonic::transport::Error> {
     Ok(Endpoint::from_shared(format!("http://{address}"))?
+        .local_address(config.local_address())
         .connect_timeout(CONNECT_LIMIT)
         .tcp_nodelay(true)
         .http2_keep_alive_interval(Duration::from_secs(10))
@@ -70,7 +71,7 @@
 pub fn open(state: &Arc<NodeState>, address: CompactString, hello: Hello, inputs: LoopSender) {
     let state = state.clone();
     tokio::spawn(async move {
-        let failed = match connect(&address, hello).await {
+        let failed = match connect(&state.config, &address, hello).await {
             Ok(opened) => {
                 run_outbound(&state, address, opened, &inputs).await;
                 return;
@@ -116,8 +117,12 @@
     }
 }
 
-async fn connect(address: &str, hello: Hello) -> Result<OpenedStream, FailedStream> {
-    let endpoint = endpoint(address).map_err(|error| FailedStream::new(address, error))?;
+async fn connect(
+    config: &NodeConfig,
+    address: &str,
+    hello: Hello,
+) -> Result<OpenedStream, FailedStream> {
+    let endpoint = endpoint(config, address).map_err(|error| FailedStream::new(address, error))?;
     let channel: Channel = endpoint.connect().await.map_err(|error| FailedStream {
         refused: is_refused(&error),
         ..FailedStream::new(address, error)
--- a/crates/apricotfold-node/src/state.rs
+++ b/crates/apricotfold-node/src/state.rs
@@ -94,6 +94,7 @@
     pub fn new(config: NodeConfig) -> eyre::Result<Arc<Self>> {
         let client = reqwest::Client::builder()
             .connect_timeout(CONNECT_LIMIT)
+            .local_address(config.local_address())
             .pool_idle_timeout(IDLE_LIMIT)
             .tcp_nodelay(true)
             .redirect(reqwest::redirect::Policy::none())
--- a/crates/apricotfold-node/src/store_session.rs
+++ b/crates/apricotfold-node/src/store_session.rs
@@ -8,7 +8,7 @@
 use apricotfold_control::{
     ControlEvent, RequestId, StoreCompare, StoreEntry, StoreReply, StoreRequest, StoreWrite,
 };
-use apricotfold_model::{RelayEntry, StoreConfig, keys, log_event};
+use apricotfold_model::{NodeConfig, RelayEntry, keys, log_event};
 use apricotfold_store::{
     Compare, ConfigStore, HttpStore, LeaseId, RangeAnswer, Revision, StoreError, StoreTxn,
     WatchEvent, WriteEffect,
@@ -43,10 +43,10 @@
     /// # Errors
     ///
     /// Returns an error when the client cannot be set up.
-    pub fn new(config: &StoreConfig, inputs: LoopSender) -> eyre::Result<Self> {
+    pub fn new(config: &NodeConfig, inputs: LoopSender) -> eyre::Result<Self> {
         Ok(Self {
             link: StoreLink {
-                store: Arc::new(HttpStore::new(config)?),
+                store: Arc::new(HttpStore::new(&config.store, config.local_address())?),
                 inputs,
                 lost: Arc::new(AtomicBool::new(false)),
             },
--- a/crates/apricotfold-node/src/store_watch.rs
+++ b/crates/apricotfold-node/src/store_watch.rs
@@ -29,7 +29,7 @@
 
 /// Follows the store until the process ends.
 pub async fn run(state: Arc<NodeState>) {
-    let store = match HttpStore::new(&state.config.store) {
+    let store = match HttpStore::new(&state.config.store, state.config.local_address()) {
         Ok(store) => store,
         Err(error) => {
             log_event!(error, StoreUnavailable, "{error:#}");
--- a/crates/apricotfold-store/src/http.rs
+++ b/crates/apricotfold-store/src/http.rs
@@ -1,5 +1,6 @@
 //! [`HttpStore`]: the store over etcd v3's JSON gateway.
 
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -33,14 +34,16 @@
 }
 
 impl HttpStore {
-    /// Prepares a client. No connection is made yet.
+    /// Prepares a client. No connection is made yet. Connections leave from `local_address`, or
+    /// from an address of the system's choice.
     ///
     /// # Errors
     ///
     /// Returns an error when the HTTP client cannot be set up.
-    pub fn new(config: &StoreConfig) -> eyre::Result<Self> {
+    pub fn new(config: &StoreConfig, local_address: Option<IpAddr>) -> eyre::Result<Self> {
         let client = reqwest::Client::builder()
             .connect_timeout(config.timeout)
+            .local_address(local_address)
             .pool_idle_timeout(IDLE_LIMIT)
             .no_proxy()
             .build()?;
--- a/crates/apricotfold-testkit/src/lib.rs
+++ b/crates/apricotfold-testkit/src/lib.rs
@@ -14,4 +14,4 @@
 pub use builder::{MeshBuilder, NodePlan, TargetPlan};
 pub use mesh::{CallReply, CommandOutput, Mesh, MeshNode};
 pub use network::MeshNetwork;
-pub use process::{MeshProcess, ProcessUsage};
+pub use process::{MeshProcess, ProcessUsage, find_binary};
--- a/crates/apricotfold-testkit/src/process.rs
+++ b/crates/apricotfold-testkit/src/process.rs
@@ -145,6 +145,10 @@
 }
 
 /// Finds a binary beside the running one, or one folder up for tests.
+///
+/// # Errors
+///
+/// Returns an error when the binary has not been built.
 pub fn find_binary(name: &str) -> eyre::Result<PathBuf> {
     let own = std::env::current_exe()?;
     let folders = own.ancestors().skip(1).take(2);
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -52,7 +52,7 @@
         let message = "no store given: use --store URL or set APRICOTFOLD_STORE";
         return Err(CommandError::bad_input(message));
     };
-    HttpStore::new(&config).map_err(|error| unexpected("store client", &error))
+    HttpStore::new(&config, None).map_err(|error| unexpected("store client", &error))
 }
 
 /// Store calls that are repeated as long as `--wait` says.
--- a/tests/testsuite/call_path.rs
+++ b/tests/testsuite/call_path.rs
@@ -1,24 +1,9 @@
 //! A call from a caller through two nodes to a target and back.
 
-use apricotfold_testkit::{Mesh, MeshBuilder};
-
-use crate::support::{CONVERGENCE_LIMIT, FLN_A, FLN_B, FORMATION_LIMIT, POA_A, POA_B, almanac};
-
-async fn start_mesh(distribution: &str) -> eyre::Result<Mesh> {
-    let mesh = MeshBuilder::new()
-        .distribution(distribution)
-        .node(POA_A, "parish-desk", "almanac")
-        .node(POA_B, "press-room", "almanac")
-        .node(FLN_A, "parish-desk", "almanac")
-        .node(FLN_B, "press-room", "almanac")
-        .start()
-        .await?;
-    mesh.wait_members(4, FORMATION_LIMIT).await?;
-    Ok(mesh)
-}
+use crate::support::{CONVERGENCE_LIMIT, almanac, calendar_mesh};
 
 async fn check_call(distribution: &str) -> eyre::Result<()> {
-    let mesh = start_mesh(distribution).await?;
+    let mesh = calendar_mesh(|builder| builder.distribution(distribution)).await?;
     let output = mesh.publish(&almanac(), &[]).await?;
     assert_eq!(output.code, 0, "{output:?}");
     mesh.wait_version(1, CONVERGENCE_LIMIT).await?;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use apricotfold_testkit::{Mesh, MeshBuilder};
 use serde_json::{Value, json};
 
 /// Places of the calendar publisher's nodes.
@@ -15,6 +16,18 @@
 /// Time that a mesh of a few processes gets to form; not a target of the product.
 pub const FORMATION_LIMIT: Duration = Duration::from_secs(20);
 
+/// Starts one node of each service in each region and waits until all know each other.
+pub async fn calendar_mesh(change: impl FnOnce(MeshBuilder) -> MeshBuilder) -> eyre::Result<Mesh> {
+    let builder = MeshBuilder::new()
+        .node(POA_A, "parish-desk", "almanac")
+        .node(POA_B, "press-room", "almanac")
+        .node(FLN_A, "parish-desk", "almanac")
+        .node(FLN_B, "press-room", "almanac");
+    let mesh = change(builder).start().await?;
+    mesh.wait_members(4, FORMATION_LIMIT).await?;
+    Ok(mesh)
+}
+
 /// Profile of the service parish-desk.
 pub fn almanac() -> Value {
     json!({
