Add the open-loop load generator and the measures of the call path

Ruled out: sending from runtime timers, which count whole milliseconds and stop with a busy runtime. A thread of its own sends instead; the report shows its lag. A link between regions that all nodes share: a link stands before one address and cannot tell callers apart.

Change: a library with seeded Poisson arrivals and latency from the planned arrival, the binary apricotfold-load, and apricotfold-bench with the measures head-of-line, stragglers, crest and added-time, which writes docs/REPORT.md, plots and raw results.

--- /dev/null
+++ b/crates/apricotfold-load/src/bin/apricotfold-bench/crest.rs
@@ -0,0 +1,139 @@
+//! Demand of five times capacity for ten seconds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use apricotfold_load::{CallRecord, LoadPhase, LoadResult, plan_calls};
+use apricotfold_model::PickerKind;
+
+use crate::deployment::{CHOICES, DEPLOYMENTS, Deployment, load_client};
+use crate::machine::load_average;
+use crate::sheet::{MeasureSheet, PlotData, SheetRow};
+
+/// Long for short work, so that five times capacity fits on one machine.
+const SERVICE_MS: u32 = 100;
+const PEAK_FACTOR: u32 = 5;
+const BEFORE: Duration = Duration::from_secs(4);
+const PEAK: Duration = Duration::from_secs(10);
+const SEED: u64 = 31;
+const MIN_GOODPUT: f64 = 0.9;
+const MAX_REFUSAL_MS: f64 = 50.0;
+const MAX_RECOVERY_S: f64 = 2.0;
+
+/// Runs the measure.
+pub async fn measure(sheet: &mut MeasureSheet, after: Duration) -> eyre::Result<()> {
+    sheet.setup = format!(
+        "Short calls to the service with 7 or 8 targets at half of capacity for {} s, {PEAK_FACTOR} \
+         times capacity for {} s, then half of capacity again. Capacity is all slots divided by the \
+         mean service time of {SERVICE_MS} ms; with a few ms, five times capacity would be more than \
+         100,000 calls/s. Calls enter at every node; no links, because a link cannot tell callers \
+         apart. Recovery is the time from the end of the peak to the last later arrival that was not \
+         answered. Goodput counts answers that ended during the peak.",
+        BEFORE.as_secs(),
+        PEAK.as_secs()
+    );
+    for deployment in DEPLOYMENTS {
+        let capacity = capacity_of(&deployment);
+        let mut curves = Vec::new();
+        for choice in CHOICES {
+            let records = run(&deployment, choice, capacity, after).await?;
+            let result = LoadResult::new(&records, BEFORE + PEAK + after);
+            curves.push((choice.to_string(), goodput_curve(&result)));
+            sheet.add_row(describe(&deployment, choice, capacity, &records, &result)?);
+        }
+        judge(sheet, deployment.name);
+        sheet.plots.push(PlotData {
+            file: format!("crest-{}", deployment.name),
+            title: format!("Goodput, {}, capacity {capacity}/s", deployment.name),
+            x_label: "second".to_owned(),
+            y_label: "answers per second".to_owned(),
+            curves,
+        });
+    }
+    Ok(())
+}
+
+/// Calls per second that all slots of the service can answer.
+fn capacity_of(deployment: &Deployment) -> u32 {
+    let targets = u32::try_from(deployment.desk_targets()).unwrap_or(u32::MAX);
+    targets * deployment.slots * 1_000 / SERVICE_MS
+}
+
+fn judge(sheet: &mut MeasureSheet, deployment: &str) {
+    let figure = |sheet: &MeasureSheet, name: &str| sheet.figure(deployment, "least-latency", name);
+    let share = figure(sheet, "goodput share");
+    let goodput = "goodput at the peak at least 90 % of capacity";
+    sheet.at_least(deployment, goodput, share, MIN_GOODPUT);
+    let slowest = figure(sheet, "refusal max ms");
+    let refusal = "every refused call told within 50 ms";
+    sheet.at_most(deployment, refusal, slowest, MAX_REFUSAL_MS);
+    let recovery = figure(sheet, "recovery s");
+    let service = "full service again within 2 s after the peak";
+    sheet.at_most(deployment, service, recovery, MAX_RECOVERY_S);
+}
+
+async fn run(
+    deployment: &Deployment,
+    choice: PickerKind,
+    capacity: u32,
+    after: Duration,
+) -> eyre::Result<Vec<CallRecord>> {
+    let mesh = deployment
+        .start(choice, false, |target| target.short_ms = SERVICE_MS)
+        .await?;
+    let client = load_client(&deployment.entries(&mesh, true), "/pages/march")?;
+    client.warm().await;
+    let phase = |calls_per_second, duration| LoadPhase {
+        calls_per_second,
+        duration,
+    };
+    let phases = [
+        phase(capacity / 2, BEFORE),
+        phase(capacity * PEAK_FACTOR, PEAK),
+        phase(capacity / 2, after),
+    ];
+    Ok(client.run(plan_calls(&phases, 0, SEED)).await)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of calls")]
+fn describe(
+    deployment: &Deployment,
+    choice: PickerKind,
+    capacity: u32,
+    records: &[CallRecord],
+    result: &LoadResult,
+) -> eyre::Result<SheetRow> {
+    let peak = BEFORE..BEFORE + PEAK;
+    let in_peak = |call: &&CallRecord| call.is_answered() && peak.contains(&call.ended());
+    let answered = records.iter().filter(in_peak).count() as f64;
+    let share = answered / PEAK.as_secs_f64() / f64::from(capacity);
+    let lost_later = records
+        .iter()
+        .filter(|call| call.planned >= peak.end && !call.is_answered());
+    let last_lost = lost_later.map(|call| call.planned).max();
+    let recovery = last_lost.map_or(0.0, |last| last.saturating_sub(peak.end).as_secs_f64());
+    let figures = [
+        ("goodput share", share),
+        ("refusal p99 ms", result.refusal_latency.p99_ms),
+        ("refusal max ms", result.refusal_latency.max_ms),
+        ("recovery s", recovery),
+        ("answered p99 ms", result.short().p99_ms),
+        ("failed", result.failed as f64),
+        ("send lag max ms", result.send_lag.max_ms),
+    ];
+    Ok(SheetRow {
+        deployment: deployment.name.to_owned(),
+        variant: choice.to_string(),
+        load_average: load_average()?,
+        figures: figures.map(|(name, value)| (name.to_owned(), value)).into(),
+        raw: BTreeMap::from([("load".to_owned(), serde_json::to_value(result)?)]),
+    })
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of calls")]
+fn goodput_curve(result: &LoadResult) -> Vec<(f64, f64)> {
+    let seconds = result.goodput_by_second.iter().enumerate();
+    seconds
+        .map(|(second, count)| (second as f64, *count as f64))
+        .collect()
+}
--- /dev/null
+++ b/crates/apricotfold-load/src/bin/apricotfold-bench/head_of_line.rs
@@ -0,0 +1,112 @@
+//! Short calls beside downloads that saturate the long work of the same targets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use apricotfold_load::{LoadClient, LoadPhase, LoadResult, plan_calls};
+use apricotfold_model::PickerKind;
+
+use crate::deployment::{CHOICES, DEPLOYMENTS, Deployment, load_client};
+use crate::machine::load_average;
+use crate::plot::latency_curve;
+use crate::sheet::{MeasureSheet, PlotData, SheetRow};
+
+const SHORT_PER_SECOND: u32 = 200;
+/// About twice the downloads that the long slots of four targets can finish.
+const DOWNLOADS_PER_SECOND: u32 = 50;
+const DOWNLOAD_PATH: &str = "/download?bytes=200000&ms=1000";
+/// Time in which downloads fill the long slots and queues before short calls are measured.
+const FILL_TIME: Duration = Duration::from_secs(3);
+const SHORT_SEED: u64 = 11;
+const DOWNLOAD_SEED: u64 = 12;
+const MAX_RATIO: f64 = 1.2;
+
+/// Runs the measure.
+pub async fn measure(sheet: &mut MeasureSheet, time: Duration) -> eyre::Result<()> {
+    sheet.setup = format!(
+        "{SHORT_PER_SECOND} short calls/s to the service with 4 targets, 2 ms mean service time, \
+         without and then with {DOWNLOADS_PER_SECOND} downloads/s of 200 kB that take 1 s each. \
+         Calls enter in the first region; the nodes of the second are behind links of 30 ms and \
+         30 Mbit/s each."
+    );
+    for deployment in DEPLOYMENTS {
+        let mut curves = Vec::new();
+        for choice in CHOICES {
+            let (quiet, busy, downloads) = run(&deployment, choice, time).await?;
+            if choice == PickerKind::LeastLatency {
+                curves.push(("without downloads".to_owned(), latency_curve(quiet.short())));
+                curves.push(("with downloads".to_owned(), latency_curve(busy.short())));
+            }
+            sheet.add_row(describe(&deployment, choice, &quiet, &busy, &downloads)?);
+        }
+        let ratio = sheet.figure(deployment.name, "least-latency", "p99 ratio");
+        let target = "p99 of short calls with downloads at most 1.2 times the p99 without";
+        sheet.at_most(deployment.name, target, ratio, MAX_RATIO);
+        sheet.plots.push(PlotData {
+            file: format!("head-of-line-{}", deployment.name),
+            title: format!("Short calls, {}, least-latency", deployment.name),
+            x_label: "percentile".to_owned(),
+            y_label: "latency in ms".to_owned(),
+            curves,
+        });
+    }
+    Ok(())
+}
+
+async fn run(
+    deployment: &Deployment,
+    choice: PickerKind,
+    time: Duration,
+) -> eyre::Result<(LoadResult, LoadResult, LoadResult)> {
+    let mesh = deployment.start(choice, true, |_| {}).await?;
+    let entries = deployment.entries(&mesh, false);
+    let short = load_client(&entries, "/press/proof")?;
+    short.warm().await;
+    send(&short, SHORT_PER_SECOND, FILL_TIME, SHORT_SEED).await;
+    let quiet = send(&short, SHORT_PER_SECOND, time, SHORT_SEED).await;
+    let long = load_client(&entries, DOWNLOAD_PATH)?;
+    let downloads = tokio::spawn(async move {
+        send(&long, DOWNLOADS_PER_SECOND, FILL_TIME + time, DOWNLOAD_SEED).await
+    });
+    tokio::time::sleep(FILL_TIME).await;
+    let busy = send(&short, SHORT_PER_SECOND, time, SHORT_SEED).await;
+    Ok((quiet, busy, downloads.await?))
+}
+
+async fn send(client: &LoadClient, rate: u32, duration: Duration, seed: u64) -> LoadResult {
+    let phase = LoadPhase {
+        calls_per_second: rate,
+        duration,
+    };
+    let records = client.run(plan_calls(&[phase], 0, seed)).await;
+    LoadResult::new(&records, duration)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of calls")]
+fn describe(
+    deployment: &Deployment,
+    choice: PickerKind,
+    quiet: &LoadResult,
+    busy: &LoadResult,
+    downloads: &LoadResult,
+) -> eyre::Result<SheetRow> {
+    let figures = [
+        ("p99 without ms", quiet.short().p99_ms),
+        ("p99 with ms", busy.short().p99_ms),
+        ("p99 ratio", busy.short().p99_ms / quiet.short().p99_ms),
+        ("short not answered", (busy.offered - busy.answered) as f64),
+        ("downloads answered", downloads.answered as f64),
+        ("downloads refused", downloads.refused as f64),
+    ];
+    Ok(SheetRow {
+        deployment: deployment.name.to_owned(),
+        variant: choice.to_string(),
+        load_average: load_average()?,
+        figures: figures.map(|(name, value)| (name.to_owned(), value)).into(),
+        raw: BTreeMap::from([
+            ("without".to_owned(), serde_json::to_value(quiet)?),
+            ("with".to_owned(), serde_json::to_value(busy)?),
+            ("downloads".to_owned(), serde_json::to_value(downloads)?),
+        ]),
+    })
+}
--- /dev/null
+++ b/crates/apricotfold-load/src/bin/apricotfold-bench/report.rs
@@ -0,0 +1,145 @@
+//! Writes raw results and renders them as a page.
+
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::fs;
+use std::path::Path;
+
+use eyre::WrapErr as _;
+use strum::IntoEnumIterator as _;
+
+use crate::Measure;
+use crate::plot;
+use crate::sheet::MeasureSheet;
+
+const RESULTS: &str = "docs/results";
+const PLOTS: &str = "docs/plots";
+const PAGE: &str = "docs/REPORT.md";
+
+const INTRODUCTION: &str = "\
+# Measurements of the call path
+
+`apricotfold-bench` writes this page from docs/results; don't edit it. Real processes run on one machine
+over loopback, and load is open-loop: arrivals are fixed before the start, and latency counts from the
+planned arrival. A target is judged by the choice `least-latency`; the other choices are baselines. Load
+averages include the measure's own processes, except the one at the start. Figures marked as trials were
+taken on a busy machine or with short loads and decide nothing.
+
+Common to all measures: configuration reaches the nodes by `distribution: \"store-watch\"`; each node has
+one worker thread and logs every decision to a file. The delay of 1 ms between data centres is left out: a
+link stands before one target and cannot tell callers of its own data centre from others. For the same
+reason, the 30 Mbit/s are for each node of the second region and not shared by all.
+";
+
+/// Writes the raw results and the plots of a measure.
+///
+/// # Errors
+///
+/// Returns an error if a file cannot be written.
+pub fn save(sheet: &MeasureSheet) -> eyre::Result<()> {
+    fs::create_dir_all(RESULTS)?;
+    fs::create_dir_all(PLOTS)?;
+    let path = Path::new(RESULTS).join(format!("{}.json", sheet.measure));
+    fs::write(&path, serde_json::to_string_pretty(sheet)? + "\n")
+        .wrap_err_with(|| format!("writing {}", path.display()))?;
+    for data in &sheet.plots {
+        plot::draw(data, &Path::new(PLOTS).join(format!("{}.svg", data.file)))?;
+    }
+    Ok(())
+}
+
+/// Writes the page from the raw results of all measures that have any.
+///
+/// # Errors
+///
+/// Returns an error if results cannot be read or the page cannot be written.
+pub fn write_page() -> eyre::Result<()> {
+    let mut page = INTRODUCTION.to_owned();
+    for measure in Measure::iter() {
+        let path = Path::new(RESULTS).join(format!("{measure}.json"));
+        let Ok(text) = fs::read_to_string(&path) else {
+            write!(page, "\n## {measure}\n\nNot measured yet.\n")?;
+            continue;
+        };
+        let sheet: MeasureSheet =
+            serde_json::from_str(&text).wrap_err_with(|| format!("reading {}", path.display()))?;
+        add_section(&mut page, &sheet)?;
+    }
+    fs::write(PAGE, page).wrap_err("writing docs/REPORT.md")
+}
+
+fn add_section(page: &mut String, sheet: &MeasureSheet) -> std::fmt::Result {
+    let conditions = &sheet.conditions;
+    let build = if conditions.release {
+        "release"
+    } else {
+        "debug"
+    };
+    writeln!(page, "\n## {}\n\n{}\n", sheet.measure, sheet.setup)?;
+    if !sheet.trial.is_empty() {
+        writeln!(page, "**Trial**: {}.\n", sheet.trial)?;
+    }
+    writeln!(
+        page,
+        "{}, commit {}, {build} build, {} cores, {} GiB, load average {:.2} at the start.\n\
+         Rerun: `{}`\n",
+        conditions.date,
+        conditions.commit,
+        conditions.cores,
+        conditions.memory_gib,
+        conditions.load_average,
+        sheet.command
+    )?;
+    add_verdicts(page, sheet)?;
+    let deployments: BTreeSet<&str> = sheet.rows.iter().map(|row| &*row.deployment).collect();
+    for deployment in deployments {
+        add_table(page, sheet, deployment)?;
+    }
+    for plot in &sheet.plots {
+        writeln!(page, "![{}](plots/{}.svg)\n", plot.title, plot.file)?;
+    }
+    Ok(())
+}
+
+fn add_verdicts(page: &mut String, sheet: &MeasureSheet) -> std::fmt::Result {
+    writeln!(
+        page,
+        "| deployment | target | measured | met |\n|---|---|---|---|"
+    )?;
+    for verdict in &sheet.verdicts {
+        let met = if verdict.met { "yes" } else { "**no**" };
+        let (deployment, target) = (&verdict.deployment, &verdict.target);
+        writeln!(
+            page,
+            "| {deployment} | {target} | {:.2} | {met} |",
+            verdict.measured
+        )?;
+    }
+    writeln!(page)
+}
+
+fn add_table(page: &mut String, sheet: &MeasureSheet, deployment: &str) -> std::fmt::Result {
+    let rows = || sheet.rows.iter().filter(|row| row.deployment == deployment);
+    let names: BTreeSet<&String> = rows().flat_map(|row| row.figures.keys()).collect();
+    write!(page, "| {deployment} |")?;
+    for name in &names {
+        write!(page, " {name} |")?;
+    }
+    writeln!(
+        page,
+        " load average |\n|---|{}---|",
+        "---|".repeat(names.len())
+    )?;
+    for row in rows() {
+        write!(page, "| {} |", row.variant)?;
+        for name in &names {
+            write!(
+                page,
+                " {:.2} |",
+                row.figures.get(*name).unwrap_or(&f64::NAN)
+            )?;
+        }
+        writeln!(page, " {:.2} |", row.load_average)?;
+    }
+    writeln!(page)
+}
--- /dev/null
+++ b/crates/apricotfold-load/src/bin/apricotfold-bench/stragglers.rs
@@ -0,0 +1,117 @@
+//! One target turns ten times slower while load reports are late.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use apricotfold_load::{LatencySummary, LoadPhase, LoadResult, plan_calls};
+use apricotfold_model::PickerKind;
+use serde_json::json;
+
+use crate::deployment::{CHOICES, DEPLOYMENTS, Deployment, load_client};
+use crate::machine::load_average;
+use crate::plot::latency_curve;
+use crate::sheet::{MeasureSheet, PlotData, SheetRow};
+
+const CALLS_PER_SECOND: u32 = 400;
+const SERVICE_MS: u32 = 5;
+const SLOW_FACTOR: u32 = 10;
+const REPORT_DELAY_MS: u32 = 2_000;
+/// Time before the target turns slow.
+const HEALTHY_TIME: Duration = Duration::from_secs(5);
+const SEED: u64 = 21;
+const MAX_SHARE: f64 = 0.5;
+
+/// Runs the measure.
+pub async fn measure(sheet: &mut MeasureSheet, time: Duration) -> eyre::Result<()> {
+    sheet.setup = format!(
+        "{CALLS_PER_SECOND} short calls/s to the service with 7 or 8 targets, {SERVICE_MS} ms mean \
+         service time. Calls enter in the first region, which has 4 of the targets; the others are \
+         behind links of 30 ms. After {} s, one target in the first data centre turns {SLOW_FACTOR} \
+         times slower; all calls planned after that count, also those before the first slow answer. \
+         Targets report their load {REPORT_DELAY_MS} ms late. No hedging.",
+        HEALTHY_TIME.as_secs()
+    );
+    for deployment in DEPLOYMENTS {
+        let mut curves = Vec::new();
+        for choice in CHOICES {
+            let (result, healthy) = run(&deployment, choice, time).await?;
+            curves.push((choice.to_string(), latency_curve(result.short())));
+            sheet.add_row(describe(&deployment, choice, &result, healthy)?);
+        }
+        judge(sheet, &deployment);
+        sheet.plots.push(PlotData {
+            file: format!("stragglers-{}", deployment.name),
+            title: format!("One slow target, {}", deployment.name),
+            x_label: "percentile".to_owned(),
+            y_label: "latency in ms".to_owned(),
+            curves,
+        });
+    }
+    Ok(())
+}
+
+fn judge(sheet: &mut MeasureSheet, deployment: &Deployment) {
+    let p99 = |choice: &PickerKind| sheet.figure(deployment.name, &choice.to_string(), "p99 ms");
+    let best = CHOICES[1..].iter().map(p99).fold(f64::MAX, f64::min);
+    let share = p99(&CHOICES[0]) / best;
+    let target = "p99 at most half of the best baseline's";
+    sheet.at_most(deployment.name, target, share, MAX_SHARE);
+}
+
+async fn run(
+    deployment: &Deployment,
+    choice: PickerKind,
+    time: Duration,
+) -> eyre::Result<(LoadResult, LatencySummary)> {
+    let change = |target: &mut apricotfold_schema::settings::TargetStandinSettings| {
+        target.short_ms = SERVICE_MS;
+        target.report_delay_ms = REPORT_DELAY_MS;
+    };
+    let mesh = deployment.start(choice, true, change).await?;
+    let client = load_client(&deployment.entries(&mesh, false), "/moon-phase")?;
+    client.warm().await;
+    let phase = LoadPhase {
+        calls_per_second: CALLS_PER_SECOND,
+        duration: HEALTHY_TIME + time,
+    };
+    let calls = plan_calls(&[phase], 0, SEED);
+    let load = tokio::spawn(async move { client.run(calls).await });
+    tokio::time::sleep(HEALTHY_TIME).await;
+    let url = format!("{}/admin/slow", mesh.nodes[0].target_url);
+    let slow = mesh.client.post(url).json(&json!({"factor": SLOW_FACTOR}));
+    slow.send().await?.error_for_status()?;
+    let records = load.await?;
+    let (before, after): (Vec<_>, Vec<_>) = records
+        .into_iter()
+        .partition(|call| call.planned < HEALTHY_TIME);
+    let healthy = LatencySummary::new(before.iter().map(|call| call.latency));
+    Ok((LoadResult::new(&after, time), healthy))
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of calls")]
+fn describe(
+    deployment: &Deployment,
+    choice: PickerKind,
+    result: &LoadResult,
+    healthy: LatencySummary,
+) -> eyre::Result<SheetRow> {
+    let short = result.short();
+    let figures = [
+        ("p50 ms", short.p50_ms),
+        ("p90 ms", short.p90_ms),
+        ("p99 ms", short.p99_ms),
+        ("p99.9 ms", short.p999_ms),
+        ("healthy p99 ms", healthy.p99_ms),
+        ("not answered", (result.offered - result.answered) as f64),
+    ];
+    Ok(SheetRow {
+        deployment: deployment.name.to_owned(),
+        variant: choice.to_string(),
+        load_average: load_average()?,
+        figures: figures.map(|(name, value)| (name.to_owned(), value)).into(),
+        raw: BTreeMap::from([
+            ("slow".to_owned(), serde_json::to_value(result)?),
+            ("healthy".to_owned(), serde_json::to_value(healthy)?),
+        ]),
+    })
+}
