Test herd restarts, a paused relay and every binary's checks

Cause: storms after a herd's death and a holder that outlives its lease had no test with real processes.

Change: half of 24 nodes die and return; all die and return; a gateway is frozen for 8 s, longer than its lease of 5 s, while a version is published; help, version and checked settings of every binary.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,11 @@
 //! `apricotfold_testkit::MeshBuilder`.
 
 mod bad_version;
+mod binaries;
 mod call_path;
 mod event_catalogue;
+mod herd_restart;
 mod operator_race;
+mod paused_relay;
 mod route_parts;
 mod support;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -51,3 +51,11 @@
         "retries": {"max_attempts": 3, "budget_percent": 20}
     })
 }
+
+/// Versions that a node put in force, in the order of its log.
+pub fn applied_versions(log: &str) -> Vec<u64> {
+    let lines = log.lines().filter(|line| line.contains("AF2001"));
+    lines
+        .filter_map(|line| line.rsplit(' ').next()?.parse().ok())
+        .collect()
+}
