Let the link deliver undelayed data at once and follow changed faults

Cause: the runtime's timer waits for its next millisecond tick even if the time has passed, so that a link without faults added about 2.5 ms to a call and a target's work of 0 ms took 1 to 2 ms. Data that was held under a fault of 60 s stayed held after the fault was taken back.

Ruled out: resetting the schedule whenever faults change; a piece that is scheduled under the old faults at that moment would block the line again.

Change: waits for past times return at once; a piece keeps its share of jitter and its arrival follows the faults in force; a changed bandwidth frees the line and schedules waiting pieces anew. The store reports the end of a lease to watches even if the call that noticed it is refused. A drained target waits for requests that arrived after it left. Unknown admin calls of a target are refused with 400 instead of being run as work.

--- a/crates/apricotfold-standins/src/lib.rs
+++ b/crates/apricotfold-standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod program;
 mod store;
 mod target;
+mod timer;
 
 pub use link::LinkServer;
 pub use program::{ProgramInfo, run_program, stop_signal};
--- a/crates/apricotfold-standins/src/link/pump.rs
+++ b/crates/apricotfold-standins/src/link/pump.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Instant;
 
 use apricotfold_model::LinkRule;
 use bytes::{Bytes, BytesMut};
@@ -10,8 +9,9 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::{mpsc, watch};
 
-use super::schedule::HalfOpenCounter;
+use super::schedule::{HalfOpenCounter, PieceTransit};
 use super::state::{Direction, LinkRules, LinkState};
+use crate::timer::wait_until;
 
 /// Largest piece of data that is held and delivered as one.
 const PIECE_BYTES: usize = 16 * 1024;
@@ -31,7 +31,7 @@
 /// A piece that is held. Pieces of a connection stand in a queue, so that one that arrives earlier than
 /// its predecessor waits for it.
 struct HeldPiece {
-    arrives: Instant,
+    transit: PieceTransit,
     piece: Piece,
 }
 
@@ -74,8 +74,8 @@
             let piece = read_piece(&mut source, self.piece_bytes()).await;
             let (piece, lost) = self.split_half_open(&mut counter, piece);
             let ends = matches!(piece, Piece::End | Piece::Broken(_));
-            let arrives = self.transmit(&piece).await;
-            let piece = HeldPiece { arrives, piece };
+            let transit = self.transmit(&piece).await;
+            let piece = HeldPiece { transit, piece };
             if held.send(piece).await.is_err() || ends {
                 return;
             }
@@ -137,27 +137,38 @@
                 io::Error::new(io::ErrorKind::ConnectionAborted, "half-open connection")
             }
         };
-        let broken = HeldPiece {
-            arrives: Instant::now(),
-            piece: Piece::Broken(error),
-        };
+        let piece = Piece::Broken(error);
+        let transit = self.transmit(&piece).await;
+        let broken = HeldPiece { transit, piece };
         // The writing half may have ended before; then there is nothing to break.
         let _ = held.send(broken).await;
     }
 
-    /// Waits until the piece is on the line and returns when it arrives.
-    async fn transmit(&self, piece: &Piece) -> Instant {
+    /// Waits until the piece is on the line. A change of the bandwidth puts it on the line anew.
+    async fn transmit(&self, piece: &Piece) -> PieceTransit {
         let bytes = match piece {
             Piece::Data(data) => data.len(),
             Piece::End | Piece::Broken(_) => 0,
         };
-        let times = {
-            let rules = self.rules.borrow();
-            self.state
-                .transmit(self.direction, rules.of(self.direction), bytes)
-        };
-        tokio::time::sleep_until(times.transmitted.into()).await;
-        times.arrives
+        loop {
+            let rule = self.rules.borrow().of(self.direction).clone();
+            let transit = self.state.transmit(self.direction, &rule, bytes);
+            tokio::select! {
+                () = wait_until(transit.transmitted) => return transit,
+                () = self.wait_for(|new| new.bandwidth != rule.bandwidth) => {}
+            }
+        }
+    }
+
+    /// Waits until the piece arrives. Changes of faults hold for pieces on their way, too.
+    async fn wait_for_arrival(&self, transit: PieceTransit) {
+        loop {
+            let arrives = transit.arrives(self.rules.borrow().of(self.direction));
+            tokio::select! {
+                () = wait_until(arrives) => return,
+                () = self.wait_for(|rule| transit.arrives(rule) != arrives) => {}
+            }
+        }
     }
 
     async fn write(
@@ -167,7 +178,7 @@
     ) -> io::Result<()> {
         let mut first = true;
         while let Some(held) = arriving.recv().await {
-            tokio::time::sleep_until(held.arrives.into()).await;
+            self.wait_for_arrival(held.transit).await;
             self.wait_for(|rule| !rule.stall).await;
             match held.piece {
                 Piece::Data(data) if data.is_empty() => {}
--- a/crates/apricotfold-standins/src/link/schedule.rs
+++ b/crates/apricotfold-standins/src/link/schedule.rs
@@ -16,16 +16,26 @@
 #[derive(Debug)]
 pub struct DirectionSchedule {
     line_free: Instant,
+    bandwidth: Option<u64>,
     random: StdRng,
 }
 
-/// Times of one piece of data.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PieceTimes {
+/// The way of one piece of data along the line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PieceTransit {
     /// When its last byte is on the line; the connection's next piece may start then.
     pub transmitted: Instant,
-    /// When it arrives at the other end, unless an earlier piece of its connection arrives later.
-    pub arrives: Instant,
+    /// Its share of the largest jitter, from 0 to 1.
+    jitter_share: f64,
+}
+
+impl PieceTransit {
+    /// When the piece arrives under the given faults, unless an earlier piece of its connection
+    /// arrives later.
+    #[must_use]
+    pub fn arrives(&self, rule: &LinkRule) -> Instant {
+        self.transmitted + rule.delay + rule.jitter.mul_f64(self.jitter_share)
+    }
 }
 
 impl DirectionSchedule {
@@ -34,21 +44,25 @@
     pub fn new(seed: u64, now: Instant) -> Self {
         Self {
             line_free: now,
+            bandwidth: None,
             random: StdRng::seed_from_u64(seed),
         }
     }
 
     /// Puts a piece of `bytes` on the line.
-    pub fn transmit(&mut self, rule: &LinkRule, bytes: usize, now: Instant) -> PieceTimes {
-        let transmitted = self.take_line(rule, bytes, now);
-        let jitter = self.random.random_range(Duration::ZERO..=rule.jitter);
-        PieceTimes {
-            transmitted,
-            arrives: transmitted + rule.delay + jitter,
+    pub fn transmit(&mut self, rule: &LinkRule, bytes: usize, now: Instant) -> PieceTransit {
+        PieceTransit {
+            transmitted: self.take_line(rule, bytes, now),
+            jitter_share: self.random.random_range(0.0..=1.0),
         }
     }
 
     fn take_line(&mut self, rule: &LinkRule, bytes: usize, now: Instant) -> Instant {
+        if self.bandwidth != rule.bandwidth {
+            // What waits for the line is put on it anew, see `DataPump`.
+            self.bandwidth = rule.bandwidth;
+            self.line_free = now;
+        }
         let Some(bandwidth) = rule.bandwidth else {
             return now;
         };
--- a/crates/apricotfold-standins/src/link/state.rs
+++ b/crates/apricotfold-standins/src/link/state.rs
@@ -1,7 +1,7 @@
 //! State that all connections of the link share: faults, schedules and counts.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{LinkConfig, LinkRule};
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use super::schedule::{DirectionSchedule, PieceTimes};
+use super::schedule::{DirectionSchedule, PieceTransit};
 
 /// Direction of data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -134,6 +134,10 @@
         }
     }
 
+    fn schedule(&self) -> MutexGuard<'_, DirectionSchedule> {
+        self.schedule.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn report(&self) -> DirectionReport {
         DirectionReport {
             bytes: self.counts.bytes.load(Ordering::Relaxed),
@@ -194,11 +198,9 @@
     }
 
     /// Puts a piece of data on the line of a direction.
-    pub fn transmit(&self, direction: Direction, rule: &LinkRule, bytes: usize) -> PieceTimes {
+    pub fn transmit(&self, direction: Direction, rule: &LinkRule, bytes: usize) -> PieceTransit {
         self.direction(direction)
-            .schedule
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+            .schedule()
             .transmit(rule, bytes, Instant::now())
     }
 
@@ -220,10 +222,10 @@
     }
 
     /// Counts a connection as open until the guard is dropped.
-    pub fn open_connection(self: &std::sync::Arc<Self>) -> OpenGuard {
+    pub fn open_connection(self: &Arc<Self>) -> OpenGuard {
         self.accepted.fetch_add(1, Ordering::Relaxed);
         self.open.fetch_add(1, Ordering::Relaxed);
-        OpenGuard(std::sync::Arc::clone(self))
+        OpenGuard(Arc::clone(self))
     }
 
     /// Counts a connection whose upstream could not be reached.
@@ -244,7 +246,7 @@
 }
 
 /// Counts a connection as open.
-pub struct OpenGuard(std::sync::Arc<LinkState>);
+pub struct OpenGuard(Arc<LinkState>);
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
--- a/crates/apricotfold-standins/src/store/key_space.rs
+++ b/crates/apricotfold-standins/src/store/key_space.rs
@@ -191,14 +191,14 @@
         revision: Revision,
     ) -> DeleteRangeResponse {
         let range = KeyRange::new(&request.key, &request.range_end);
-        let doomed: Vec<KeyEntry> = self.select(&range).into_iter().cloned().collect();
-        for entry in &doomed {
+        let deleted: Vec<KeyEntry> = self.select(&range).into_iter().cloned().collect();
+        for entry in &deleted {
             self.remove_entry(entry, revision);
         }
         DeleteRangeResponse {
             header: ResponseHeader::at(revision),
-            deleted: i64::try_from(doomed.len()).unwrap_or(i64::MAX),
-            prev_kvs: if request.prev_kv { doomed } else { Vec::new() },
+            deleted: i64::try_from(deleted.len()).unwrap_or(i64::MAX),
+            prev_kvs: if request.prev_kv { deleted } else { Vec::new() },
         }
     }
 
--- a/crates/apricotfold-standins/src/store/service.rs
+++ b/crates/apricotfold-standins/src/store/service.rs
@@ -1,6 +1,6 @@
 //! The store's state behind a lock, with a notification for waiting calls and watches.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use apricotfold_model::{StoreFaultRule, StoreStandinConfig};
@@ -142,12 +142,11 @@
     pub fn run(&self, call: &StoreCall) -> Result<CallAnswer, StoreRefusal> {
         let now = Instant::now();
         let mut state = self.lock();
+        self.expire(&mut state, now);
         let before = state.space.revision();
-        state.space.expire(now);
-        let started = state.space.revision();
         let body = state.space.run(call, now)?;
-        let changed = state.space.changed_since(started);
-        if state.space.revision() != before {
+        let changed = state.space.changed_since(before);
+        if !changed.is_empty() {
             self.changes.send_replace(());
         }
         // A grant changes no key, and its answer can be lost like that of any other write.
@@ -159,11 +158,11 @@
     }
 
     /// Opens a watch; it is closed when the guard is dropped.
-    pub fn open_watch(self: &std::sync::Arc<Self>) -> WatchGuard {
+    pub fn open_watch(self: &Arc<Self>) -> WatchGuard {
         let mut state = self.lock();
         state.counts.open_watches += 1;
         WatchGuard {
-            service: std::sync::Arc::clone(self),
+            service: Arc::clone(self),
             changes: self.changes.subscribe(),
             restores: state.restores,
         }
@@ -214,18 +213,22 @@
         let mut ticks = tokio::time::interval(EXPIRY_INTERVAL);
         loop {
             ticks.tick().await;
-            let expired = self.lock().space.expire(Instant::now());
-            if expired > 0 {
-                log::info!("{expired} leases expired");
-                self.changes.send_replace(());
-            }
+            self.expire(&mut self.lock(), Instant::now());
+        }
+    }
+
+    fn expire(&self, state: &mut StoreState, now: Instant) {
+        let expired = state.space.expire(now);
+        if expired > 0 {
+            log::info!("{expired} leases expired");
+            self.changes.send_replace(());
         }
     }
 }
 
 /// An open watch.
 pub struct WatchGuard {
-    service: std::sync::Arc<StoreService>,
+    service: Arc<StoreService>,
     changes: watch::Receiver<()>,
     restores: u64,
 }
--- a/crates/apricotfold-standins/src/store/watch_stream.rs
+++ b/crates/apricotfold-standins/src/store/watch_stream.rs
@@ -1,6 +1,7 @@
 //! The answer of a watch: one JSON object per line.
 
 use std::io;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
@@ -10,6 +11,7 @@
     ResponseHeader, Revision, StreamResult, WatchCreateRequest, WatchEvent, WatchResponse,
 };
 use super::service::{WatchGuard, WatchStep, encode};
+use crate::timer::wait_until;
 
 enum Phase {
     Created,
@@ -67,7 +69,7 @@
                 }
                 WatchStep::Report(events, next) => {
                     self.next = next;
-                    tokio::time::sleep(self.guard.delay(&self.range)).await;
+                    wait_until(Instant::now() + self.guard.delay(&self.range)).await;
                     return self.report(events);
                 }
                 WatchStep::Compacted(oldest) => {
--- a/crates/apricotfold-standins/src/target/download.rs
+++ b/crates/apricotfold-standins/src/target/download.rs
@@ -8,6 +8,7 @@
 use sha2::{Digest as _, Sha256};
 
 use super::runtime::RunningRequest;
+use crate::timer::wait_until;
 
 /// Largest piece that is sent at once.
 const MAX_PIECE_BYTES: u64 = 64 * 1024;
@@ -89,10 +90,10 @@
         let piece_bytes = self.plan.piece_bytes(self.offset);
         let due = self.started + self.plan.due(self.offset + piece_bytes);
         if let Some(deadline) = self.deadline.filter(|deadline| *deadline < due) {
-            tokio::time::sleep_until(deadline.into()).await;
+            wait_until(deadline).await;
             return Some((Err(io::ErrorKind::TimedOut.into()), None));
         }
-        tokio::time::sleep_until(due.into()).await;
+        wait_until(due).await;
         if piece_bytes == 0 {
             return Some((Ok(self.finish()), None));
         }
--- a/crates/apricotfold-standins/src/target/server.rs
+++ b/crates/apricotfold-standins/src/target/server.rs
@@ -68,8 +68,9 @@
                 () = stop => {}
             }
             drain(&self.runtime, &self.announcer).await;
-            handle.stop_graceful(CLOSE_TIMEOUT);
-            std::future::pending::<()>().await;
+            handle.stop_graceful(None);
+            self.runtime.wait_for_idle().await;
+            tokio::time::sleep(CLOSE_TIMEOUT).await;
         };
         tokio::select! {
             served = serving => served,
--- a/crates/apricotfold-standins/src/target/work.rs
+++ b/crates/apricotfold-standins/src/target/work.rs
@@ -12,11 +12,14 @@
 use super::journal::RequestLabel;
 use super::runtime::{RunningRequest, TargetRuntime};
 use crate::http::abort_connection;
+use crate::timer::wait_until;
 
 /// Largest body of a request.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// Largest download, so that a mistyped size does not fill a disk.
 const MAX_DOWNLOAD_BYTES: u64 = 16 * 1024 * 1024 * 1024;
+/// Paths that no work is done for. Known admin calls do not come here.
+const ADMIN_PREFIX: &str = "/admin";
 /// Path prefix of long work.
 const LONG_PREFIX: &str = "/long";
 /// Header that identifies a request in the journal.
@@ -86,6 +89,11 @@
 impl WorkHandler {
     fn read_order(&self, request: &Request, body: Bytes) -> Result<WorkOrder, WorkFailure> {
         let path = request.uri().path();
+        if path.starts_with(ADMIN_PREFIX) {
+            let method = request.method();
+            let text = format!("path: found {method} {path}, expected a known admin call");
+            return Err(WorkFailure::BadRequest(text));
+        }
         let (kind, duration) = match path {
             "/echo" => (WorkKind::Echo(body), self.draw_time(request)),
             "/work" => {
@@ -153,7 +161,7 @@
     running: RunningRequest,
     body: ResBody,
 ) -> Result<ResBody, WorkFailure> {
-    before(deadline, tokio::time::sleep(duration))
+    before(deadline, wait_until(Instant::now() + duration))
         .await
         .ok_or(WorkFailure::DeadlineWhileRunning)?;
     running.finish();
--- a/crates/apricotfold-standins/tests/link_faults.rs
+++ b/crates/apricotfold-standins/tests/link_faults.rs
@@ -69,6 +69,21 @@
     assert_eq!(faults["to_client"]["delay_ms"], 0);
 }
 
+/// Guards against data that is held for as long as faults said that have been taken back.
+#[tokio::test]
+async fn changed_faults_free_held_data() {
+    for fault in [json!({"delay_ms": 60_000}), json!({"bandwidth": 1})] {
+        let (address, admin) = start_echo(json!({"to_upstream": fault})).await;
+        let mut stream = TcpStream::connect(address).await.expect("connected");
+        let free = async {
+            tokio::time::sleep(SOON).await;
+            set_faults(&admin, json!({"to_upstream": {"bandwidth": 1_000_000}})).await;
+        };
+        let (time, ()) = tokio::join!(round_trip(&mut stream, "held for long"), free);
+        assert!(time >= SOON && time < PATIENCE, "{time:?}");
+    }
+}
+
 /// Guards against jitter that reorders bytes of a connection, and against jitter that delays all
 /// connections alike, with which no update would ever arrive out of order.
 #[tokio::test]
