Add status and tests of the command

Cause: nobody could see which node runs which version, and no test checked the publish logic, the differences, the report or the command line.

Ruled out: asking nodes in turn until one answers. A node that is cut off would then report a mesh that lags although it does not, so all given nodes are asked and their views merged.

Change: subcommand status with FleetReport; example profiles; tests of profile files, of publishing against an in-memory store in virtual time, of differences, of the fleet report and of the built command. A store that refuses a candidate without showing why is an error now; a test with the code broken on purpose showed that the publish would otherwise repeat without end. Each store call is tried once more than there are addresses, so that one lost answer is not an outage.

Before: no test.

Runs against the real stand-ins and nodes are still to come.

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -109,9 +109,10 @@
         })
     }
 
-    /// Tries of each store call, so that each address is asked.
+    /// Tries of each store call: each address once, and one more, so that a single lost answer is
+    /// not taken for an outage.
     pub fn store_tries(&self) -> u32 {
-        u32::try_from(self.store.len()).unwrap_or(u32::MAX)
+        u32::try_from(self.store.len() + 1).unwrap_or(u32::MAX)
     }
 }
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,17 +1,126 @@
 //! `apricotfold status`
 
-use apricotfold::CommandError;
+use std::time::Duration;
 
-use super::{CommandResult, Invocation};
+use apricotfold::{CommandError, ExitKind, FleetReport, NodeAnswer, jitter_delay};
+use apricotfold_model::{HeadEntry, keys};
+use compact_str::CompactString;
+use futures_util::future::join_all;
+use rand::rngs::StdRng;
+use serde::Serialize;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::output::Findings;
+use super::show::list_entries;
+use super::{CommandResult, Invocation, open_store, store_retry, unexpected};
+
+/// Longest wait for the answer of one node.
+const NODE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A node that could not be asked.
+#[derive(Serialize)]
+struct NodeFailure {
+    url: CompactString,
+    error: String,
+}
 
 /// Asks nodes which versions run where.
-#[expect(
-    clippy::unused_async,
-    reason = "asks nodes once their status endpoint is there"
-)]
 pub async fn run(invocation: &Invocation) -> CommandResult {
     if invocation.nodes.is_empty() {
         return Err(CommandError::bad_input("no node given: use --node URL"));
     }
-    Err(CommandError::bad_input("status is not implemented yet"))
+    let (answers, failures) = ask_with_patience(invocation).await?;
+    let store = read_heads(invocation).await;
+    let heads: &[HeadEntry] = match &store {
+        Some(Ok(heads)) => heads,
+        _ => &[],
+    };
+    let report = FleetReport::new(&answers, heads);
+    let mut lines: Vec<String> = report.members.iter().map(ToString::to_string).collect();
+    lines.extend(report.heads.iter().map(ToString::to_string));
+    lines.extend(failures.iter().map(NodeFailure::line));
+    let mut document = json!(report);
+    document["not_asked"] = json!(failures);
+    if let Some(Err(error)) = &store {
+        lines.push(format!("versions are not compared with the store: {error}"));
+        document["store_error"] = error.message.clone().into();
+    }
+    let exit = report.exit_kind();
+    Ok(Findings::with_exit(exit, lines.join("\n"), document))
+}
+
+impl NodeFailure {
+    fn line(&self) -> String {
+        format!("not asked: {}: {}", self.url, self.error)
+    }
+}
+
+/// The store's heads; `None` without a store address. A store that is away must not hide what the
+/// nodes say.
+async fn read_heads(invocation: &Invocation) -> Option<Result<Vec<HeadEntry>, CommandError>> {
+    if invocation.store.is_empty() {
+        return None;
+    }
+    let store = match open_store(invocation) {
+        Ok(store) => store,
+        Err(error) => return Some(Err(error)),
+    };
+    let mut retry = store_retry(&store, invocation);
+    Some(list_entries(&mut retry, keys::HEADS).await)
+}
+
+/// Asks all given nodes, again until one answers or the time given with `--wait` has passed.
+async fn ask_with_patience(
+    invocation: &Invocation,
+) -> Result<(Vec<NodeAnswer>, Vec<NodeFailure>), CommandError> {
+    let client = reqwest::Client::builder()
+        .timeout(NODE_TIMEOUT)
+        .no_proxy()
+        .build()
+        .map_err(|error| unexpected("node client", &error))?;
+    let mut generator: StdRng = rand::make_rng();
+    let deadline = Instant::now() + invocation.wait;
+    let mut rounds = 0;
+    loop {
+        let (answers, failures) = ask_all(&client, &invocation.nodes).await;
+        if !answers.is_empty() {
+            return Ok((answers, failures));
+        }
+        if Instant::now() >= deadline {
+            let lines: Vec<String> = failures.iter().map(NodeFailure::line).collect();
+            let message = format!("no node could be asked\n{}", lines.join("\n"));
+            return Err(CommandError::new(ExitKind::Unavailable, message));
+        }
+        rounds += 1;
+        let delay = jitter_delay(&mut generator, rounds);
+        let left = deadline.saturating_duration_since(Instant::now());
+        tokio::time::sleep(delay.min(left)).await;
+    }
+}
+
+async fn ask_all(
+    client: &reqwest::Client,
+    urls: &[CompactString],
+) -> (Vec<NodeAnswer>, Vec<NodeFailure>) {
+    let calls = urls.iter().map(|url| ask_node(client, url));
+    let mut answers = Vec::new();
+    let mut failures = Vec::new();
+    for (url, result) in urls.iter().zip(join_all(calls).await) {
+        match result {
+            Ok(answer) => answers.push(answer),
+            Err(error) => failures.push(NodeFailure {
+                url: url.clone(),
+                error: format!("{error:#}"),
+            }),
+        }
+    }
+    (answers, failures)
+}
+
+async fn ask_node(client: &reqwest::Client, url: &str) -> eyre::Result<NodeAnswer> {
+    let request = client.get(format!("{url}/v1/status"));
+    let response = request.send().await?.error_for_status()?;
+    let body = response.bytes().await?;
+    Ok(serde_json::from_slice(&body)?)
 }
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,295 @@
+//! Which node runs which version, and who lags behind the head.
+
+use std::collections::BTreeMap;
+
+use apricotfold_model::{
+    DataCentreName, HeadEntry, HeadState, NodeId, ProfileName, ProfileVersion, RegionName,
+    ServiceName,
+};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::ExitKind;
+
+/// Reason of a node that is behind the head although nobody reported why.
+const CATCHING_UP: &str = "catching up";
+
+/// What a node knows about one node.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct MemberState {
+    /// The node.
+    pub node: NodeId,
+    /// Its region.
+    pub region: RegionName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Service of its target.
+    pub service: ServiceName,
+    /// Profile that the service selected; empty for none.
+    pub profile: ProfileName,
+    /// Version that it runs; 0 for none.
+    pub applied_version: ProfileVersion,
+    /// Why it lags behind the head.
+    pub lag_reason: Option<CompactString>,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// Answer of a node's `/v1/status`. Fields that the report does not use are ignored.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct NodeAnswer {
+    /// The answering node.
+    pub node: NodeId,
+    /// Its region.
+    pub region: RegionName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Service of its target.
+    pub service: ServiceName,
+    /// Profile that the service selected; empty for none.
+    pub profile: ProfileName,
+    /// Version that it runs; 0 for none.
+    pub applied_version: ProfileVersion,
+    /// Version of the profile's head that it knows.
+    pub head_version: ProfileVersion,
+    /// Why it lags behind the head.
+    pub lag_reason: Option<CompactString>,
+    /// Its view of every node.
+    pub members: Vec<MemberState>,
+}
+
+impl NodeAnswer {
+    /// The node's report about itself.
+    fn own_state(&self) -> MemberState {
+        let listed = self.members.iter().find(|member| member.node == self.node);
+        MemberState {
+            node: self.node.clone(),
+            region: self.region.clone(),
+            data_centre: self.data_centre.clone(),
+            service: self.service.clone(),
+            profile: self.profile.clone(),
+            applied_version: self.applied_version,
+            lag_reason: self.lag_reason.clone(),
+            draining: listed.is_some_and(|member| member.draining),
+        }
+    }
+}
+
+/// The highest known version of a profile.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ProfileHead {
+    /// The profile.
+    pub profile: ProfileName,
+    /// The highest version that a node or the store knows.
+    pub version: ProfileVersion,
+    /// Version of the store's head; `None` when the store was not asked or has none.
+    pub store_version: Option<ProfileVersion>,
+    /// State of the store's head.
+    pub store_state: Option<HeadState>,
+    /// Nodes that should run the profile.
+    pub nodes: usize,
+    /// Nodes of these that lag.
+    pub lagging: usize,
+}
+
+/// One node in the report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct MemberReport {
+    /// What is known about the node. Its reason is set exactly when it lags.
+    #[serde(flatten)]
+    pub state: MemberState,
+    /// The version that it should run.
+    pub head_version: ProfileVersion,
+}
+
+impl MemberReport {
+    /// Whether the node lags behind the head.
+    #[must_use]
+    pub fn is_lagging(&self) -> bool {
+        self.state.lag_reason.is_some()
+    }
+}
+
+impl std::fmt::Display for MemberReport {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let MemberState {
+            node,
+            data_centre,
+            service,
+            profile,
+            applied_version,
+            ..
+        } = &self.state;
+        if self.is_lagging() {
+            formatter.write_str("lagging: ")?;
+        }
+        write!(formatter, "{node} ({data_centre}, {service}): ")?;
+        if profile.is_empty() {
+            formatter.write_str("no profile")?;
+        } else {
+            write!(formatter, "{profile} version {applied_version}")?;
+        }
+        if let Some(reason) = &self.state.lag_reason {
+            write!(formatter, " of {}, {reason}", self.head_version)?;
+        }
+        if self.state.draining {
+            formatter.write_str(", draining")?;
+        }
+        Ok(())
+    }
+}
+
+/// The state of all nodes that the asked nodes know.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct FleetReport {
+    /// Number of nodes that lag.
+    pub lagging: usize,
+    /// All nodes, first those that lag.
+    pub members: Vec<MemberReport>,
+    /// All profiles that a node runs or the store holds.
+    pub heads: Vec<ProfileHead>,
+}
+
+impl FleetReport {
+    /// Merges the answers of nodes with the store's heads.
+    ///
+    /// What a node says about itself counts most; otherwise the view with the higher version is
+    /// the later one, since no node moves back. A node lags when a reason was reported or when its
+    /// version is below the highest one that anybody knows.
+    #[must_use]
+    pub fn new(answers: &[NodeAnswer], store_heads: &[HeadEntry]) -> Self {
+        let states = merge_states(answers);
+        let mut heads = collect_heads(answers, &states, store_heads);
+        let mut members: Vec<MemberReport> = states
+            .into_values()
+            .map(|state| judge_member(state, &mut heads))
+            .collect();
+        members.sort_by(|one, other| sort_key(one).cmp(&sort_key(other)));
+        Self {
+            lagging: members.iter().filter(|member| member.is_lagging()).count(),
+            members,
+            heads: heads.into_values().collect(),
+        }
+    }
+
+    /// Exit code of the report.
+    #[must_use]
+    pub fn exit_kind(&self) -> ExitKind {
+        if self.lagging > 0 {
+            return ExitKind::Lagging;
+        }
+        ExitKind::Done
+    }
+}
+
+impl std::fmt::Display for ProfileHead {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            profile,
+            version,
+            nodes,
+            lagging,
+            ..
+        } = self;
+        let current = nodes - lagging;
+        write!(
+            formatter,
+            "{profile}: head version {version}, {current} of {nodes} nodes run it"
+        )?;
+        match (self.store_version, self.store_state) {
+            (Some(store), _) if store < *version => {
+                write!(
+                    formatter,
+                    "; the store has only version {store}, an older state"
+                )
+            }
+            (Some(_), Some(HeadState::Withdrawn)) => formatter.write_str("; withdrawn"),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn merge_states(answers: &[NodeAnswer]) -> BTreeMap<NodeId, MemberState> {
+    let mut states: BTreeMap<NodeId, MemberState> = BTreeMap::new();
+    for member in answers.iter().flat_map(|answer| &answer.members) {
+        match states.get_mut(&member.node) {
+            Some(known) if is_later(member, known) => *known = member.clone(),
+            Some(_) => {}
+            None => {
+                states.insert(member.node.clone(), member.clone());
+            }
+        }
+    }
+    for answer in answers {
+        states.insert(answer.node.clone(), answer.own_state());
+    }
+    for state in states.values_mut() {
+        state.lag_reason = state.lag_reason.take().filter(|reason| !reason.is_empty());
+    }
+    states
+}
+
+/// Whether a view of a node replaces the known one. At the same version, a view that found nothing
+/// wrong wins: one asked node may be cut off from a node that another one reaches.
+fn is_later(member: &MemberState, known: &MemberState) -> bool {
+    let rank = |state: &MemberState| (state.applied_version, state.lag_reason.is_none());
+    rank(member) > rank(known)
+}
+
+fn collect_heads(
+    answers: &[NodeAnswer],
+    states: &BTreeMap<NodeId, MemberState>,
+    store_heads: &[HeadEntry],
+) -> BTreeMap<ProfileName, ProfileHead> {
+    let known = answers
+        .iter()
+        .map(|answer| (&answer.profile, answer.head_version))
+        .chain(
+            states
+                .values()
+                .map(|state| (&state.profile, state.applied_version)),
+        )
+        .chain(store_heads.iter().map(|head| (&head.profile, head.version)));
+    let mut heads: BTreeMap<ProfileName, ProfileHead> = BTreeMap::new();
+    for (profile, version) in known.filter(|(profile, _)| !profile.is_empty()) {
+        let head = heads.entry(profile.clone()).or_default();
+        head.profile.clone_from(profile);
+        head.version = head.version.max(version);
+    }
+    for entry in store_heads {
+        let head = heads.entry(entry.profile.clone()).or_default();
+        head.store_version = Some(entry.version);
+        head.store_state = Some(entry.state);
+    }
+    heads
+}
+
+fn judge_member(
+    mut state: MemberState,
+    heads: &mut BTreeMap<ProfileName, ProfileHead>,
+) -> MemberReport {
+    let mut unknown = ProfileHead::default();
+    let head = heads.get_mut(&state.profile).unwrap_or(&mut unknown);
+    if state.applied_version < head.version && state.lag_reason.is_none() {
+        state.lag_reason = Some(CATCHING_UP.into());
+    }
+    head.nodes += 1;
+    head.lagging += usize::from(state.lag_reason.is_some());
+    MemberReport {
+        state,
+        head_version: head.version,
+    }
+}
+
+/// Laggards first, then by profile, data centre and node.
+fn sort_key(member: &MemberReport) -> (bool, &ProfileName, &DataCentreName, &NodeId) {
+    let state = &member.state;
+    (
+        !member.is_lagging(),
+        &state.profile,
+        &state.data_centre,
+        &state.node,
+    )
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod differences;
 mod error;
+mod fleet;
 mod publish;
 mod store_retry;
 mod view;
 
 pub use differences::{Difference, content_differences};
 pub use error::{CommandError, ErrorDetail, ExitKind};
+pub use fleet::{FleetReport, MemberReport, MemberState, NodeAnswer, ProfileHead};
 pub use publish::{
     OwnCandidate, PublishContent, PublishOutcome, PublishReport, PublishRequest, PublishTimes,
     Publisher, RaceReport, RaceWinner, Standing, next_version, stale_floor, standing,
--- a/src/publish/mod.rs
+++ b/src/publish/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use apricotfold_model::{CandidateEntry, NodeRefusal, ProfileVersion, PublishId, keys};
-use apricotfold_store::{Compare, ConfigStore, LeaseId, StoreTxn, WriteEffect};
+use apricotfold_store::{Compare, ConfigStore, LeaseId, StoreTxn, TxnAnswer, WriteEffect};
 use compact_str::format_compact;
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -148,10 +148,7 @@
             Ok(answer) if answer.succeeded => Standing::Pending {
                 revision: answer.revision,
             },
-            Ok(answer) => {
-                let view = ProfileView::from_entries(&self.request.profile, &answer.found)?;
-                standing(&view, own)
-            }
+            Ok(answer) => self.judge_refusal(own, &answer)?,
             Err(error) if error.effect == WriteEffect::None => {
                 self.revoke_quietly(lease).await;
                 self.retry.pause(failures, &error).await?;
@@ -179,6 +176,22 @@
         }
     }
 
+    /// Judges the entries that made the comparison of a candidate's write fail. A store that shows
+    /// no reason is an error, since trying again would repeat without end.
+    fn judge_refusal(
+        &self,
+        own: &OwnCandidate,
+        answer: &TxnAnswer,
+    ) -> Result<Standing, CommandError> {
+        let view = ProfileView::from_entries(&self.request.profile, &answer.found)?;
+        let found = standing(&view, own);
+        if found == Standing::Absent {
+            let message = "the store refused the candidate without showing why";
+            return Err(CommandError::new(ExitKind::Unavailable, message));
+        }
+        Ok(found)
+    }
+
     fn candidate_txn(&self, own: &OwnCandidate, lease: LeaseId) -> StoreTxn {
         let profile = &self.request.profile;
         let entry = CandidateEntry {
--- a/src/publish/report.rs
+++ b/src/publish/report.rs
@@ -67,7 +67,7 @@
     pub decision: Duration,
     /// How long an unavailable store is asked again.
     pub wait: Duration,
-    /// Tries of each store call that are made in any case; the number of endpoints.
+    /// Tries of each store call that are made in any case.
     pub tries: u32,
 }
 
@@ -110,9 +110,13 @@
             ..
         } = self;
         if self.outcome == PublishOutcome::Unchanged {
+            let same = match state {
+                HeadState::Published => "already has this content",
+                HeadState::Withdrawn => "is already withdrawn",
+            };
             return write!(
                 formatter,
-                "{profile}: version {version} is already {state} with this content; nothing changed"
+                "{profile}: version {version} {same}; nothing changed"
             );
         }
         writeln!(formatter, "{profile}: version {version} {state}")?;
--- a/src/publish/wait.rs
+++ b/src/publish/wait.rs
@@ -19,6 +19,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// How long the removal of an undecided candidate is tried.
 const REMOVAL_TIME: Duration = Duration::from_secs(2);
+/// Fate of a candidate that expired, or whose removal took effect although its answer was lost.
+const GONE: &str = "its candidate is gone";
 
 impl Publisher<'_> {
     /// Waits for the decision about our candidate, and removes it when there is none in time.
@@ -41,7 +43,7 @@
             match found {
                 Ok(Standing::Pending { .. }) if Instant::now() < deadline => {}
                 Ok(Standing::Pending { revision }) => return self.give_up(own, revision).await,
-                Ok(Standing::Absent) => return Err(self.undecided(own, "it expired")),
+                Ok(Standing::Absent) => return Err(self.undecided(own, GONE)),
                 Ok(decided) => return Ok(decided),
                 Err(error) if Instant::now() >= deadline && self.retry.is_over() => {
                     return Err(self.outcome_unknown(own, &error.message));
@@ -90,15 +92,14 @@
         let removal = retry.run(|store| store.commit(&txn)).await;
         let view = match removal {
             Ok(answer) if answer.succeeded => {
-                return Err(self.undecided(own, "it has been removed"));
+                return Err(self.undecided(own, "its candidate has been removed"));
             }
             Ok(_) => read_view(&mut retry, &self.request.profile).await,
             Err(error) => Err(error),
         };
         let view = view.map_err(|error| self.outcome_unknown(own, &error.message))?;
         match standing(&view, own) {
-            Standing::Absent => Err(self.undecided(own, "it is gone")),
-            Standing::Pending { .. } => Err(self.undecided(own, "it expires within 15 s")),
+            Standing::Absent => Err(self.undecided(own, GONE)),
             decided => Ok(decided),
         }
     }
@@ -121,15 +122,11 @@
 ) -> Option<OutcomeEntry> {
     let left = deadline.saturating_duration_since(Instant::now());
     let Some(stream) = watch else {
-        // Past the deadline the store has been failing; reads stay sparse.
-        tokio::time::sleep(POLL_INTERVAL.min(left.max(POLL_INTERVAL))).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
         return None;
     };
-    let pause = if left.is_zero() {
-        POLL_INTERVAL
-    } else {
-        CHECK_INTERVAL.min(left)
-    };
+    // After the deadline, only an unavailable store keeps the wait going.
+    let pause = left.clamp(POLL_INTERVAL, CHECK_INTERVAL);
     match timeout(pause, find_outcome(stream, own)).await {
         Ok(Some(outcome)) => Some(outcome),
         Ok(None) => {
--- a/src/store_retry.rs
+++ b/src/store_retry.rs
@@ -32,8 +32,8 @@
 }
 
 impl<'a> StoreRetry<'a> {
-    /// Prepares calls that are made at least `tries` times, so that each endpoint of the store is
-    /// asked, and that are repeated until `wait` from now has passed.
+    /// Prepares calls that are tried at least `tries` times and are repeated until `wait` from now
+    /// has passed.
     #[must_use]
     pub fn new(store: &'a dyn ConfigStore, tries: u32, wait: Duration) -> Self {
         Self {
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,232 @@
+//! Exit codes and output of the built command.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpListener;
+use std::process::Command;
+
+use serde_json::{Value, json};
+
+/// Nothing listens on this port.
+const NOWHERE: &str = "http://127.0.0.1:1";
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/guide/examples/almanac.json");
+const WRONG: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
+
+struct Run {
+    code: i32,
+    stdout: String,
+    stderr: String,
+}
+
+impl Run {
+    /// Runs the command without the tester's environment.
+    fn new(arguments: &[&str]) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_apricotfold"));
+        let output = command.args(arguments).env_clear().output().unwrap();
+        Self {
+            code: output.status.code().unwrap(),
+            stdout: String::from_utf8(output.stdout).unwrap(),
+            stderr: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+
+    /// Runs the command with `--json` too, which must end with the same code and print one
+    /// document.
+    fn both(arguments: &[&str]) -> (Self, Value) {
+        let text = Self::new(arguments);
+        let json = Self::new(&[arguments, &["--json"]].concat());
+        assert_eq!(text.code, json.code, "{arguments:?}");
+        let document = serde_json::from_str(&json.stdout).expect("one JSON document");
+        (text, document)
+    }
+
+    /// Checks the form of an error: standard output is empty, or holds the error as JSON.
+    fn fails(arguments: &[&str], code: i32, message: &str) {
+        let (text, document) = Self::both(arguments);
+        assert_eq!(text.code, code, "{arguments:?}: {}", text.stderr);
+        assert_eq!(text.stdout, "", "{arguments:?}");
+        assert!(
+            text.stderr.contains(message),
+            "{arguments:?}: {}",
+            text.stderr
+        );
+        assert_eq!(document["error"]["exit_code"], code, "{arguments:?}");
+        let found = document["error"]["message"].as_str().unwrap();
+        assert!(found.contains(message), "{arguments:?}: {found}");
+    }
+}
+
+/// Answers every request with the same JSON until the test ends.
+fn serve(answer: &Value) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let body = answer.to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut reader = BufReader::new(stream.unwrap());
+            let mut length = 0;
+            let mut line = String::new();
+            while reader.read_line(&mut line).unwrap() > 2 {
+                let lower = line.to_ascii_lowercase();
+                if let Some(value) = lower.strip_prefix("content-length:") {
+                    length = value.trim().parse().unwrap();
+                }
+                line.clear();
+            }
+            reader.read_exact(&mut vec![0; length]).unwrap();
+            let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: application/json";
+            let length = body.len();
+            write!(
+                reader.get_mut(),
+                "{head}\r\ncontent-length: {length}\r\n\r\n{body}"
+            )
+            .unwrap();
+        }
+    });
+    url
+}
+
+/// Guards against usage errors that pass silently, or with a code that means something else.
+#[test]
+fn wrong_usage() {
+    Run::fails(&[], 2, "no subcommand");
+    Run::fails(&["pubish"], 2, "pubish");
+    Run::fails(&["show", "--verbose"], 2, "--verbose");
+    Run::fails(&["diff", "almanac"], 2, "diff");
+    Run::fails(&["validate"], 2, "validate");
+    Run::fails(&["show"], 2, "APRICOTFOLD_STORE");
+    Run::fails(&["show", "--store", "store:2379"], 2, "store:2379");
+    Run::fails(&["show", "--wait", "soon"], 2, "soon");
+    Run::fails(&["status"], 2, "--node");
+    Run::fails(&["publish", EXAMPLE, "--store", NOWHERE], 2, "--operator");
+}
+
+/// Guards against a help text that omits a subcommand, an option or an exit code.
+#[test]
+fn help_texts() {
+    let overview = Run::new(&["--help"]);
+    assert_eq!(overview.code, 0);
+    for name in ["publish", "withdraw", "show", "diff", "status", "validate"] {
+        assert!(overview.stdout.contains(&format!("\n  {name} ")), "{name}");
+        let (text, document) = Run::both(&[name, "--help"]);
+        assert_eq!((text.code, text.stderr.as_str()), (0, ""));
+        assert!(text.stdout.contains(&format!("Usage: apricotfold {name}")));
+        assert!(text.stdout.contains("Exit codes:"), "{name}");
+        assert_eq!(document["help"].as_str().unwrap(), text.stdout);
+    }
+    for option in [
+        "--store",
+        "--node",
+        "--operator",
+        "--wait",
+        "--timeout",
+        "--json",
+    ] {
+        assert!(
+            overview.stdout.contains(&format!("\n  {option} ")),
+            "{option}"
+        );
+    }
+    for code in 0..=7 {
+        assert!(overview.stdout.contains(&format!("\n  {code}  ")), "{code}");
+    }
+}
+
+/// Guards against a version text that scripts cannot read.
+#[test]
+fn version_text() {
+    let version = env!("CARGO_PKG_VERSION");
+    for arguments in [&["--version"][..], &["publish", "--version"]] {
+        let (text, document) = Run::both(arguments);
+        assert_eq!(text.stdout, format!("apricotfold {version}\n"));
+        assert_eq!(document, json!({ "version": version }));
+    }
+}
+
+/// Guards against a check that stops at the first wrong file or hides which one is wrong.
+#[test]
+fn validated_files() {
+    let (text, document) = Run::both(&["validate", WRONG, EXAMPLE, "absent.json"]);
+    assert_eq!(text.code, 2);
+    let lines: Vec<&str> = text.stdout.lines().collect();
+    assert_eq!(lines.len(), 3, "{lines:?}");
+    assert!(lines[0].starts_with(&format!("{WRONG}: ")), "{lines:?}");
+    assert_eq!(lines[1], format!("{EXAMPLE}: valid"));
+    assert!(lines[2].starts_with("absent.json: "), "{lines:?}");
+    assert_eq!(document["error"]["exit_code"], 2);
+    assert_eq!(document["files"][0]["valid"], false);
+    assert_eq!(document["files"][1]["profile"], "almanac");
+    assert_eq!(Run::new(&["validate", EXAMPLE]).code, 0);
+}
+
+/// Guards against a wrong file that reaches the store, and against a publish that hides the fields.
+#[test]
+fn invalid_publish() {
+    let arguments = ["publish", WRONG, "--operator", "x", "--store", NOWHERE];
+    Run::fails(&arguments, 2, "not a valid profile");
+    let (text, document) = Run::both(&arguments);
+    assert!(text.stderr.contains("expected"), "{}", text.stderr);
+    assert_eq!(document["error"]["fields"][0]["field"], "[0]");
+}
+
+/// Guards against an outage that looks like success, or whose message does not name the address.
+#[test]
+fn store_away() {
+    let store = ["--store", NOWHERE, "--operator", "x"];
+    for arguments in [
+        &["publish", EXAMPLE][..],
+        &["withdraw", "almanac"],
+        &["show"],
+        &["show", "almanac"],
+        &["diff", "almanac", EXAMPLE],
+    ] {
+        Run::fails(&[arguments, &store].concat(), 5, NOWHERE);
+    }
+}
+
+/// Guards against wrong answers about a store without profiles.
+#[test]
+fn empty_store() {
+    let store = serve(&json!({"header": {"revision": "1"}}));
+    let (text, document) = Run::both(&["show", "--store", &store]);
+    assert_eq!((text.code, document), (0, json!({"profiles": []})));
+    Run::fails(
+        &["show", "almanac", "--store", &store],
+        2,
+        "never published",
+    );
+    let (text, document) = Run::both(&["diff", "almanac", EXAMPLE, "--store", &store]);
+    assert_eq!((text.code, &document["version"]), (1, &Value::Null));
+    assert!(text.stdout.contains("name: (absent) -> \"almanac\"\n"));
+    Run::fails(
+        &["withdraw", "almanac", "--operator", "x", "--store", &store],
+        2,
+        "never published",
+    );
+}
+
+/// Guards against laggards that do not show in the exit code, and against one answering node that
+/// is not enough.
+#[test]
+fn asked_nodes() {
+    Run::fails(&["status", "--node", NOWHERE], 5, NOWHERE);
+    let mut answer = json!({
+        "node": "n1", "region": "rs-gaucho", "data_centre": "poa-a", "service": "parish-desk",
+        "profile": "almanac", "applied_version": 4, "head_version": 4, "ready": true,
+        "relay": false, "gateway": false, "lag_reason": null, "members": [],
+    });
+    let current = serve(&answer);
+    let (text, document) = Run::both(&["status", "--node", NOWHERE, "--node", &current]);
+    assert_eq!((text.code, &document["lagging"]), (0, &json!(0)));
+    assert!(
+        text.stdout.contains(&format!("not asked: {NOWHERE}")),
+        "{}",
+        text.stdout
+    );
+
+    answer["applied_version"] = json!(3);
+    let late = serve(&answer);
+    let (text, document) = Run::both(&["status", "--node", &late, "--store", NOWHERE]);
+    assert_eq!((text.code, &document["lagging"]), (6, &json!(1)));
+    assert!(text.stdout.starts_with("lagging: n1 "), "{}", text.stdout);
+    assert!(document["store_error"].as_str().unwrap().contains(NOWHERE));
+}
--- /dev/null
+++ b/tests/publish/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the publish logic against an in-memory store. Time is virtual, so that waits take no
+//! real time.
+
+mod fake_store;
+mod lost_answers;
+mod races;
