--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -151,9 +151,10 @@
     check_url(&read_text(parser)?, option)
 }
 
-/// Checks an address and removes a final slash, since paths are appended to it.
+/// Checks an address and removes a final slash, since paths are appended to it. The HTTP client is
+/// built without TLS.
 fn check_url(url: &str, source: &str) -> Result<CompactString, CommandError> {
-    if url.starts_with("http://") || url.starts_with("https://") {
+    if url.starts_with("http://") {
         return Ok(url.trim_end_matches('/').into());
     }
     let message = format!("{source}: found {url:?}, expected a URL that starts with http://");
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -24,7 +24,8 @@
   --node URL          admin address of a node; repeatable
   --operator NAME     who publishes (environment: USER)
   --wait SECONDS      how long a store or node that is away is asked again (default: 0)
-  --timeout SECONDS   longest wait for the nodes' decision on a publish (default: 15)
+  --timeout SECONDS   longest wait for the nodes' decision on a publish (default: 15, after which
+                      an undecided version expires anyway)
   --json              print one JSON document
   --help, --version   also after a subcommand
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -95,10 +95,14 @@
         Self::new(ExitKind::BadInput, message)
     }
 
-    /// The store did not answer; its address is part of the error's text.
+    /// The store did not answer; its address is part of the message. The caller has made sure that
+    /// nothing was changed, so the message leaves out whether the call may have taken effect.
     #[must_use]
     pub fn store_unavailable(error: &StoreError) -> Self {
-        Self::new(ExitKind::Unavailable, format!("store unavailable: {error}"))
+        Self::new(
+            ExitKind::Unavailable,
+            format!("store unavailable: {}", error.error),
+        )
     }
 
     /// Adds facts.
--- a/src/publish/decision.rs
+++ b/src/publish/decision.rs
@@ -130,7 +130,9 @@
 /// known to have seen.
 #[must_use]
 pub fn next_version(head: Option<&HeadRecord>, known: ProfileVersion) -> ProfileVersion {
-    head.map_or(0, |head| head.entry.version).max(known) + 1
+    head.map_or(0, |head| head.entry.version)
+        .max(known)
+        .saturating_add(1)
 }
 
 /// The highest version that the refusing nodes know, when all of them refused because of that.
--- a/src/publish/mod.rs
+++ b/src/publish/mod.rs
@@ -166,7 +166,7 @@
             Standing::Pending { revision } => self.await_decision(own, revision).await,
             other => Ok(other),
         };
-        // The candidate is gone or its fate is unknown; in both cases the lease serves no more.
+        // The candidate is gone, or nobody waits for it any more.
         self.revoke_quietly(lease).await;
         match decided? {
             Standing::Accepted { prepared } => Ok(Attempt::Accepted(prepared)),
@@ -215,7 +215,7 @@
             .put_leased(keys::candidate(profile), value, lease)
     }
 
-    /// Ends a lease that is no longer needed. The store ends it by itself if this fails.
+    /// Ends a lease that is no longer needed. If this fails, the store ends it when it expires.
     async fn revoke_quietly(&self, lease: LeaseId) {
         if let Err(error) = self.retry.store.revoke(lease).await {
             log::debug!("lease left to expire: {error}");
--- a/src/store_retry.rs
+++ b/src/store_retry.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::time::Duration;
 
+use apricotfold_model::log_event;
 use apricotfold_store::{ConfigStore, StoreError};
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -93,7 +94,7 @@
         if *failures >= self.tries && self.is_over() {
             return Err(CommandError::store_unavailable(error));
         }
-        log::info!("store call failed and is repeated: {error}");
+        log_event!(info, StoreUnavailable, "repeating: {error}");
         let left = self.deadline.saturating_duration_since(Instant::now());
         let delay = jitter_delay(&mut self.generator, *failures);
         let delay = if left.is_zero() {
--- a/tests/publish/races.rs
+++ b/tests/publish/races.rs
@@ -4,7 +4,7 @@
 
 use crate::fake_store::{FakeStore, PROFILE, bundle, content};
 use apricotfold::{CommandError, ErrorDetail, ExitKind, PublishContent, PublishOutcome};
-use apricotfold_model::{CandidateEntry, HeadState, keys};
+use apricotfold_model::{CandidateEntry, HeadState, OutcomeEntry, keys};
 use tokio::time::Instant;
 
 const NO_WAIT: Duration = Duration::ZERO;
@@ -166,6 +166,29 @@
     assert_eq!(result.unwrap().prepared, Some(4));
 }
 
+/// Guards against calling an accepted publish expired when a later one has replaced its outcome
+/// before it was read.
+#[tokio::test(start_paused = true)]
+async fn replaced_outcome() {
+    let store = FakeStore::default();
+    store.refuse_watches();
+    let relay = async {
+        store.candidate_written().await;
+        store.decide(7, &[]);
+        let later = OutcomeEntry {
+            publish_id: "rival-2".into(),
+            version: 2,
+            accepted: false,
+            prepared: 0,
+            refusals: Vec::new(),
+        };
+        store.put(keys::outcome(PROFILE), &later);
+    };
+    let (result, ()) = tokio::join!(publish(&store), relay);
+    let report = result.unwrap();
+    assert_eq!((report.version, report.prepared), (1, None));
+}
+
 /// Guards against reads that load the store while a publish waits: at most one per 200 ms without
 /// a watch, and far fewer with one.
 #[tokio::test(start_paused = true)]
