Show a wrong field's value as it stands in the input

Cause: program_start::wrong_settings_are_named expected the line of an unknown field where the value now stands, and strings were shown with escaped quotes.

--- a/crates/apricotfold-model/src/field.rs
+++ b/crates/apricotfold-model/src/field.rs
@@ -126,7 +126,7 @@
 /// Longest part of a wrong value that is shown.
 const MAX_SHOWN_CHARS: usize = 80;
 
-/// Finds the value at a path such as `routes[2].timeout_ms`, as JSON.
+/// Finds the value at a path such as `routes[2].timeout_ms`.
 fn find_value(text: &str, path: &str) -> Option<String> {
     let document: serde_json::Value = serde_json::from_str(text).ok()?;
     let steps = path.split(['.', '[']).filter(|step| !step.is_empty());
@@ -137,5 +137,9 @@
                 Some(index) => value.get(index.parse::<usize>().ok()?),
                 None => value.get(step),
             })?;
-    Some(value.to_string().chars().take(MAX_SHOWN_CHARS).collect())
+    let shown = match value {
+        serde_json::Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    Some(shown.chars().take(MAX_SHOWN_CHARS).collect())
 }
