Test membership, relays, publishes and the floor of the control core, and fix what they found

A stand-in without a lease gave up at once because it took the lost relay's record for a newer holder, and kept its role without asking for a lease once the store was back. Ruled out: delaying the gateway's own apply, because any node that restarts right after applying has the same gap. Change: a restarted node waits up to 4 s with its first apply while it knows of a younger, higher candidate without its head. Ids of candidates, votes and heads are advertised on eager links too, and nodes that take part in an open publish run anti-entropy inside their data centre every 250 ms. A standby that becomes gateway watches the store after 200 ms instead of 1.5 s. A stand-in contends for the lease of its slot. Only nodes that see a free slot rank the members.

--- a/crates/apricotfold-control/src/control_core.rs
+++ b/crates/apricotfold-control/src/control_core.rs
@@ -71,6 +71,7 @@
     pub(crate) gateway_since: Option<Instant>,
     pub(crate) ring_changed: bool,
     pub(crate) endpoints_changed: bool,
+    pub(crate) started: Instant,
     pub(crate) last_tick: Instant,
     pub(crate) next_expiry: Instant,
 }
@@ -108,6 +109,7 @@
             gateway_since: None,
             ring_changed: true,
             endpoints_changed: false,
+            started: now,
             last_tick: now,
             next_expiry: now,
             config,
@@ -182,7 +184,7 @@
             self.rebuild_ring();
         }
         self.check_candidate(now);
-        self.offer_head();
+        self.offer_head(now);
         if std::mem::take(&mut self.endpoints_changed) {
             self.queue.push(ControlAction::EndpointsChanged);
         }
--- a/crates/apricotfold-control/src/core_records.rs
+++ b/crates/apricotfold-control/src/core_records.rs
@@ -316,7 +316,12 @@
             let node = link.node.clone();
             let awaited: BTreeSet<RecordKey> = missing
                 .into_iter()
-                .filter(|key| matches!(key.kind, RecordKind::Head | RecordKind::Endpoint))
+                .filter(|key| {
+                    matches!(
+                        key.kind,
+                        RecordKind::Head | RecordKind::Candidate | RecordKind::Endpoint
+                    )
+                })
                 .collect();
             self.floor.peer_answered(&node, awaited);
         }
--- a/crates/apricotfold-control/src/core_steps.rs
+++ b/crates/apricotfold-control/src/core_steps.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use apricotfold_model::{EventCode, RelayEntry, keys};
+use apricotfold_model::{EventCode, ProfileVersion, RelayEntry, keys};
 use apricotfold_schema::peer::{Ping, RecordKind};
 use compact_str::{CompactString, format_compact};
 use log::Level;
@@ -19,10 +19,11 @@
     live_members::LiveMembers,
     member_watch::PING_INTERVAL,
     peer_overlay::OverlayPlan,
-    publish_duty::VoteTurn,
+    publish_duty::{VoteTurn, open_candidates},
     push_tree::LinkTurn,
     relay_duty::{RelayTurn, RelayUpdate, slot_key},
     store_feed::{FeedTurn, WATCHED, known_version},
+    table_sync::SyncNeed,
 };
 
 /// A gap between ticks that tells that this process was paused and heard nobody meanwhile.
@@ -30,9 +31,19 @@
 /// Pings on links that nobody monitors, to find dead ones.
 const LINK_PING_INTERVAL: Duration = Duration::from_secs(2);
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Time as gateway after which the node watches the store. A new relay has not yet heard from the
-/// gateway of its region and would otherwise watch for a moment.
-const WATCH_DELAY: Duration = Duration::from_millis(1500);
+/// Age of a candidate until which its votes matter.
+const URGENT_TIME: Duration = Duration::from_secs(5);
+/// A node that has just started does not apply a head while a higher candidate is this young. The
+/// candidate may be decided already, and the node may have run it before its restart.
+const CANDIDATE_DOUBT: Duration = Duration::from_secs(20);
+/// Longest wait for such a head: the decision takes 3 s, and the head another second.
+const DOUBT_WAIT: Duration = Duration::from_secs(4);
+/// Time as gateway after which the node watches the store, so that a short overlap of two gateways
+/// costs no watch.
+const WATCH_DELAY: Duration = Duration::from_millis(200);
+/// Time after the start before which a node does not watch the store, since it has not yet heard
+/// from the other relays of its region and takes itself for the gateway.
+const FIRST_WATCH_DELAY: Duration = Duration::from_secs(3);
 
 impl ControlCore {
     pub(crate) fn tick(&mut self, now: Instant) {
@@ -53,11 +64,11 @@
         self.check_restart(now);
         self.maintain_streams(now);
         self.send_pings(now);
-        let settled = self.floor.is_settled();
         self.tree
             .tick(&mut self.overlay.links, now, &mut self.queue);
+        let need = self.sync_need(now);
         with_links!(self, now, &[], |turn| self.sync.tick(
-            settled,
+            need,
             &mut self.rng,
             turn
         ));
@@ -76,6 +87,21 @@
         }
     }
 
+    fn sync_need(&self, now: Instant) -> SyncNeed {
+        if !self.floor.is_settled() {
+            return SyncNeed::Unsettled;
+        }
+        let profile = self.picked_profile();
+        let is_acting = self.relay_view.is_acting(&self.config, now);
+        let is_involved = open_candidates(&self.table)
+            .filter(|known| known.age(now) < URGENT_TIME)
+            .any(|known| is_acting || known.body.profile == profile.as_str());
+        if is_involved {
+            return SyncNeed::Urgent;
+        }
+        SyncNeed::Normal
+    }
+
     pub(crate) fn members_view(&self) -> LiveMembers<'_> {
         LiveMembers {
             table: &self.table,
@@ -167,7 +193,8 @@
         let is_due = self
             .gateway_since
             .is_some_and(|since| now.saturating_duration_since(since) >= WATCH_DELAY);
-        let should_watch = is_due && !self.relay.is_store_away();
+        let is_known = now.saturating_duration_since(self.started) >= FIRST_WATCH_DELAY;
+        let should_watch = is_due && is_known && !self.relay.is_store_away();
         if should_watch == self.watching {
             return;
         }
@@ -266,7 +293,7 @@
             !is_needed || known_version(&self.table, name) >= entry.version
         });
         if has_all && (self.watching || !profile.is_empty()) {
-            self.floor.store_answered();
+            self.floor.store_answered(now);
         }
     }
 
@@ -326,19 +353,32 @@
     }
 
     /// Offers the known head of the picked profile to the daemon if the floor allows it.
-    pub(crate) fn offer_head(&mut self) {
+    pub(crate) fn offer_head(&mut self, now: Instant) {
         let profile = self.picked_profile();
         let Some(RecordBody::Head(head)) = self.table.body(RecordKind::Head, &profile) else {
             return;
         };
         let listed = self.feed.heads.get(&profile);
         let is_behind = listed.is_some_and(|(entry, _)| entry.version > head.version);
+        if self.is_in_doubt(&profile, head.version, now) {
+            return;
+        }
         if !is_behind && self.floor.offer(&profile, head.version) {
             let head = head.clone();
             self.queue.push(ControlAction::Apply { head });
         }
     }
 
+    /// True when a restarted node knows of a higher candidate whose fate it has not heard.
+    fn is_in_doubt(&self, profile: &str, version: ProfileVersion, now: Instant) -> bool {
+        if self.floor.applied(profile) > 0 || self.floor.settled_for(DOUBT_WAIT, now) {
+            return false;
+        }
+        let candidate = self.table.get(RecordKind::Candidate, profile);
+        candidate
+            .is_some_and(|known| known.version.epoch > version && known.age(now) < CANDIDATE_DOUBT)
+    }
+
     pub(crate) fn store_entries(
         &mut self,
         prefix: &str,
--- a/crates/apricotfold-control/src/member_watch.rs
+++ b/crates/apricotfold-control/src/member_watch.rs
@@ -226,6 +226,10 @@
         now: Instant,
         report: &mut WatchReport,
     ) {
+        if suspicions.is_empty() && self.gone.is_empty() {
+            self.agreed.clear();
+            return;
+        }
         let open = ring
             .successors()
             .map(|member| &member.node)
--- a/crates/apricotfold-control/src/publish_duty.rs
+++ b/crates/apricotfold-control/src/publish_duty.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     ControlAction, ControlConfig, RecordBody, RecordTable, RecordVersion, RequestId, StoreCompare,
-    StoreEntry, StoreReply, StoreRequest, StoreWrite, VersionFloor, action::ActionQueue,
-    live_members::LiveMembers, store_feed::known_version,
+    StoreEntry, StoreReply, StoreRequest, StoreWrite, StoredRecord, VersionFloor,
+    action::ActionQueue, live_members::LiveMembers, store_feed::known_version,
 };
 
 /// Time after which nodes that have not answered count as unreachable.
@@ -36,6 +36,13 @@
 pub(crate) struct KnownCandidate<'a> {
     pub(crate) version: RecordVersion,
     pub(crate) body: &'a CandidateBody,
+    stored: &'a StoredRecord,
+}
+
+impl KnownCandidate<'_> {
+    pub(crate) fn age(&self, now: Instant) -> Duration {
+        self.stored.age(now)
+    }
 }
 
 /// Open candidates of the table. One whose version became the head is decided already.
@@ -48,7 +55,11 @@
                 _ => false,
             };
             let version = stored.version;
-            (!is_decided).then_some(KnownCandidate { version, body })
+            (!is_decided).then_some(KnownCandidate {
+                version,
+                body,
+                stored,
+            })
         }
         _ => None,
     })
--- a/crates/apricotfold-control/src/push_tree.rs
+++ b/crates/apricotfold-control/src/push_tree.rs
@@ -7,7 +7,7 @@
 };
 
 use apricotfold_model::{DataCentreName, RegionName};
-use apricotfold_schema::peer::{Advertise, Prune, Pull, RecordId};
+use apricotfold_schema::peer::{Advertise, Prune, Pull, RecordId, RecordKind};
 
 use crate::{
     MessageBody, RecordBody, RecordKey, RecordTable, RecordVersion, StreamId,
@@ -53,6 +53,13 @@
     }
 }
 
+fn belongs_to_publish(kind: RecordKind) -> bool {
+    matches!(
+        kind,
+        RecordKind::Head | RecordKind::Candidate | RecordKind::Vote
+    )
+}
+
 /// What one step at the links works on.
 pub(crate) struct LinkTurn<'a> {
     pub(crate) table: &'a RecordTable,
@@ -89,8 +96,11 @@
                 if !place.sends(link, key, stored) {
                     continue;
                 }
-                if !link.eager {
+                // A slow stream may drop a push, and a publish cannot wait for anti-entropy.
+                if !link.eager || belongs_to_publish(key.kind) {
                     link.advertise_later(key, stored.version);
+                }
+                if !link.eager {
                     continue;
                 }
                 link.note_sent(key, stored.version, now);
--- a/crates/apricotfold-control/src/relay_duty.rs
+++ b/crates/apricotfold-control/src/relay_duty.rs
@@ -177,7 +177,11 @@
                 turn.queue.log(Level::Info, EventCode::RelayChanged, text);
             }
             StoreReply::Unavailable | StoreReply::Uncertain => self.store_away = true,
-            _ => self.store_away = false,
+            _ => {
+                self.store_away = false;
+                // Only a stand-in asks while it has a role, and its slot is taken after all.
+                self.drop_role("the store has another holder", turn);
+            }
         }
     }
 
@@ -192,6 +196,7 @@
             StoreReply::SlotLost => {
                 self.store_away = false;
                 self.drop_role("the lease has ended", turn);
+                self.next_try = turn.now;
             }
             _ => self.store_away = true,
         }
@@ -240,6 +245,10 @@
             return None;
         }
         let known_version = known.map(|(version, _)| version).unwrap_or_default();
+        let (slot, is_stand_in) = (held.slot, held.lease.is_none());
+        if is_stand_in && self.may_ask(turn.now) {
+            self.take_slot(slot, turn);
+        }
         self.keep(turn);
         self.heartbeat(known_version, turn)
     }
@@ -296,14 +305,15 @@
     }
 
     fn contend(&mut self, view: &RelayView, turn: &mut RelayTurn<'_>) {
-        let is_overdue = |sent: Instant| turn.now.saturating_duration_since(sent) >= SLOT_TTL;
-        if self.asked.is_some_and(|(_, _, sent)| is_overdue(sent)) {
-            self.asked = None;
-        }
-        if self.asked.is_some() || turn.now < self.next_try {
+        if !self.may_ask(turn.now) {
             return;
         }
-        let ranked = turn.ring.ranked(&turn.config.data_centre);
+        let own = &turn.config.data_centre;
+        let free = (0..SLOTS).find(|slot| view.is_free(*slot, turn.config, turn.now));
+        let Some(slot) = free else {
+            return;
+        };
+        let ranked = turn.ring.ranked(own);
         let rank = ranked.iter().position(|node| **node == turn.config.node);
         let Some(rank) = rank.filter(|rank| *rank < CONTENDERS) else {
             return;
@@ -312,17 +322,21 @@
         if turn.now < first {
             return;
         }
-        let own = &turn.config.data_centre;
-        let free = (0..SLOTS).find(|slot| view.is_free(own, *slot, turn.now));
-        let Some(slot) = free else {
-            return;
-        };
         if self.store_away && rank == 0 && !view.has_live(own, turn.now) {
             self.stand_in(slot, turn);
         }
         self.take_slot(slot, turn);
     }
 
+    /// True when the next attempt to take a slot is due.
+    fn may_ask(&mut self, now: Instant) -> bool {
+        let is_overdue = |sent: Instant| now.saturating_duration_since(sent) >= SLOT_TTL;
+        if self.asked.is_some_and(|(_, _, sent)| is_overdue(sent)) {
+            self.asked = None;
+        }
+        self.asked.is_none() && now >= self.next_try
+    }
+
     fn take_slot(&mut self, slot: u32, turn: &mut RelayTurn<'_>) {
         let config = turn.config;
         let entry = RelayEntry {
@@ -344,6 +358,9 @@
     fn stand_in(&mut self, slot: u32, turn: &mut RelayTurn<'_>) {
         let text = format_compact!("stands in for slot {slot} without a lease");
         turn.queue.log(Level::Warn, EventCode::RelayChanged, text);
+        // Only a record that is newer than the lost relay's last one ends this role.
+        let known = known_slot(turn.table, &turn.config.data_centre, slot);
+        let published = known.map(|(version, _)| version).unwrap_or_default();
         self.held = Some(HeldSlot {
             slot,
             fence: 0,
@@ -351,7 +368,7 @@
             valid_until: turn.now,
             next_keep: turn.now,
             next_heartbeat: turn.now,
-            published: RecordVersion::default(),
+            published,
         });
     }
 }
--- a/crates/apricotfold-control/src/relay_view.rs
+++ b/crates/apricotfold-control/src/relay_view.rs
@@ -76,13 +76,15 @@
         !state.removed && now.saturating_duration_since(state.heard) < RELAY_SILENT_AFTER
     }
 
-    /// True when a slot may be free: its lease has ended if its holder stopped with its heartbeat.
-    pub(crate) fn is_free(&self, data_centre: &DataCentreName, slot: u32, now: Instant) -> bool {
-        self.slots
-            .get(&(data_centre.clone(), slot))
-            .is_none_or(|state| {
-                state.removed || now.saturating_duration_since(state.heard) >= SLOT_TTL
-            })
+    /// True when this node may try to take a slot: nobody is known in it, or its holder stopped
+    /// with its heartbeat for as long as a lease lasts, or it was this node's own.
+    pub(crate) fn is_free(&self, slot: u32, config: &ControlConfig, now: Instant) -> bool {
+        let state = self.slots.get(&(config.data_centre.clone(), slot));
+        state.is_none_or(|state| {
+            state.removed
+                || state.body.node == config.node.as_str()
+                || now.saturating_duration_since(state.heard) >= SLOT_TTL
+        })
     }
 
     pub(crate) fn has_live(&self, data_centre: &DataCentreName, now: Instant) -> bool {
--- a/crates/apricotfold-control/src/table_sync.rs
+++ b/crates/apricotfold-control/src/table_sync.rs
@@ -18,13 +18,32 @@
 };
 
 const SYNC_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval while a candidate is open that this node votes on or counts the votes of. A vote that
+/// a lost message holds back counts as missing after 2 s.
+const URGENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a node under the restart rule asks every peer of its data centre.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Times of the next exchange.
+/// How much a node depends on exchanges.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SyncNeed {
+    Normal,
+    /// A candidate is open and this node takes part in its votes.
+    Urgent,
+    /// The restart rule waits for peers.
+    Unsettled,
+}
+
+/// Times of the latest exchanges that this node started.
 #[derive(Debug, Default)]
 pub(crate) struct TableSync {
-    next: Option<Instant>,
+    last: Option<Instant>,
+    /// Latest one inside the data centre because of an open candidate.
+    last_urgent: Option<Instant>,
+}
+
+fn is_due(last: Option<Instant>, interval: Duration, now: Instant) -> bool {
+    last.is_none_or(|last| now.saturating_duration_since(last) >= interval)
 }
 
 impl TableSync {
@@ -43,11 +62,11 @@
         queue.send(stream, MessageBody::Digest(Digest { buckets }));
     }
 
-    pub(crate) fn tick(&mut self, settled: bool, rng: &mut StdRng, turn: &mut LinkTurn<'_>) {
+    pub(crate) fn tick(&mut self, need: SyncNeed, rng: &mut StdRng, turn: &mut LinkTurn<'_>) {
         let LinkTurn {
             table, place, now, ..
         } = *turn;
-        if !settled {
+        if need == SyncNeed::Unsettled {
             for (stream, link) in turn.links.iter_mut() {
                 let is_local = link.data_centre == place.data_centre;
                 let is_due = now.saturating_duration_since(link.last_digest) >= SETTLE_INTERVAL;
@@ -56,13 +75,30 @@
                 }
             }
         }
-        if turn.links.is_empty() || self.next.is_some_and(|next| now < next) {
+        if need == SyncNeed::Urgent && is_due(self.last_urgent, URGENT_INTERVAL, now) {
+            self.last_urgent = Some(now);
+            Self::ask_random(true, rng, turn);
+        }
+        if is_due(self.last, SYNC_INTERVAL, now) {
+            self.last = Some(now);
+            Self::ask_random(false, rng, turn);
+        }
+    }
+
+    fn ask_random(local_only: bool, rng: &mut StdRng, turn: &mut LinkTurn<'_>) {
+        let own = &turn.place.data_centre;
+        let streams: Vec<StreamId> = turn
+            .links
+            .iter()
+            .filter(|(_, link)| !local_only || link.data_centre == *own)
+            .map(|(stream, _)| *stream)
+            .collect();
+        if streams.is_empty() {
             return;
         }
-        self.next = Some(now + SYNC_INTERVAL);
-        let pick = rng.random_range(0..turn.links.len());
-        if let Some((stream, link)) = turn.links.iter_mut().nth(pick) {
-            Self::ask(*stream, link, table, place, now, turn.queue);
+        let stream = streams[rng.random_range(0..streams.len())];
+        if let Some(link) = turn.links.get_mut(&stream) {
+            Self::ask(stream, link, turn.table, turn.place, turn.now, turn.queue);
         }
     }
 
--- a/crates/apricotfold-control/src/version_floor.rs
+++ b/crates/apricotfold-control/src/version_floor.rs
@@ -26,13 +26,13 @@
     started: Instant,
     applied: BTreeMap<ProfileName, ProfileVersion>,
     offered: BTreeMap<ProfileName, ProfileVersion>,
-    /// Heads and endpoints that a peer named in its answer and that have not arrived yet. The
-    /// endpoints tell how many peers exist.
+    /// Heads, candidates and endpoints that a peer named in its answer and that have not arrived
+    /// yet. The endpoints tell how many peers exist.
     /// Profile that was picked anew, with the version that it had here.
     again: Option<(ProfileName, ProfileVersion)>,
     awaited: BTreeMap<NodeId, BTreeSet<RecordKey>>,
     answered: BTreeSet<NodeId>,
-    settled: bool,
+    settled: Option<Instant>,
 }
 
 impl VersionFloor {
@@ -46,20 +46,27 @@
             again: None,
             awaited: BTreeMap::new(),
             answered: BTreeSet::new(),
-            settled: false,
+            settled: None,
         }
     }
 
     /// True once the restart rule allows to apply heads.
     #[must_use]
     pub fn is_settled(&self) -> bool {
+        self.settled.is_some()
+    }
+
+    /// True once the restart rule has been satisfied for the given time.
+    #[must_use]
+    pub fn settled_for(&self, time: Duration, now: Instant) -> bool {
         self.settled
+            .is_some_and(|since| now.saturating_duration_since(since) >= time)
     }
 
-    /// Notes the answer of a settled peer of the own data centre, with the heads and endpoints that
-    /// it has and this node lacks.
+    /// Notes the answer of a settled peer of the own data centre, with the heads, candidates and
+    /// endpoints that it has and this node lacks.
     pub fn peer_answered(&mut self, peer: &NodeId, missing: BTreeSet<RecordKey>) {
-        if self.settled {
+        if self.is_settled() {
             return;
         }
         if missing.is_empty() {
@@ -83,14 +90,14 @@
     }
 
     /// Notes that the store's heads were read in full.
-    pub fn store_answered(&mut self) {
-        self.settle();
+    pub fn store_answered(&mut self, now: Instant) {
+        self.settle(now);
     }
 
     /// Applies the restart rule: two peers, or the only one that exists, or one after 2 s.
     /// Returns true when the node has just settled.
     pub fn check(&mut self, other_members: usize, now: Instant) -> bool {
-        if self.settled {
+        if self.is_settled() {
             return false;
         }
         let is_late = now.saturating_duration_since(self.started) >= ONE_PEER_AFTER;
@@ -98,12 +105,12 @@
         if self.answered.len() < needed {
             return false;
         }
-        self.settle();
+        self.settle(now);
         true
     }
 
-    fn settle(&mut self) {
-        self.settled = true;
+    fn settle(&mut self, now: Instant) {
+        self.settled = self.settled.or(Some(now));
         self.awaited.clear();
         self.answered.clear();
     }
@@ -111,7 +118,7 @@
     /// Source that the node waits for.
     #[must_use]
     pub fn waiting_for(&self) -> Option<WaitReason> {
-        if self.settled {
+        if self.is_settled() {
             return None;
         }
         if self.answered.is_empty() {
@@ -129,7 +136,7 @@
     /// Tells whether a head may be applied now, and takes it as offered if so. Each version is
     /// offered once.
     pub fn offer(&mut self, profile: &str, version: ProfileVersion) -> bool {
-        if !self.settled {
+        if !self.is_settled() {
             return false;
         }
         let again = self
--- /dev/null
+++ b/crates/apricotfold-control/tests/crash_counts.rs
@@ -0,0 +1,74 @@
+//! Crashes of targets by request fingerprint.
+
+mod mesh;
+
+use std::time::{Duration, Instant};
+
+use apricotfold_control::{ControlAction, ControlConfig, ControlCore, ControlEvent};
+use apricotfold_schema::peer::RecordKind;
+use mesh::Mesh;
+
+fn crash(fingerprint: &str) -> ControlEvent {
+    ControlEvent::CrashSeen {
+        fingerprint: fingerprint.into(),
+    }
+}
+
+/// Guards against a fingerprint whose crashes on different nodes are not added up, and against a
+/// restarted node whose count starts below its earlier one and is ignored.
+#[test]
+fn counts_add_up() {
+    let mut mesh = Mesh::new(1);
+    mesh.start_many(5, ("north", "n-a"));
+    mesh.run(Duration::from_secs(4));
+    mesh.feed("n-a-02", crash("f"));
+    mesh.feed("n-a-03", crash("f"));
+    mesh.feed("n-a-03", crash("g"));
+    mesh.run(Duration::from_secs(1));
+    assert!(mesh.crashes.contains(&("n-a-00".into(), "f".into(), 2)));
+    assert!(
+        !mesh
+            .crashes
+            .iter()
+            .any(|(_, name, count)| name == "g" && *count > 1)
+    );
+    mesh.kill("n-a-03");
+    mesh.start("n-a-03", ("north", "n-a"), 2, &["n-a-00"]);
+    mesh.run(Duration::from_secs(4));
+    mesh.feed("n-a-03", crash("f"));
+    mesh.run(Duration::from_secs(1));
+    assert!(mesh.crashes.contains(&("n-a-00".into(), "f".into(), 3)));
+}
+
+/// Guards against a target that crashes with ever new requests and fills every node's memory.
+#[test]
+fn bounded_counts() {
+    let start = Instant::now();
+    let config = ControlConfig {
+        node: "own".into(),
+        region: "north".into(),
+        data_centre: "n-a".into(),
+        control_address: "own".into(),
+        mesh_address: "own".into(),
+        admin_address: "own".into(),
+        incarnation: 1,
+        contacts: Vec::new(),
+        seed: 5,
+    };
+    let mut core = ControlCore::new(config, start);
+    for number in 0..2000 {
+        core.handle(crash(&format!("f{number}")), start);
+    }
+    let shared = core.records().range(RecordKind::Crash, "").count();
+    assert_eq!(shared, 256);
+    for minute in 1..=11 {
+        core.handle(ControlEvent::Tick, start + Duration::from_mins(minute));
+    }
+    assert_eq!(core.records().range(RecordKind::Crash, "").count(), 0);
+    let actions = core.handle(crash("f1999"), start + Duration::from_mins(12));
+    let fingerprint = "f1999".into();
+    assert!(actions.contains(&ControlAction::CrashCounts {
+        fingerprint,
+        count: 1
+    }));
+}
--- a/crates/apricotfold-control/tests/mesh/mod.rs
+++ b/crates/apricotfold-control/tests/mesh/mod.rs
@@ -34,11 +34,17 @@
     /// Nodes that refuse every candidate.
     pub refusing: BTreeSet<CompactString>,
     pub applied: Vec<(CompactString, u64)>,
+    /// The same with the publish that each version came from.
+    pub applied_ids: Vec<(CompactString, u64, CompactString)>,
     pub logs: Vec<(CompactString, String)>,
     /// Records that were pushed, with both ends.
     pub pushed: Vec<(CompactString, CompactString, Record)>,
-    /// Numbers of ids that were advertised, with both ends.
+    /// Endpoint ids that were advertised, with both ends.
     pub advertised: Vec<(CompactString, CompactString, usize)>,
+    /// Number of streams that were asked for.
+    pub opened: usize,
+    /// Crash counts as the nodes reported them.
+    pub crashes: Vec<(CompactString, CompactString, u32)>,
     streams: BTreeMap<StreamId, (CompactString, CompactString)>,
     queue: BTreeMap<(Instant, u64), (CompactString, ControlEvent)>,
     count: u64,
@@ -60,9 +66,12 @@
             far_from_store: &[],
             refusing: BTreeSet::new(),
             applied: Vec::new(),
+            applied_ids: Vec::new(),
             logs: Vec::new(),
             pushed: Vec::new(),
             advertised: Vec::new(),
+            opened: 0,
+            crashes: Vec::new(),
             streams: BTreeMap::new(),
             queue: BTreeMap::new(),
             count: 0,
@@ -171,6 +180,19 @@
         }
     }
 
+    /// Takes the store away or brings it back, and lets the daemons notice.
+    pub fn set_store_away(&mut self, away: bool) {
+        self.store.away = away;
+        for node in self.cores.keys().cloned().collect::<Vec<_>>() {
+            let event = if away {
+                ControlEvent::StoreLost
+            } else {
+                ControlEvent::StoreBack
+            };
+            self.post(node, event);
+        }
+    }
+
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -242,7 +264,8 @@
                 };
                 let other = if opener == node { acceptor } else { opener };
                 if let Some(MessageBody::Advertise(advertise)) = &message.body {
-                    let count = advertise.ids.len();
+                    let endpoints = |id: &&RecordId| id.kind() == RecordKind::Endpoint;
+                    let count = advertise.ids.iter().filter(endpoints).count();
                     self.advertised.push((node.clone(), other.clone(), count));
                 }
                 if let Some(MessageBody::Push(push)) = &message.body {
@@ -275,6 +298,8 @@
             }
             ControlAction::Apply { head } => {
                 self.applied.push((node.clone(), head.version));
+                self.applied_ids
+                    .push((node.clone(), head.version, head.publish_id.into()));
                 let (profile, version) = (head.profile.into(), head.version);
                 self.post(node, ControlEvent::Applied { profile, version });
             }
@@ -289,11 +314,15 @@
             ControlAction::Log { code, text, .. } => {
                 self.logs.push((node, format!("{} {text}", code.as_ref())));
             }
-            _ => {}
+            ControlAction::CrashCounts { fingerprint, count } => {
+                self.crashes.push((node, fingerprint, count));
+            }
+            ControlAction::RefuseStream { .. } | ControlAction::EndpointsChanged => {}
         }
     }
 
     fn open(&mut self, opener: CompactString, address: CompactString) {
+        self.opened += 1;
         let is_cut = self.cut.contains(&(opener.clone(), address.clone()));
         let hello = self.cores[&opener].hello();
         let now = self.now;
--- a/crates/apricotfold-control/tests/mesh/store.rs
+++ b/crates/apricotfold-control/tests/mesh/store.rs
@@ -26,6 +26,10 @@
     watches: Vec<(CompactString, CompactString)>,
     pub revision: i64,
     pub calls: BTreeMap<&'static str, u32>,
+    /// Requests of any kind; a watch counts once.
+    pub total: u32,
+    /// Nodes of the transactions that took effect.
+    pub commits: Vec<CompactString>,
     pending: Posts,
 }
 
@@ -136,6 +140,7 @@
         now: Instant,
         rng: &mut StdRng,
     ) -> Posts {
+        self.total += 1;
         let reply = if self.away {
             Some(StoreReply::Unavailable)
         } else {
@@ -217,6 +222,7 @@
                 if !holds {
                     return Some(StoreReply::Conflict);
                 }
+                self.commits.push(node.clone());
                 for write in writes {
                     match write {
                         StoreWrite::Put { key, value, ttl } => {
