--- a/crates/apricotfold-control/src/core_records.rs
+++ b/crates/apricotfold-control/src/core_records.rs
@@ -14,7 +14,7 @@
     ControlAction, ControlCore, MessageBody, RecordBody, RecordKey, RecordVersion, StreamId,
     control_core::NodePhase,
     push_tree::{LinkTurn, PushTree},
-    record_body::join_id,
+    record_body::{join_id, split_id},
     record_table::{MergeOutcome, StoredRecord},
     table_sync::TableSync,
 };
@@ -339,11 +339,12 @@
                 self.pull(stream, &[id], false, now);
                 continue;
             }
-            let Some((key, _)) = crate::record_body::split_id(&id) else {
+            let Some((key, _)) = split_id(&id) else {
                 continue;
             };
-            let body = RecordBody::decode(key.kind, &record.body);
-            let is_thin = body.is_some_and(|body| self.has_bundle(&body));
+            let is_thin = key.kind == RecordKind::Head
+                && RecordBody::decode(key.kind, &record.body)
+                    .is_some_and(|body| self.has_bundle(&body));
             let was_asked = self.tree.arrived(&key);
             match self.absorb(&key, record, now) {
                 MergeOutcome::Newer => {
--- a/crates/apricotfold-control/src/core_steps.rs
+++ b/crates/apricotfold-control/src/core_steps.rs
@@ -21,7 +21,8 @@
     peer_overlay::OverlayPlan,
     publish_duty::{VoteTurn, open_candidates},
     push_tree::LinkTurn,
-    relay_duty::{RelayTurn, RelayUpdate, slot_key},
+    relay_duty::{RelayDuty, RelayTurn, RelayUpdate, slot_key},
+    relay_view::RelayView,
     store_feed::{FeedTurn, WATCHED, known_version},
     table_sync::SyncNeed,
 };
@@ -464,7 +465,8 @@
     }
 }
 
+/// The parts that a [`RelayTurn`] is used on. Both are borrowed from the core at once.
 struct RelayParts<'a> {
-    duty: &'a mut crate::relay_duty::RelayDuty,
-    view: &'a crate::relay_view::RelayView,
+    duty: &'a mut RelayDuty,
+    view: &'a RelayView,
 }
--- a/crates/apricotfold-control/src/table_sync.rs
+++ b/crates/apricotfold-control/src/table_sync.rs
@@ -23,6 +23,10 @@
 const URGENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a node under the restart rule asks every peer of its data centre.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
+/// The same on a stream that has been open for longer than [`SETTLE_TIME`]. Where no peer has a
+/// complete answer and the store is away, frequent digests would only cost bytes.
+const LATE_SETTLE_INTERVAL: Duration = Duration::from_secs(1);
+const SETTLE_TIME: Duration = Duration::from_secs(5);
 
 /// How much a node depends on exchanges.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,8 +73,13 @@
         if need == SyncNeed::Unsettled {
             for (stream, link) in turn.links.iter_mut() {
                 let is_local = link.data_centre == place.data_centre;
-                let is_due = now.saturating_duration_since(link.last_digest) >= SETTLE_INTERVAL;
-                if is_local && is_due {
+                let is_new = now.saturating_duration_since(link.opened) < SETTLE_TIME;
+                let interval = if is_new {
+                    SETTLE_INTERVAL
+                } else {
+                    LATE_SETTLE_INTERVAL
+                };
+                if is_local && is_due(Some(link.last_digest), interval, now) {
                     Self::ask(*stream, link, table, place, now, turn.queue);
                 }
             }
--- a/crates/apricotfold-control/tests/mesh/mod.rs
+++ b/crates/apricotfold-control/tests/mesh/mod.rs
@@ -9,8 +9,7 @@
 };
 
 use apricotfold_control::{
-    ControlAction, ControlConfig, ControlCore, ControlEvent, MessageBody, RecordBody,
-    StreamDirection, StreamId,
+    ControlAction, ControlConfig, ControlCore, ControlEvent, MessageBody, StreamDirection, StreamId,
 };
 use apricotfold_model::TargetState;
 use apricotfold_schema::peer::{Record, RecordId, RecordKind};
@@ -124,35 +123,6 @@
         names
     }
 
-    pub fn count_pushed(&self, kind: RecordKind, between: impl Fn(&str, &str) -> bool) -> usize {
-        let is_kind = |record: &Record| {
-            record
-                .id
-                .as_ref()
-                .is_some_and(|id| id.kind == i32::from(kind))
-        };
-        let pushed = self.pushed.iter();
-        pushed
-            .filter(|(from, to, record)| is_kind(record) && between(from, to))
-            .count()
-    }
-
-    /// Pushed candidates and heads that carry their bundle.
-    pub fn count_bundles(&self, between: impl Fn(&str, &str) -> bool) -> usize {
-        let has_bundle = |record: &Record| {
-            let kind = record.id.as_ref().map(RecordId::kind).unwrap_or_default();
-            match RecordBody::decode(kind, &record.body) {
-                Some(RecordBody::Head(body)) => !body.bundle.is_empty(),
-                Some(RecordBody::Candidate(body)) => !body.bundle.is_empty(),
-                _ => false,
-            }
-        };
-        let pushed = self.pushed.iter();
-        pushed
-            .filter(|(from, to, record)| between(from, to) && has_bundle(record))
-            .count()
-    }
-
     /// Ends a process without a word.
     pub fn kill(&mut self, node: &str) {
         self.cores.remove(node);
--- a/crates/apricotfold-control/tests/push_tree.rs
+++ b/crates/apricotfold-control/tests/push_tree.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use apricotfold_control::{ControlCore, ControlEvent, RecordBody, RecordScope};
-use apricotfold_schema::peer::RecordKind;
+use apricotfold_schema::peer::{Record, RecordId, RecordKind};
 use compact_str::CompactString;
 use mesh::Mesh;
 
@@ -34,6 +34,35 @@
     kinds.into_iter().flat_map(of_kind).collect()
 }
 
+fn count_pushed(mesh: &Mesh, kind: RecordKind, between: impl Fn(&str, &str) -> bool) -> usize {
+    let is_kind = |record: &Record| {
+        record
+            .id
+            .as_ref()
+            .is_some_and(|id| id.kind == i32::from(kind))
+    };
+    let pushed = mesh.pushed.iter();
+    pushed
+        .filter(|(from, to, record)| is_kind(record) && between(from, to))
+        .count()
+}
+
+/// Pushed candidates and heads that carry their bundle.
+fn count_bundles(mesh: &Mesh, between: impl Fn(&str, &str) -> bool) -> usize {
+    let has_bundle = |record: &Record| {
+        let kind = record.id.as_ref().map(RecordId::kind).unwrap_or_default();
+        match RecordBody::decode(kind, &record.body) {
+            Some(RecordBody::Head(body)) => !body.bundle.is_empty(),
+            Some(RecordBody::Candidate(body)) => !body.bundle.is_empty(),
+            _ => false,
+        }
+    };
+    let pushed = mesh.pushed.iter();
+    pushed
+        .filter(|(from, to, record)| between(from, to) && has_bundle(record))
+        .count()
+}
+
 fn assert_equal(mesh: &Mesh, seed: u64) {
     let (first, core) = mesh.cores.first_key_value().expect("a node");
     let expected = content(core);
@@ -107,7 +136,7 @@
         mesh.announce("n-a-03", if step % 2 == 0 { "api" } else { "web" });
         mesh.run(Duration::from_millis(500));
     }
-    let copies = mesh.count_pushed(RecordKind::Endpoint, |_, _| true);
+    let copies = count_pushed(&mesh, RecordKind::Endpoint, |_, _| true);
     // 10 updates to 15 other nodes need 150 copies; all links together would carry about 500.
     assert!((150..=260).contains(&copies), "{copies} copies");
 }
@@ -162,14 +191,14 @@
     mesh.run(secs(6));
     assert_eq!(mesh.applied.len(), 15);
     let is_across = |from: &str, to: &str| from.as_bytes()[0] != to.as_bytes()[0];
-    let bundles = mesh.count_bundles(is_across);
+    let bundles = count_bundles(&mesh, is_across);
     assert_eq!(bundles, 2, "one bundle for each other region");
     assert_eq!(
         mesh.store.calls["bundle"], 1,
         "the far gateway leaves it to the near one"
     );
     // One endpoint update of each node follows, and each crosses once to two regions.
-    let endpoints = mesh.count_pushed(RecordKind::Endpoint, is_across);
+    let endpoints = count_pushed(&mesh, RecordKind::Endpoint, is_across);
     assert!(
         endpoints <= 30,
         "{endpoints} endpoint copies between the regions"
