Count a queue as overloaded after 40 ms, not 100 ms

Cause: in the measure crest, requests that waited the whole queue_wait of 40 ms were refused with queue-full as long as the queue had been busy for less than 100 ms. The entry node retried them at another target, where they waited up to 40 ms again, so their callers were told after more than 50 ms. Evidence: nodes logged 1,590 retries (AF3004) in one peak, and queues did not reach their limit of 64, so every queue-full came from an expired wait.

Ruled out: a shorter queue_wait, which is a profile's setting and would refuse bursts that can be served.

Change: OVERLOAD_AFTER is 40 ms, the default queue_wait. expired_wait guards against the retry; with 100 ms it fails (queue-full instead of overloaded).

--- a/crates/apricotfold-policy/src/admission.rs
+++ b/crates/apricotfold-policy/src/admission.rs
@@ -16,8 +16,10 @@
 pub type AdmissionEvents = SmallVec<[AdmissionEvent; 4]>;
 
 /// Time for which requests must have been waiting without a pause before the queue counts as
-/// overloaded. Bursts that drain sooner are served oldest first.
-const OVERLOAD_AFTER: Duration = Duration::from_millis(100);
+/// overloaded. Bursts that drain sooner are served oldest first. It is not above the default
+/// `queue_wait`: a request that waited that long in vain must not be retried, because a second wait
+/// would tell its caller of the refusal after more than 50 ms.
+const OVERLOAD_AFTER: Duration = Duration::from_millis(40);
 
 /// Weight of a new service time in the moving estimate. It follows a change within about ten
 /// requests.
@@ -102,7 +104,7 @@
 /// Decides which requests a target runs, which wait, and which are refused.
 ///
 /// Short and long work wait in separate queues, highest priority first. Within a priority the
-/// oldest goes first, until requests have been waiting without a pause for 100 ms; from then on the
+/// oldest goes first, until requests have been waiting without a pause for 40 ms; from then on the
 /// newest goes first. Under sustained overload most waiting requests will be refused whatever the
 /// order, and the newest ones have the most time left, so the target's work is not spent on answers
 /// that arrive too late.
--- /dev/null
+++ b/crates/apricotfold-policy/tests/expired_wait.rs
@@ -0,0 +1,24 @@
+//! Refusals of requests that waited in vain.
+
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallPriority, LimitRule, RefusalReason, WorkClass};
+use apricotfold_policy::{Admission, AdmissionEvent, AdmissionLimits, AdmissionQueue};
+
+/// Guards against a retry after a full wait: `queue-full` would send the call to another target,
+/// where it may wait as long again, and its caller would be told after more than 50 ms.
+#[test]
+fn expired_wait() {
+    let rule = LimitRule::default();
+    let mut queue = AdmissionQueue::new(AdmissionLimits::new(&rule, 1));
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(5);
+    let mut offer = |id| {
+        let (admission, _) = queue.offer(id, WorkClass::Short, CallPriority::Normal, deadline, now);
+        admission
+    };
+    assert_eq!(offer(1), Admission::Run);
+    assert_eq!(offer(2), Admission::Wait);
+    let refused = AdmissionEvent::Refuse(2, RefusalReason::Overloaded);
+    assert_eq!(queue.expire(now + rule.queue_wait).as_slice(), [refused]);
+}
