Test the outcome of calls under failures

Cause: no test brought about a failure on the call path, so invariant I5 was unproven.

A request that is in flight at two crashes is refused as poison, which would hide later kills.

--- a/crates/apricotfold-testkit/src/builder.rs
+++ b/crates/apricotfold-testkit/src/builder.rs
@@ -250,12 +250,14 @@
             links.extend([control, mesh]);
         }
         let process = starter.start(&name, "apricotfold-node", &settings)?;
+        let journal = starter.folder.join(format!("{name}-target.journal"));
         let target = plan.target.as_ref().filter(|target| target.process);
         let target = target
             .map(|target| {
                 let settings = TargetStandinSettings {
                     address: socket(TARGET_PORT),
                     node_url: format!("http://{}", socket(ADMIN_PORT)),
+                    journal_file: journal.to_string_lossy().into_owned(),
                     ..target.settings.clone()
                 };
                 starter.start(
@@ -274,6 +276,7 @@
             target_url: format!("http://{}", socket(TARGET_PORT)),
             process,
             target,
+            journal,
             links,
         })
     }
--- a/crates/apricotfold-testkit/src/lib.rs
+++ b/crates/apricotfold-testkit/src/lib.rs
@@ -11,7 +11,7 @@
 mod process;
 
 pub use announcer::TargetAnnouncer;
-pub use builder::{MeshBuilder, NodePlan, TargetPlan};
+pub use builder::{MeshBuilder, MeshLink, NodePlan, TargetPlan};
 pub use mesh::{CallReply, CommandOutput, Mesh, MeshNode};
 pub use network::MeshNetwork;
 pub use process::{MeshProcess, ProcessUsage};
--- a/crates/apricotfold-testkit/src/mesh.rs
+++ b/crates/apricotfold-testkit/src/mesh.rs
@@ -69,6 +69,8 @@
     pub process: MeshProcess,
     /// The target's process, if it has one.
     pub target: Option<MeshProcess>,
+    /// File in which the target records what it runs.
+    pub journal: PathBuf,
     /// Links in front of the control and mesh addresses, in this order.
     pub links: Vec<MeshLink>,
 }
@@ -209,12 +211,21 @@
     /// Requests that a node's target has started and finished.
     pub async fn journal(&self, node: usize) -> Vec<Value> {
         let url = format!("{}/admin/journal", self.nodes[node].target_url);
-        match self.get_json(&url).await {
+        match self.get_json(&url).await["records"].take() {
             Value::Array(entries) => entries,
             _ => Vec::new(),
         }
     }
 
+    /// Lines of the journal file of a node's target, over all lives of its process. A killed target
+    /// leaves its file behind.
+    #[must_use]
+    pub fn journal_lines(&self, node: usize) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.nodes[node].journal).unwrap_or_default();
+        let read = |line: &str| serde_json::from_str(line).ok();
+        text.lines().filter_map(read).collect()
+    }
+
     /// Waits until a condition on a node's status holds.
     ///
     /// # Errors
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests with real processes. Each file covers one feature; all start their mesh through
 //! `apricotfold_testkit::MeshBuilder`.
 
+mod call_outcome;
 mod call_path;
+mod call_support;
 mod support;
