Bound slow request bodies and stuck receivers by the deadline

Cause: a request body was read without a time limit, so a caller that stopped sending held its node's drain without end. The deadline of an answer was checked only when the receiver asked for more, so a caller that stopped reading, or a stalled connection between two nodes, held the target's slot without end.

Change: HeldRequest::read ends at the deadline with not-run.

Before: stalled_body got no answer within 4 s, stuck_caller held its slot for more than 7 s. After: both pass.

Seen failing: with errors of the next hop taken for the end of a body, read errors of a request ignored and bodies shortened, many_callers, dying_target, cut_link and broken_requests fail. half_open_link ends at the deadline and needs that check broken instead.

--- a/crates/apricotfold-node/src/entry.rs
+++ b/crates/apricotfold-node/src/entry.rs
@@ -10,8 +10,9 @@
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 
 use crate::answer::{CallRefusal, header_text, read_header, set_outcome};
+use crate::answer_stream::stream_body;
 use crate::call::{CallAnswer, CallRun};
-use crate::forward::{HeldRequest, copy_answer, set_header, stream_body};
+use crate::forward::{HeldRequest, copy_answer, set_header};
 use crate::measure;
 use crate::state::NodeState;
 
@@ -37,7 +38,7 @@
         }
         let route = self.find_route(req)?;
         let deadline = read_deadline(req, route.rule.timeout, arrived);
-        let mut request = HeldRequest::read(req).await?;
+        let mut request = HeldRequest::read(req, deadline).await?;
         prepare_headers(&mut request, &route, &self.state)?;
         self.check_poison(&request)?;
         let call = CallRun::new(&self.state, &route, &request, deadline).run();
--- a/crates/apricotfold-node/src/forward.rs
+++ b/crates/apricotfold-node/src/forward.rs
@@ -1,26 +1,20 @@
 //! Parts of forwarding that the entry side and the target side share.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{RefusalReason, headers, log_event};
-use apricotfold_policy::LocalityTier;
+use apricotfold_model::{RefusalReason, headers};
 use bytes::Bytes;
-use futures_util::Stream;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, HOST, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::{BodyExt, Limited};
-use salvo::http::ResBody;
 use salvo::{Request, Response};
 
 use crate::answer::CallRefusal;
-use crate::measure;
 
 /// Largest request body. The body is held in memory until a target has answered, so that an
 /// attempt that was not run can be sent again.
@@ -46,10 +40,16 @@
     ///
     /// # Errors
     ///
-    /// Refuses a body that is too large or ends early; nothing has been sent on at that point.
-    pub async fn read(request: &mut Request) -> Result<Self, CallRefusal> {
+    /// Refuses a body that is too large, ends early or is not complete at the deadline; nothing has
+    /// been sent on at that point.
+    pub async fn read(request: &mut Request, deadline: Instant) -> Result<Self, CallRefusal> {
         let body = Limited::new(request.take_body(), MAX_BODY_BYTES);
-        let body = body.collect().await.map_err(|error| {
+        let read = tokio::time::timeout_at(deadline.into(), body.collect());
+        let body = read.await.map_err(|_| {
+            let detail = "request body: not complete at the deadline";
+            CallRefusal::not_run(RefusalReason::DeadlinePassed, detail)
+        })?;
+        let body = body.map_err(|error| {
             CallRefusal::not_run(RefusalReason::BadRequest, format!("request body: {error}"))
         })?;
         let path = request
@@ -117,7 +117,7 @@
     set_header(target, headers::DEADLINE_MS, left.as_millis());
 }
 
-/// Starts an answer from that of the next hop; the body follows with [`stream_body`].
+/// Starts an answer from that of the next hop; the body follows with [`stream_body`](crate::answer_stream::stream_body).
 pub fn copy_answer(answer: &reqwest::Response, response: &mut Response) {
     response.status_code(answer.status());
     let mut headers = copy_headers(answer.headers());
@@ -128,75 +128,6 @@
     response.set_headers(headers);
 }
 
-/// Streams the body of an answer and holds `guard` until the body has ended or the receiver is
-/// gone. An error of the next hop or a passed deadline ends the receiver's connection abnormally,
-/// so that a part is never taken for the whole.
-pub fn stream_body<G: Send + Unpin + 'static>(
-    answer: reqwest::Response,
-    response: &mut Response,
-    deadline: Instant,
-    tier: Option<LocalityTier>,
-    guard: G,
-) {
-    if answer.content_length() == Some(0) {
-        response.replace_body(ResBody::Once(Bytes::new()));
-        return;
-    }
-    response.stream(AnswerStream {
-        source: Box::pin(answer.bytes_stream()),
-        deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
-        tier: tier.map(Into::into),
-        _guard: guard,
-    });
-}
-
-/// Why an answer broke off.
-#[derive(Debug)]
-pub struct AnswerError(String);
-
-impl std::fmt::Display for AnswerError {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for AnswerError {}
-
-struct AnswerStream<S, G> {
-    source: Pin<Box<S>>,
-    deadline: Pin<Box<tokio::time::Sleep>>,
-    /// Distance of the target, at the entry node only.
-    tier: Option<&'static str>,
-    _guard: G,
-}
-
-impl<S, G> Stream for AnswerStream<S, G>
-where
-    S: Stream<Item = reqwest::Result<Bytes>>,
-    G: Unpin,
-{
-    type Item = Result<Bytes, AnswerError>;
-
-    fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        let this = self.get_mut();
-        if this.deadline.as_mut().poll(context).is_ready() {
-            log_event!(warn, AnswerCut, "deadline passed while the answer was sent");
-            return Poll::Ready(Some(Err(AnswerError("deadline passed".to_owned()))));
-        }
-        let item = std::task::ready!(this.source.as_mut().poll_next(context));
-        if let (Some(tier), Some(Ok(piece))) = (this.tier, &item) {
-            measure::record_answer_bytes(tier, piece.len());
-        }
-        let checked = item.map(|piece| {
-            piece.map_err(|error| {
-                log_event!(warn, AnswerCut, "next hop: {error}");
-                AnswerError(error.to_string())
-            })
-        });
-        Poll::Ready(checked)
-    }
-}
-
 /// Number of requests that a node is working on.
 #[derive(Clone, Debug, Default)]
 pub struct InFlight(Arc<AtomicUsize>);
--- a/crates/apricotfold-node/src/main.rs
+++ b/crates/apricotfold-node/src/main.rs
@@ -7,6 +7,7 @@
 mod admin;
 mod admission;
 mod answer;
+mod answer_stream;
 mod args;
 mod balance;
 mod call;
--- a/crates/apricotfold-node/src/mesh.rs
+++ b/crates/apricotfold-node/src/mesh.rs
@@ -33,7 +33,7 @@
         let arrived = Instant::now();
         let left = read_header(req.headers(), headers::DEADLINE_MS).map(Duration::from_millis);
         let deadline = arrived + left.unwrap_or(DEFAULT_DEADLINE);
-        let request = HeldRequest::read(req).await?;
+        let request = HeldRequest::read(req, deadline).await?;
         let target = self.find_target(&request)?;
         self.check_poison(&request)?;
         let slot = self.admit(&request, deadline).await?;
--- a/crates/apricotfold-node/src/target_call.rs
+++ b/crates/apricotfold-node/src/target_call.rs
@@ -12,10 +12,9 @@
 
 use crate::admission::SlotGuard;
 use crate::answer::{CallRefusal, read_header, set_outcome};
+use crate::answer_stream::stream_body;
 use crate::crash::fingerprint;
-use crate::forward::{
-    HeldRequest, InFlightGuard, copy_answer, copy_headers, set_deadline, stream_body,
-};
+use crate::forward::{HeldRequest, InFlightGuard, copy_answer, copy_headers, set_deadline};
 use crate::orders::{ClaimHold, ClaimResult, OrderDesk};
 use crate::state::NodeState;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,3 +5,4 @@
 mod call_path;
 mod call_support;
 mod support;
+mod whole_answers;
