--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,12 +3,16 @@
 
 mod bad_version;
 mod binaries;
+mod call_outcome;
 mod call_path;
+mod call_support;
 mod cut_off;
 mod event_catalogue;
 mod herd_restart;
 mod operator_race;
+mod order_claims;
 mod paused_relay;
 mod route_parts;
 mod store_outage;
 mod support;
+mod whole_answers;
