Test a publish while a region is cut off

Cause: no test covered a partition between regions during a publish. Ruled out: giving the cut region the store back at the end, because it then reads the head there and the test passes without any stream between the regions. Conclusion: the test fails when relays do not dial silent regions.

--- a/crates/apricotfold-control/tests/mesh/store.rs
+++ b/crates/apricotfold-control/tests/mesh/store.rs
@@ -18,6 +18,8 @@
 #[derive(Default)]
 pub struct FakeStore {
     pub away: bool,
+    /// Starts of the names of nodes that cannot reach the store.
+    pub unreachable: &'static [&'static str],
     /// Share of commits whose answer is lost although they took effect.
     pub lost_answers: f64,
     pub data: BTreeMap<CompactString, (Vec<u8>, i64)>,
@@ -83,10 +85,18 @@
         for key in due {
             self.delete(&key);
         }
-        if self.away {
-            self.pending.clear();
-        }
-        std::mem::take(&mut self.pending)
+        self.take_pending()
+    }
+
+    fn is_cut(&self, node: &str) -> bool {
+        let mut starts = self.unreachable.iter();
+        self.away || starts.any(|start| node.starts_with(start))
+    }
+
+    fn take_pending(&mut self) -> Posts {
+        let mut pending = std::mem::take(&mut self.pending);
+        pending.retain(|(node, _)| !self.is_cut(node));
+        pending
     }
 
     /// Publishes as the operators' command does: bundle first, then the candidate.
@@ -141,12 +151,12 @@
         rng: &mut StdRng,
     ) -> Posts {
         self.total += 1;
-        let reply = if self.away {
+        let reply = if self.is_cut(node) {
             Some(StoreReply::Unavailable)
         } else {
             self.answer(node, request, now, rng)
         };
-        let mut posts = std::mem::take(&mut self.pending);
+        let mut posts = self.take_pending();
         if let Some(reply) = reply {
             posts.push((node.clone(), ControlEvent::StoreResult { id, reply }));
         }
--- a/crates/apricotfold-control/tests/publish_votes.rs
+++ b/crates/apricotfold-control/tests/publish_votes.rs
@@ -250,3 +250,44 @@
         }
     }
 }
+
+/// Guards against a region that blocks a publish while it is cut off, that decides on its own, or
+/// that does not catch up after the partition.
+#[test]
+fn cut_region() {
+    let mut mesh = Mesh::new(9);
+    mesh.far_from_store = &["s"];
+    let mut sides = [Vec::new(), Vec::new()];
+    for (side, place) in [
+        (0, ("north", "n-a")),
+        (0, ("north", "n-b")),
+        (1, ("south", "s-a")),
+        (1, ("south", "s-b")),
+    ] {
+        for index in 0..4 {
+            let name = CompactString::from(format!("{}-{index:02}", place.1));
+            mesh.start(&name, place, 1, &[&format!("{}-00", place.1)]);
+            sides[side].push(name);
+        }
+    }
+    mesh.run(secs(12));
+    assert!(mesh.store.publish(1, "p1", mesh.now));
+    mesh.run(secs(2));
+    assert_eq!(
+        mesh.applied.len(),
+        16,
+        "all votes are in before the wait is over"
+    );
+    mesh.set_cut(&sides[0], &sides[1], true);
+    mesh.store.unreachable = &["s"];
+    mesh.run(Duration::from_millis(200));
+    assert!(mesh.store.publish(2, "p2", mesh.now));
+    mesh.run(secs(4));
+    assert!(outcome(&mesh).accepted);
+    assert_eq!(mesh.applied.len(), 24, "the region with the store goes on");
+    mesh.run(secs(20));
+    // The store stays away from the region, so that only peers can tell it.
+    mesh.set_cut(&sides[0], &sides[1], false);
+    mesh.run(secs(6));
+    assert_eq!(mesh.applied.len(), 32, "the other region has caught up");
+}
