Notice the store's return without being told

Cause: after StoreLost, a node that does not contend for a slot asked nothing of the store until StoreBack, although the daemon may only learn of the store's return from a request. Ruled out: a probe of its own, because the start reads already repeat every 10 s.

--- a/crates/apricotfold-control/src/core_steps.rs
+++ b/crates/apricotfold-control/src/core_steps.rs
@@ -221,7 +221,7 @@
     /// Reads of nodes that do not watch: relays look for the other data centres, and a node whose
     /// peers do not answer looks for relays and heads.
     fn read_store(&mut self, now: Instant) {
-        if self.watching || self.relay.is_store_away() {
+        if self.watching {
             return;
         }
         let own = &self.config.data_centre;
@@ -446,6 +446,9 @@
         let StoreReply::Listed { entries } = reply else {
             return;
         };
+        if self.relay.is_store_away() {
+            self.relay.store_changed(false, now);
+        }
         if prefix == keys::RELAYS {
             self.take_relay_entries(entries, true);
         } else if !self.watching {
--- a/crates/apricotfold-control/src/event.rs
+++ b/crates/apricotfold-control/src/event.rs
@@ -68,7 +68,7 @@
         address: CompactString,
         /// True when the connection was refused, which no live node does.
         refused: bool,
-        /// Hint of a peer that has too many new streams.
+        /// Hint of a peer that refused the stream (`RefuseStream`) because it has too many new ones.
         retry_after: Option<Duration>,
     },
     /// An open stream has ended, for whatever reason.
@@ -144,6 +144,7 @@
     },
     /// The store does not answer, or a watch was interrupted.
     StoreLost,
-    /// The store answers again. The core asks for its watches once more.
+    /// The store answers again. The core asks for its watches once more. An answer to one of the
+    /// core's own requests, which go on slowly meanwhile, has the same effect.
     StoreBack,
 }
--- a/crates/apricotfold-control/src/relay_duty.rs
+++ b/crates/apricotfold-control/src/relay_duty.rs
@@ -21,12 +21,14 @@
 const CONTENDERS: usize = 4;
 /// Life of a slot's lease.
 pub(crate) const SLOT_TTL: Duration = Duration::from_secs(5);
+/// Three renewals fit into the lease, so that one lost answer does not end it.
 const KEEP_INTERVAL: Duration = Duration::from_millis(1500);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Wait before the first attempt, in which existing relays are heard.
 const START_DELAY: Duration = Duration::from_millis(500);
 /// Between the first attempts of two ranks, so that usually one attempt per slot is enough.
 const RANK_DELAY: Duration = Duration::from_millis(300);
+/// Between two attempts to take a slot that was occupied or while the store is away.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// A role as relay.
@@ -41,6 +43,7 @@
     valid_until: Instant,
     next_keep: Instant,
     next_heartbeat: Instant,
+    /// Version of the latest record of this role.
     published: RecordVersion,
 }
 
@@ -67,7 +70,9 @@
 pub(crate) struct RelayDuty {
     started: Instant,
     held: Option<HeldSlot>,
+    /// Attempt on a slot that is on its way, with the slot and the time of sending.
     asked: Option<(RequestId, u32, Instant)>,
+    /// Renewal that is on its way, with the time of sending.
     kept: Option<(RequestId, Instant)>,
     next_try: Instant,
     store_away: bool,
--- a/crates/apricotfold-control/tests/version_floor.rs
+++ b/crates/apricotfold-control/tests/version_floor.rs
@@ -150,7 +150,7 @@
     mesh.run(secs(7));
     assert!(mesh.store.publish(1, "p1", mesh.now));
     mesh.run(secs(2));
-    mesh.store.away = true;
+    mesh.set_store_away(true);
     mesh.applied.clear();
     for node in &names {
         mesh.kill(node);
@@ -163,7 +163,8 @@
     for core in mesh.cores.values() {
         assert_eq!(core.waiting_for(), Some(WaitReason::NoSource));
     }
-    mesh.set_store_away(false);
+    // Nobody tells the cores; their own requests find out.
+    mesh.store.away = false;
     mesh.run(secs(15));
     assert_eq!(mesh.applied.len(), names.len());
     assert!(mesh.cores.values().all(|core| core.waiting_for().is_none()));
