Keep orders claimable after claims that were not used

Cause, three faults: - A caller that left while its claim was being written left the order as running in the ledger, so every repeat waited until its deadline. - A claim that the store wrote after its node had given up was forgotten as soon as the node claimed the order again. Its holder then said that the order may have run, and the order never ran. - One claim id was used for all tries of a call. After a try had ended as not run, another node could replace the claim while the relay granted the same id again, and both could run the order. This one was found by reading and has no test that shows it.

Ruled out: the store's lost answers. The relay reads them back.

Change: the ledger remembers the earlier claims of an order as not run; a dropped claim counts as not run; each try has an id of its own. The relay skips claims whose asker has gone and takes a new lease after a refused write.

--- a/crates/apricotfold-node/src/claim_desk.rs
+++ b/crates/apricotfold-node/src/claim_desk.rs
@@ -122,6 +122,7 @@
     /// Writes a batch. Claims that exist already are answered with their holder, and the others
     /// are written without them.
     async fn write(&self, mut claims: Vec<ClaimRequest>) {
+        claims.retain(|claim| self.is_wanted(claim));
         while !claims.is_empty() {
             let found = match self.commit(&claims).await {
                 Ok(None) => {
@@ -130,6 +131,8 @@
                 }
                 Ok(Some(found)) => found,
                 Err(error) => {
+                    // The lease may be what the store refused.
+                    *self.lease.lock().await = None;
                     log_event!(warn, StoreUnavailable, "{} claims: {error}", claims.len());
                     for claim in &claims {
                         self.reply(claim, Err(Status::unavailable(error.to_string())));
@@ -149,6 +152,19 @@
         }
     }
 
+    /// Tells whether the asker of a claim still waits. During an outage of the store the repeats of
+    /// each caller queue up; writing those that were given up would delay the others.
+    fn is_wanted(&self, claim: &ClaimRequest) -> bool {
+        let mut waiting = self.waiting.lock().expect("no panic while locked");
+        let gone = waiting
+            .get(&claim.ticket)
+            .is_none_or(|waiter| waiter.sender.is_closed());
+        if gone {
+            waiting.remove(&claim.ticket);
+        }
+        !gone
+    }
+
     /// Returns `None` when the whole batch was written, and the entries in its way otherwise. A
     /// batch whose answer was lost is written again: if it had taken effect, the entries in its
     /// way are its own.
--- a/crates/apricotfold-node/src/orders.rs
+++ b/crates/apricotfold-node/src/orders.rs
@@ -29,7 +29,7 @@
 /// Time between two questions about an order that is still running.
 const ASK_INTERVAL: Duration = Duration::from_millis(50);
 /// Times that a claim whose holder did not run the order is replaced within one call.
-const REPLACE_TRIES: u32 = 3;
+const REPLACE_TRIES: u32 = 4;
 
 /// Keyed orders of this node, and claims for others while it is the acting relay.
 pub struct OrderDesk {
@@ -44,6 +44,27 @@
     claim: ClaimId,
 }
 
+/// A claim that a relay has been asked for. Dropped before it is granted, also because the caller
+/// has gone, it counts as not run: the claim may have been written, and a repeat then replaces it.
+struct PendingClaim<'a> {
+    desk: &'a OrderDesk,
+    order: &'a OrderKey,
+    claim: &'a ClaimId,
+}
+
+impl PendingClaim<'_> {
+    /// Lets the claim stand, because it was granted.
+    fn keep(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for PendingClaim<'_> {
+    fn drop(&mut self) {
+        self.desk.ledger().fail_not_run(self.order, self.claim);
+    }
+}
+
 /// What a claim came to.
 pub enum ClaimResult {
     /// The order may run.
@@ -75,30 +96,28 @@
     ) -> Result<ClaimResult, CallRefusal> {
         let (service, key) = read_key(request)?;
         let order: OrderKey = format_compact!("{service}/{key}");
-        let claim: ClaimId = format_compact!(
-            "{}-{}-{:016x}",
-            self.state.config.node,
-            self.state.incarnation,
-            self.state.random()
-        );
         let mut replaces = String::new();
         for _ in 0..REPLACE_TRIES {
+            let claim = self.new_claim();
             let begun = self.ledger().begin(&order, &claim);
             if let Err(known) = begun {
                 return self.follow_local(&order, known, deadline).await;
             }
+            let pending = PendingClaim {
+                desk: self,
+                order: &order,
+                claim: &claim,
+            };
             let asked = self.ask_relay(&service, &key, &claim, &replaces).await;
             let reply = asked.map_err(|error| {
-                // The claim may have been written. The ledger then tells a repeat that this
-                // attempt did not run, and the repeat replaces it.
-                self.ledger().fail_not_run(&order, &claim);
                 CallRefusal::not_run(RefusalReason::StoreUnavailable, error.to_string())
             })?;
             if reply.granted {
+                pending.keep();
                 log_event!(info, OrderClaim, "{order} granted to {claim}");
                 return Ok(ClaimResult::Granted(ClaimHold { order, claim }));
             }
-            self.ledger().fail_not_run(&order, &claim);
+            drop(pending);
             let holder = &reply.holder_node;
             log_event!(
                 info,
@@ -118,6 +137,14 @@
         ))
     }
 
+    /// Returns a claim id that was never used. An id under which an order was not run must not be
+    /// granted later, because other nodes may have been told that it is free to be replaced.
+    fn new_claim(&self) -> ClaimId {
+        let state = &self.state;
+        let (node, incarnation) = (&state.config.node, state.incarnation);
+        format_compact!("{node}-{incarnation}-{:016x}", state.random())
+    }
+
     /// Notes the answer of an order that ran.
     pub fn finish(&self, hold: &ClaimHold, answer: StoredAnswer) {
         self.ledger().finish(&hold.order, &hold.claim, answer);
--- a/crates/apricotfold-policy/src/ledger.rs
+++ b/crates/apricotfold-policy/src/ledger.rs
@@ -55,10 +55,28 @@
     MayHaveRun,
 }
 
+/// Earlier claims of one order that are remembered as not run. A store that is away or slow can have
+/// written any of them, and each repeat of the caller adds one.
+const MAX_UNUSED_CLAIMS: usize = 256;
+
 #[derive(Clone, Debug)]
 struct OrderEntry {
     claim: ClaimId,
     outcome: OrderOutcome,
+    /// Earlier claims under which the order was not run, oldest first.
+    unused: VecDeque<ClaimId>,
+}
+
+impl OrderEntry {
+    fn outcome_of(&self, claim: &ClaimId) -> OrderOutcome {
+        if self.claim == *claim {
+            return self.outcome.clone();
+        }
+        if self.unused.contains(claim) {
+            return OrderOutcome::NotRun;
+        }
+        OrderOutcome::MayHaveRun
+    }
 }
 
 /// Keeps the outcome of each keyed order that this node ran, for repeats that ask for it.
@@ -81,16 +99,24 @@
     /// # Errors
     ///
     /// Returns what is known when the order is running, has run or may have run here; it must not
-    /// be passed to the target then. An order that was certainly not run can be started again.
+    /// be passed to the target then. An order that was certainly not run can be started again under
+    /// a new claim; the earlier claim may still be in the store and stays known as not run.
     pub fn begin(&mut self, key: &OrderKey, claim: &ClaimId) -> Result<(), OrderOutcome> {
-        if let Some(known) = self.orders.get(key)
-            && known.outcome != OrderOutcome::NotRun
-        {
-            return Err(known.outcome.clone());
+        let mut unused = VecDeque::new();
+        if let Some(known) = self.orders.get_mut(key) {
+            if known.outcome != OrderOutcome::NotRun {
+                return Err(known.outcome.clone());
+            }
+            unused = std::mem::take(&mut known.unused);
+            unused.push_back(known.claim.clone());
+            if unused.len() > MAX_UNUSED_CLAIMS {
+                unused.pop_front();
+            }
         }
         let entry = OrderEntry {
             claim: claim.clone(),
             outcome: OrderOutcome::Running,
+            unused,
         };
         self.orders.insert(key.clone(), entry);
         self.finished.retain(|known| known != key);
@@ -108,8 +134,8 @@
         self.settle(key, claim, outcome);
     }
 
-    /// Notes that a claimed order was certainly not run. The daemon also deletes the claim from the
-    /// store, comparing its claim id, so that a repeat can claim the key again.
+    /// Notes that a claimed order was certainly not run, and never will be under this claim. A repeat
+    /// then replaces the claim in the store.
     pub fn fail_not_run(&mut self, key: &OrderKey, claim: &ClaimId) {
         self.settle(key, claim, OrderOutcome::NotRun);
     }
@@ -122,10 +148,8 @@
     /// Tells what became of an order under a claim.
     #[must_use]
     pub fn outcome(&self, key: &OrderKey, claim: &ClaimId) -> OrderOutcome {
-        self.orders
-            .get(key)
-            .filter(|known| known.claim == *claim)
-            .map_or(OrderOutcome::MayHaveRun, |known| known.outcome.clone())
+        let known = self.orders.get(key);
+        known.map_or(OrderOutcome::MayHaveRun, |known| known.outcome_of(claim))
     }
 
     /// Tells what became of the latest attempt of an order on this node.
--- a/crates/apricotfold-policy/tests/order_ledger.rs
+++ b/crates/apricotfold-policy/tests/order_ledger.rs
@@ -67,3 +67,25 @@
     let running = ledger.outcome(&"running".into(), &claim);
     assert_eq!(running, OrderOutcome::Running);
 }
+
+/// Guards against an order that can never run because an earlier claim, written late by a slow store,
+/// is no longer known as not run.
+#[test]
+fn earlier_claims_stay_known_as_not_run() {
+    let mut ledger = OrderLedger::new();
+    let key = OrderKey::from("k");
+    let claims: Vec<_> = (0..4)
+        .map(|number| ClaimId::from(format!("c{number}")))
+        .collect();
+    for claim in &claims[..3] {
+        assert_eq!(ledger.begin(&key, claim), Ok(()));
+        ledger.fail_not_run(&key, claim);
+    }
+    assert_eq!(ledger.begin(&key, &claims[3]), Ok(()));
+    for claim in &claims[..3] {
+        assert_eq!(ledger.outcome(&key, claim), OrderOutcome::NotRun);
+    }
+    assert_eq!(ledger.outcome(&key, &claims[3]), OrderOutcome::Running);
+    let unknown = ClaimId::from("c9");
+    assert_eq!(ledger.outcome(&key, &unknown), OrderOutcome::MayHaveRun);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod call_outcome;
 mod call_path;
 mod call_support;
+mod order_claims;
 mod support;
 mod whole_answers;
