Wait for the last bytes of answers before a node exits

Cause: after the last request in flight had ended, a node asked its servers to stop and exited 20 ms later. An answer ends for the node when the server has taken it, so the bytes that a slow caller had not yet read were lost, and the time for flushing was never waited for.

Ruled out: the kernel's buffers. A 3 MB download fits them and was whole; a 12 MB download was cut.

Change: ServerSet::stop waits until the servers have closed their connections, within the rest of the grace period and at least 2 s. graceful_stop stops the target, its node, both, or the entry node during short calls, downloads and keyed orders. target_drain checks that no new work reaches a leaving target after 3 s, also with control links cut.

--- a/crates/apricotfold-node/src/server.rs
+++ b/crates/apricotfold-node/src/server.rs
@@ -2,13 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use apricotfold_model::{StepError, log_event};
+use futures_util::future::join_all;
 use metrics_exporter_prometheus::PrometheusHandle;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use salvo::{Handler, Router, Server};
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::JoinHandle;
 
 use crate::admin;
 use crate::entry::EntryHandler;
@@ -19,10 +22,29 @@
 /// Connections that wait to be accepted. A herd of callers reconnects at once after a cut.
 const BACKLOG: u32 = 1024;
 
-/// The running HTTP servers.
+/// The servers that callers and other nodes use; stopped once in-flight work has ended.
 pub struct ServerSet {
-    /// Servers that callers and other nodes use; stopped once in-flight work has ended.
-    pub calls: Vec<ServerHandle>,
+    calls: Vec<RunningServer>,
+}
+
+struct RunningServer {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl ServerSet {
+    /// Closes idle connections and waits until the others have sent their answers to the end, at
+    /// most for `limit`. An answer has left its request's hands before its caller has read it.
+    pub async fn stop(self, limit: Duration) {
+        for server in &self.calls {
+            server.handle.stop_graceful(limit);
+        }
+        let tasks = self.calls.into_iter().map(|server| server.task);
+        let stopped = tokio::time::timeout(limit, join_all(tasks)).await;
+        if stopped.is_err() {
+            log_event!(warn, DrainExpired, "open connections after {limit:?}");
+        }
+    }
 }
 
 /// Opens all addresses, so that a wrong one is reported before the node announces itself.
@@ -48,14 +70,14 @@
     Router::with_path("{**rest}").goal(handler)
 }
 
-fn serve(address: SocketAddr, router: Router) -> eyre::Result<ServerHandle> {
+fn serve(address: SocketAddr, router: Router) -> eyre::Result<RunningServer> {
     let listener = open(address).inspect_err(|error| {
         log_event!(error, ListenFailed, "{error}");
     })?;
     let server = Server::new(TcpAcceptor::try_from(listener)?);
     let handle = server.handle();
-    tokio::spawn(server.serve(router));
-    Ok(handle)
+    let task = tokio::spawn(server.serve(router));
+    Ok(RunningServer { handle, task })
 }
 
 /// Opens a listening socket. Accepted sockets inherit `TCP_NODELAY`; without it, the second small
--- a/crates/apricotfold-node/src/shutdown.rs
+++ b/crates/apricotfold-node/src/shutdown.rs
@@ -10,7 +10,7 @@
 use crate::state::NodeState;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time that connections get to send the last bytes of finished answers.
+/// Least time that connections get to send the last bytes of finished answers.
 const FLUSH_LIMIT: Duration = Duration::from_secs(2);
 
 /// Waits for SIGTERM or SIGINT.
@@ -46,9 +46,7 @@
         );
     }
     state.leave();
-    for server in servers.calls {
-        server.stop_graceful(FLUSH_LIMIT);
-    }
-    tokio::time::sleep(POLL_INTERVAL).await;
+    let left = limit.saturating_duration_since(Instant::now());
+    servers.stop(left.max(FLUSH_LIMIT)).await;
     log_event!(info, Stopped, "node {}", state.config.node);
 }
--- a/tests/testsuite/call_support.rs
+++ b/tests/testsuite/call_support.rs
@@ -3,12 +3,15 @@
 
 use std::collections::HashMap;
 use std::ops::{Deref, DerefMut};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use apricotfold_model::headers;
 use apricotfold_testkit::{CallReply, Mesh, MeshBuilder, NodePlan};
 use serde_json::{Value, json};
 use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::task::JoinHandle;
 
 use crate::support::{CONVERGENCE_LIMIT, FORMATION_LIMIT};
 
@@ -23,10 +26,14 @@
 /// Time within which a caller must have an answer or a broken connection. Beyond the route's
 /// timeout it covers only the way through the processes of a busy machine.
 pub const ANSWER_LIMIT: Duration = Duration::from_secs(4);
+/// Time after which a target that is leaving receives no new work, from invariant I7.
+pub const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 /// Time that a process gets to start, stop or be noticed where no bound of the design applies.
 pub const PROCESS_LIMIT: Duration = Duration::from_secs(20);
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two calls of a constant load.
+const LOAD_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A mesh that counts against the limit of meshes.
 pub struct CallMesh {
@@ -286,6 +293,63 @@
     matching.count()
 }
 
+/// Calls at a constant rate, each with an id of its own.
+pub struct ConstantLoad {
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<Vec<TimedRecord>>,
+}
+
+/// A call of a constant load.
+#[derive(Debug)]
+pub struct TimedRecord {
+    /// When it was sent.
+    pub sent: Instant,
+    /// What its caller learned.
+    pub record: CallRecord,
+}
+
+impl ConstantLoad {
+    /// Starts calls of a path, in turn through each of the nodes.
+    pub fn start(mesh: &CallMesh, nodes: &[usize], path: &str) -> Self {
+        let client = mesh.client.clone();
+        let urls: Vec<_> = nodes.iter().map(|node| mesh.url(*node, path)).collect();
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let task = tokio::spawn(async move {
+            let mut calls = Vec::new();
+            for url in urls.iter().cycle() {
+                if stopped.load(Ordering::Relaxed) {
+                    break;
+                }
+                let id = format!("load-{}", calls.len());
+                let request = client.get(url).header("x-request-id", &id);
+                let sent = Instant::now();
+                calls.push((sent, tokio::spawn(record_call(id, request))));
+                tokio::time::sleep(LOAD_INTERVAL).await;
+            }
+            let mut records = Vec::new();
+            for (sent, call) in calls {
+                let record = call.await.expect("a call does not panic");
+                records.push(TimedRecord { sent, record });
+            }
+            records
+        });
+        Self { stop, task }
+    }
+
+    /// Stops the load and waits for all answers.
+    pub async fn stop(self) -> eyre::Result<Vec<TimedRecord>> {
+        self.stop.store(true, Ordering::Relaxed);
+        Ok(self.task.await?)
+    }
+}
+
+/// Time in milliseconds since 1970, as the journals give it.
+pub fn wall_clock_ms() -> u64 {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH);
+    age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Waits until a condition holds.
 pub async fn wait_until(
     limit: Duration,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,8 @@
 mod call_outcome;
 mod call_path;
 mod call_support;
+mod graceful_stop;
 mod order_claims;
 mod support;
+mod target_drain;
 mod whole_answers;
