--- a/crates/apricotfold-load/src/bin/apricotfold-bench/main.rs
+++ b/crates/apricotfold-load/src/bin/apricotfold-bench/main.rs
@@ -25,7 +25,8 @@
 Usage: apricotfold-bench MEASURE [--seconds N] [--quick]
 
 Arguments:
-  MEASURE      head-of-line, stragglers, crest, added-time or all
+  MEASURE      head-of-line, stragglers, crest, added-time or all;
+               page only writes the page from the raw results
 
 Options:
   --seconds N  length of each load, default 15; the peak of crest always takes 10
@@ -87,6 +88,7 @@
     let mut measures = Vec::new();
     let mut seconds = None;
     let mut quick = false;
+    let mut page_only = false;
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
@@ -101,11 +103,13 @@
                 return Ok(None);
             }
             Value(name) if name == "all" => measures.extend(Measure::iter()),
+            Value(name) if name == "page" => page_only = true,
             Value(name) => measures.push(name.parse_with(str::parse)?),
             other => return Err(other.unexpected().into()),
         }
     }
-    eyre::ensure!(!measures.is_empty(), "MEASURE: expected one; see --help");
+    let complete = page_only || !measures.is_empty();
+    eyre::ensure!(complete, "MEASURE: expected one; see --help");
     let default = if quick {
         QUICK_SECONDS
     } else {
--- a/crates/apricotfold-load/src/bin/apricotfold-bench/report.rs
+++ b/crates/apricotfold-load/src/bin/apricotfold-bench/report.rs
@@ -15,11 +15,13 @@
 const RESULTS: &str = "docs/results";
 const PLOTS: &str = "docs/plots";
 const PAGE: &str = "docs/REPORT.md";
+/// What people found out about the figures; it ends the page.
+const FINDINGS: &str = "docs/results/findings.md";
 
 const INTRODUCTION: &str = "\
 # Measurements of the call path
 
-`apricotfold-bench` writes this page from docs/results; don't edit it. Real processes run on one machine
+`apricotfold-bench` writes this page from docs/results; edit docs/results/findings.md instead. Real processes run on one machine
 over loopback, and load is open-loop: arrivals are fixed before the start, and latency counts from the
 planned arrival. A target is judged by the choice `least-latency`; the other choices are baselines. Load
 averages include the measure's own processes, except the one at the start. Figures marked as trials were
@@ -65,6 +67,9 @@
             serde_json::from_str(&text).wrap_err_with(|| format!("reading {}", path.display()))?;
         add_section(&mut page, &sheet)?;
     }
+    if let Ok(findings) = fs::read_to_string(FINDINGS) {
+        write!(page, "\n## Findings\n\n{findings}")?;
+    }
     fs::write(PAGE, page).wrap_err("writing docs/REPORT.md")
 }
 
