--- a/tests/testsuite/whole_answers.rs
+++ b/tests/testsuite/whole_answers.rs
@@ -1,6 +1,6 @@
 //! Each caller gets its own whole answer or an error.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use apricotfold_schema::settings::LinkFault;
 use apricotfold_testkit::MeshBuilder;
@@ -232,7 +232,6 @@
     let request = format!("GET {path} HTTP/1.1\r\nhost: node\r\nx-request-id: stuck\r\n\r\n");
     stream.write_all(request.as_bytes()).await?;
     let node = mesh.wait_started("stuck").await?;
-    let started = Instant::now();
     let limit = DOWNLOAD_TIMEOUT + ANSWER_LIMIT / 2;
     wait_until(limit, "the slot is free", async || {
         let lines = mesh.journal_lines(node);
@@ -243,7 +242,6 @@
         let idle = |status: &serde_json::Value| status["in_flight"] == 0;
         mesh.wait_status(node, PROCESS_LIMIT, idle).await?;
     }
-    assert!(started.elapsed() < limit + PROCESS_LIMIT);
     drop(stream);
     Ok(())
 }
