Test retries of deep calls against the budget

Cause: nothing showed that the retries of a tree of calls stay inside the budget of each level.

Change: deep_calls makes the calls of nine levels by hand, each through a node of its own with the hops of the levels above, against targets that do not run. It counts attempts in the nodes' logs.

--- /dev/null
+++ b/tests/testsuite/deep_calls.rs
@@ -0,0 +1,95 @@
+//! Retries in a deep tree of calls stay inside the retry budget.
+
+use std::time::Instant;
+
+use apricotfold_model::headers;
+use apricotfold_testkit::{MeshBuilder, NodePlan};
+use reqwest::Method;
+use serde_json::json;
+
+use crate::call_support::{CallMesh, call_profile, record_call, start_profile};
+use crate::support::{FLN_A, POA_A, POA_B};
+
+/// Depth of the tree, from section 1.2 of the design. The stand-in targets call nobody, so the test
+/// makes the call of each level itself, with the hops that the levels above would have added.
+const DEPTH: usize = 9;
+/// Calls of each level.
+const CALLS: usize = 100;
+/// Share of retries that the profile allows, in percent.
+const BUDGET_PERCENT: usize = 20;
+/// Seconds over which a budget counts.
+const BUDGET_WINDOW: f64 = 10.0;
+/// Nodes that a tree of calls may pass.
+const MAX_HOPS: usize = 18;
+
+/// Nodes 0 to 8 make the calls of one level each. The two targets of press-room are announced but
+/// do not run, so that every leaf fails.
+async fn start_mesh() -> eyre::Result<CallMesh> {
+    let announced = |plan: &mut NodePlan| {
+        plan.target.as_mut().expect("a target").process = false;
+    };
+    let mut builder = MeshBuilder::new();
+    for level in 0..DEPTH {
+        let place = [POA_A, POA_B, FLN_A][level % 3];
+        builder = builder.node_with(place, "parish-desk", "almanac", announced);
+    }
+    builder = builder
+        .node_with(POA_A, "press-room", "almanac", announced)
+        .node_with(POA_B, "press-room", "almanac", announced);
+    let mut profile = call_profile();
+    profile["retries"] = json!({"max_attempts": 3, "budget_percent": BUDGET_PERCENT});
+    start_profile(builder, &profile).await
+}
+
+/// Attempts that a node has made.
+fn count_attempts(mesh: &CallMesh, node: usize) -> usize {
+    let log = mesh.nodes[node].process.log_text();
+    log.matches("AF3001 call routed: GET /pages/deep").count()
+}
+
+async fn call_level(mesh: &CallMesh, node: usize, hops: usize) -> eyre::Result<(String, String)> {
+    let request = mesh.request(Method::GET, node, "/pages/deep", "deep");
+    let request = request.header(headers::HOPS, hops);
+    let record = record_call("deep".to_owned(), request).await;
+    let reply = record.reply.map_err(|error| eyre::eyre!(error))?;
+    Ok((reply.outcome, reply.reason))
+}
+
+/// Guards against retries that multiply over the levels of a tree, or exceed the budget of a level,
+/// when a leaf fails.
+#[tokio::test]
+async fn failing_leaf() -> eyre::Result<()> {
+    let mesh = start_mesh().await?;
+    let started = Instant::now();
+    let levels = (0..DEPTH).map(async |level| {
+        for _ in 0..CALLS {
+            let (outcome, _) = call_level(&mesh, level, 2 * level).await?;
+            assert_eq!(outcome, "not-run", "no target runs");
+        }
+        eyre::Ok(())
+    });
+    for level in futures_util::future::join_all(levels).await {
+        level?;
+    }
+    let windows = 1.0 + started.elapsed().as_secs_f64() / BUDGET_WINDOW;
+    let budget = f64::from(u32::try_from(CALLS * BUDGET_PERCENT / 100)?) * windows;
+    for level in 0..DEPTH {
+        let retries = count_attempts(&mesh, level).saturating_sub(CALLS);
+        let retries = f64::from(u32::try_from(retries)?);
+        assert!(retries > 0.0, "level {level} retries nothing");
+        assert!(retries <= budget, "level {level}: {retries} above {budget}");
+    }
+    Ok(())
+}
+
+/// Guards against a loop of calls that never ends.
+#[tokio::test]
+async fn endless_loop() -> eyre::Result<()> {
+    let mesh = start_mesh().await?;
+    let told = call_level(&mesh, 0, MAX_HOPS).await?;
+    assert_eq!(told, ("not-run".to_owned(), "too-deep".to_owned()));
+    assert_eq!(count_attempts(&mesh, 0), 0, "it was sent on");
+    let (_, reason) = call_level(&mesh, 0, MAX_HOPS - 1).await?;
+    assert_ne!(reason, "too-deep", "within the limit");
+    Ok(())
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod call_outcome;
 mod call_path;
 mod call_support;
+mod deep_calls;
 mod graceful_stop;
 mod order_claims;
 mod poison_request;
