Give the tests' profile a queue for short work

Cause: limits that omit short_queue appear to get none, so 40 callers at two targets with 12 slots were refused with queue-full and then no-target. Ruled out: a fault of the answers; the nodes' logs show the refusals.

--- a/tests/testsuite/call_support.rs
+++ b/tests/testsuite/call_support.rs
@@ -82,7 +82,7 @@
              "cluster": "press", "timeout_ms": timeout}
         ],
         "retries": {"max_attempts": 3, "budget_percent": 100},
-        "limits": {"long_percent": 50, "long_queue": 200, "queue_wait_ms": 1500},
+        "limits": {"long_percent": 50, "short_queue": 64, "long_queue": 200, "queue_wait_ms": 1500},
         "drain": {"notice_ms": 500, "grace_ms": 60_000}
     })
 }
