--- a/crates/apricotfold-model/src/snapshot.rs
+++ b/crates/apricotfold-model/src/snapshot.rs
@@ -71,7 +71,6 @@
     pub inactive: Vec<InactiveRoute>,
 }
 
-/// What a look-up in the snapshot finds.
 impl MeshSnapshot {
     /// Finds the first route that matches, active or not.
     ///
