--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -27,6 +27,24 @@
     /// The target left or stopped announcing itself.
     #[strum(serialize = "AF1006", message = "target gone")]
     TargetGone,
+    /// The settings file was read again.
+    #[strum(serialize = "AF1007", message = "settings reloaded")]
+    SettingsReloaded,
+    /// The settings file cannot be used; the former settings stay.
+    #[strum(serialize = "AF1008", message = "settings refused")]
+    SettingsRefused,
+    /// Log lines were left out to bound the volume.
+    #[strum(serialize = "AF1009", message = "log lines dropped")]
+    LogDropped,
+    /// An announcement was ignored.
+    #[strum(serialize = "AF1010", message = "announcement ignored")]
+    AnnouncementIgnored,
+    /// The platform may send callers to this node, or may not.
+    #[strum(serialize = "AF1011", message = "readiness changed")]
+    ReadinessChanged,
+    /// A connection ended with an error.
+    #[strum(serialize = "AF1012", message = "connection failed")]
+    ConnectionFailed,
     /// A new profile version is in force on this node.
     #[strum(serialize = "AF2001", message = "version applied")]
     VersionApplied,
@@ -48,6 +66,12 @@
     /// A route became active or inactive because its parts came or went.
     #[strum(serialize = "AF2007", message = "route changed")]
     RouteChanged,
+    /// A new route table is in force on this node.
+    #[strum(serialize = "AF2008", message = "route table applied")]
+    TableApplied,
+    /// A route table cannot be used; the former one stays in force.
+    #[strum(serialize = "AF2009", message = "route table refused")]
+    TableRefused,
     /// A target was chosen for a call.
     #[strum(serialize = "AF3001", message = "call routed")]
     CallRouted,
@@ -78,6 +102,18 @@
     /// A keyed order was claimed, replayed or refused.
     #[strum(serialize = "AF3010", message = "order claim")]
     OrderClaim,
+    /// A call was answered.
+    #[strum(serialize = "AF3011", message = "call answered")]
+    CallAnswered,
+    /// A caller left before its answer.
+    #[strum(serialize = "AF3012", message = "caller left")]
+    CallerLeft,
+    /// A request was in flight when its target crashed.
+    #[strum(serialize = "AF3013", message = "crash recorded")]
+    CrashRecorded,
+    /// The target sent an answer that does not belong to the request.
+    #[strum(serialize = "AF3014", message = "foreign answer")]
+    ForeignAnswer,
     /// A peer stream opened.
     #[strum(serialize = "AF4001", message = "peer connected")]
     PeerConnected,
@@ -99,6 +135,15 @@
     /// A data centre is considered lost or has come back.
     #[strum(serialize = "AF4007", message = "data centre changed")]
     DataCentreChanged,
+    /// An instance of a service came, changed or went.
+    #[strum(serialize = "AF4008", message = "instance changed")]
+    InstanceChanged,
+    /// Configuration or instances were learned from a peer.
+    #[strum(serialize = "AF4009", message = "learned from peer")]
+    PeerLearned,
+    /// A peer did not answer an exchange.
+    #[strum(serialize = "AF4010", message = "peer exchange failed")]
+    ExchangeFailed,
     /// The store answers again.
     #[strum(serialize = "AF5001", message = "store available")]
     StoreAvailable,
@@ -114,6 +159,15 @@
     /// A write whose answer was lost was settled by reading back.
     #[strum(serialize = "AF5005", message = "lost answer settled")]
     LostAnswerSettled,
+    /// An entry of the store cannot be read.
+    #[strum(serialize = "AF5006", message = "entry ignored")]
+    EntryIgnored,
+    /// This node wrote its instance to the store.
+    #[strum(serialize = "AF5007", message = "registration written")]
+    RegistrationWritten,
+    /// This node's entry lapsed or could not be written.
+    #[strum(serialize = "AF5008", message = "registration lost")]
+    RegistrationLost,
 }
 
 /// Logs an event with its number in front.
--- /dev/null
+++ b/crates/apricotfold-model/src/instance.rs
@@ -0,0 +1,98 @@
+//! Instances of services as the nodes beside them announce them to the mesh.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use strum::{Display, EnumString, IntoStaticStr};
+
+use crate::{DataCentreName, NodeId, ServiceName};
+
+/// Identifies one start of a target; a restarted target mostly has another one.
+pub type InstanceId = CompactString;
+/// Start of a target in milliseconds since the epoch; orders the lives of an id or address.
+pub type BornMillis = u64;
+/// Number of an announcement within one life of a target.
+pub type AnnouncementNumber = u64;
+
+/// Whether a target takes new work.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum InstanceState {
+    /// It takes new work.
+    Ready,
+    /// It finishes its work and takes no more.
+    Draining,
+    /// It has left.
+    Gone,
+}
+
+/// What a target says of itself to the node beside it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceAnnouncement {
+    /// The target's id.
+    pub instance: InstanceId,
+    /// Its start.
+    pub born: BornMillis,
+    /// Number of this announcement.
+    pub number: AnnouncementNumber,
+    /// Its service.
+    pub service: ServiceName,
+    /// Address at which its node reaches it.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: InstanceState,
+    /// Time for which it is still slow after its start.
+    pub cold: Duration,
+}
+
+/// An instance as other nodes know it: a store entry and a message between nodes.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct InstanceRecord {
+    /// Node beside the target.
+    pub node: NodeId,
+    /// Address at which that node takes calls for the target.
+    pub address: SocketAddr,
+    /// Data centre of both.
+    pub data_centre: DataCentreName,
+    /// The target's id.
+    pub instance: InstanceId,
+    /// The target's start.
+    pub born: BornMillis,
+    /// Number of the announcement that this record was made from.
+    pub number: AnnouncementNumber,
+    /// The target's service.
+    pub service: ServiceName,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: InstanceState,
+    /// Time in milliseconds for which the target was still slow when the record was made.
+    pub cold_ms: u64,
+}
+
+impl InstanceRecord {
+    /// Orders the records of one node: a later life goes before an earlier one, and within a life
+    /// a later announcement does. A state never turns back within a life.
+    #[must_use]
+    pub fn order(&self) -> (BornMillis, InstanceState, AnnouncementNumber) {
+        (self.born, self.state, self.number)
+    }
+}
--- a/crates/apricotfold-model/src/lib.rs
+++ b/crates/apricotfold-model/src/lib.rs
@@ -10,8 +10,11 @@
 mod event;
 mod field;
 mod ids;
+mod instance;
 mod outcome;
 mod profile;
+mod proxy_config;
+mod route_table;
 mod settings;
 mod snapshot;
 
@@ -27,10 +30,18 @@
     BundleDigest, ClusterName, DataCentreName, ListenerName, NodeId, ProfileName, ProfileVersion,
     PublishId, RegionName, SecretName, ServiceName,
 };
+pub use instance::{
+    AnnouncementNumber, BornMillis, InstanceAnnouncement, InstanceId, InstanceRecord, InstanceState,
+};
 pub use outcome::{CallOutcome, RefusalReason, headers};
 pub use profile::{
     CallPriority, ClusterRef, DrainRule, LimitRule, MeshProfile, RetryRule, RouteRule, WorkClass,
 };
+pub use proxy_config::{ProxyConfig, SharedRetryLimit};
+pub use route_table::{
+    CallerLimits, HostName, RawCallerLimits, RawRouteTable, RawTableRoute, RepeatRule, RouteName,
+    RouteTable, ServicePart, TableRoute, TableVersion,
+};
 pub use settings::{
     Distribution, LinkConfig, LinkRule, ListenerConfig, LoadConfig, NodeConfig, PickerKind,
     SecretConfig, StoreConfig, StoreFaultKind, StoreFaultRule, StoreStandinConfig,
--- a/crates/apricotfold-model/src/outcome.rs
+++ b/crates/apricotfold-model/src/outcome.rs
@@ -81,6 +81,10 @@
     BadRequest,
     /// The request passed more nodes than the depth limit allows.
     TooDeep,
+    /// The request's body is larger than callers may send.
+    BodyTooLarge,
+    /// The request's body did not arrive in time.
+    BodyLate,
 }
 
 /// Names of the headers that callers, nodes and targets exchange.
--- /dev/null
+++ b/crates/apricotfold-model/src/proxy_config.rs
@@ -0,0 +1,169 @@
+//! Checked settings of the mesh proxy. See `guide/platform.md`.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricotfold_schema::settings as raw;
+use compact_str::CompactString;
+
+use crate::settings::read_address;
+use crate::{DataCentreName, FieldError, FieldErrors, NodeId, RegionName, ServiceName};
+
+/// Grace period when the settings name none: that of common process managers.
+const DEFAULT_GRACE: Duration = Duration::from_secs(6);
+/// Announcement interval when the settings name none.
+const DEFAULT_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Window of the retry budget when the settings name none.
+const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Longest lease minimum that the proxy can work with; its leases last this long.
+const MAX_LEASE_MIN_MS: u32 = 10_000;
+
+/// Limit on repeats that all proxies share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SharedRetryLimit {
+    /// Repeats per first attempt.
+    pub share: f64,
+    /// Repeats per window beyond the share.
+    pub slack: u32,
+    /// The window.
+    pub window: Duration,
+}
+
+/// Settings of the mesh proxy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProxyConfig {
+    /// Id of the node.
+    pub node: NodeId,
+    /// Its region.
+    pub region: RegionName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Region of each data centre.
+    pub data_centres: HashMap<DataCentreName, RegionName>,
+    /// Address for callers on this instance.
+    pub caller_address: SocketAddr,
+    /// Address for calls of other proxies.
+    pub peer_address: SocketAddr,
+    /// Address for the local target's announcements.
+    pub announce_address: SocketAddr,
+    /// Address for the platform's readiness checks.
+    pub ready_address: SocketAddr,
+    /// Address of the metrics.
+    pub metrics_address: Option<SocketAddr>,
+    /// Address of the local target.
+    pub target_address: SocketAddr,
+    /// Service of the local target.
+    pub service: ServiceName,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Shortest lease that the store grants.
+    pub lease_min: Duration,
+    /// Interval at which the target announces itself.
+    pub announce_interval: Duration,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// Limit on repeats.
+    pub retry_limit: SharedRetryLimit,
+    /// Seed of random decisions; 0 takes one from the system.
+    pub seed: u64,
+}
+
+impl ProxyConfig {
+    /// Names of the settings that differ and take effect only after a restart.
+    #[must_use]
+    pub fn restart_differences(&self, other: &Self) -> Vec<&'static str> {
+        let fields = [
+            ("node", self.node != other.node),
+            ("data_centre", self.data_centre != other.data_centre),
+            (
+                "caller_address",
+                self.caller_address != other.caller_address,
+            ),
+            ("peer_address", self.peer_address != other.peer_address),
+            (
+                "announce_address",
+                self.announce_address != other.announce_address,
+            ),
+            ("ready_address", self.ready_address != other.ready_address),
+            (
+                "target_address",
+                self.target_address != other.target_address,
+            ),
+            ("store_address", self.store_address != other.store_address),
+            ("service", self.service != other.service),
+        ];
+        fields
+            .into_iter()
+            .filter_map(|(name, differs)| differs.then_some(name))
+            .collect()
+    }
+}
+
+impl TryFrom<raw::ProxySettings> for ProxyConfig {
+    type Error = FieldErrors;
+
+    fn try_from(settings: raw::ProxySettings) -> Result<Self, Self::Error> {
+        let mut errors = FieldErrors::default();
+        for (field, text) in [
+            ("node", &settings.node),
+            ("region", &settings.region),
+            ("data_centre", &settings.data_centre),
+            ("service", &settings.service),
+        ] {
+            errors.check(!text.is_empty(), || FieldError::new(field, text, "a name"));
+        }
+        errors.check(settings.lease_min_ms <= MAX_LEASE_MIN_MS, || {
+            let expected = "at most 10000";
+            FieldError::new("lease_min_ms", settings.lease_min_ms, expected)
+        });
+        let share = settings.retry_share;
+        errors.check((0.0..=1.0).contains(&share), || {
+            FieldError::new("retry_share", share, "a number from 0 to 1")
+        });
+        let metrics_address = match settings.metrics_address.as_str() {
+            "" => None,
+            text => Some(read_address(&mut errors, "metrics_address", text)),
+        };
+        let data_centres = settings
+            .data_centres
+            .into_iter()
+            .map(|(name, region)| (CompactString::from(name), CompactString::from(region)))
+            .collect();
+        let config = Self {
+            node: settings.node.into(),
+            region: settings.region.into(),
+            data_centre: settings.data_centre.into(),
+            data_centres,
+            caller_address: read_address(&mut errors, "caller_address", &settings.caller_address),
+            peer_address: read_address(&mut errors, "peer_address", &settings.peer_address),
+            announce_address: read_address(
+                &mut errors,
+                "announce_address",
+                &settings.announce_address,
+            ),
+            ready_address: read_address(&mut errors, "ready_address", &settings.ready_address),
+            metrics_address,
+            target_address: read_address(&mut errors, "target_address", &settings.target_address),
+            service: settings.service.into(),
+            store_address: read_address(&mut errors, "store_address", &settings.store_address),
+            lease_min: millis(settings.lease_min_ms, Duration::from_secs(1)),
+            announce_interval: millis(settings.announce_interval_ms, DEFAULT_ANNOUNCE_INTERVAL),
+            grace: millis(settings.grace_ms, DEFAULT_GRACE),
+            retry_limit: SharedRetryLimit {
+                share,
+                slack: settings.retry_slack,
+                window: millis(settings.retry_window_ms, DEFAULT_RETRY_WINDOW),
+            },
+            seed: settings.seed,
+        };
+        errors.finish(config)
+    }
+}
+
+fn millis(value: u32, default: Duration) -> Duration {
+    if value == 0 {
+        return default;
+    }
+    Duration::from_millis(u64::from(value))
+}
--- a/crates/apricotfold-model/src/settings.rs
+++ b/crates/apricotfold-model/src/settings.rs
@@ -183,7 +183,7 @@
     }
 }
 
-fn read_address(errors: &mut FieldErrors, field: &str, text: &str) -> SocketAddr {
+pub(crate) fn read_address(errors: &mut FieldErrors, field: &str, text: &str) -> SocketAddr {
     text.parse().unwrap_or_else(|_| {
         errors.push(FieldError::new(
             field,
--- a/crates/apricotfold-node/src/answer.rs
+++ b/crates/apricotfold-node/src/answer.rs
@@ -44,6 +44,8 @@
             RefusalReason::AlreadyClaimed => StatusCode::CONFLICT,
             RefusalReason::PoisonRequest => StatusCode::UNPROCESSABLE_ENTITY,
             RefusalReason::TooDeep => StatusCode::LOOP_DETECTED,
+            RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalReason::BodyLate => StatusCode::REQUEST_TIMEOUT,
             RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             _ if self.outcome == CallOutcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_GATEWAY,
--- a/crates/apricotfold-node/src/main.rs
+++ b/crates/apricotfold-node/src/main.rs
@@ -5,7 +5,6 @@
 //! `apricotfold-policy` and `apricotfold-control`.
 
 mod admin;
-mod admission;
 mod answer;
 mod answer_stream;
 mod args;
--- a/crates/apricotfold-node/src/mesh.rs
+++ b/crates/apricotfold-node/src/mesh.rs
@@ -7,12 +7,12 @@
 use apricotfold_model::{RefusalReason, TargetState, headers, log_event};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 
-use crate::admission::SlotGuard;
 use crate::answer::{CallRefusal, read_header};
 use crate::forward::{HeldRequest, set_header};
 use crate::orders::OrderDesk;
 use crate::state::NodeState;
 use crate::target_call::TargetCall;
+use apricotfold_proxy::SlotGuard;
 
 /// Deadline of a request that names none, which only a broken peer sends.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
--- a/crates/apricotfold-node/src/state.rs
+++ b/crates/apricotfold-node/src/state.rs
@@ -13,11 +13,11 @@
 use rand::{RngExt, SeedableRng};
 use tokio::sync::{broadcast, watch};
 
-use crate::admission::AdmissionDesk;
 use crate::balance::BalancerSet;
 use crate::crash::fingerprint;
 use crate::forward::{HeldRequest, InFlight};
 use crate::view::MeshView;
+use apricotfold_proxy::AdmissionDesk;
 
 /// Longest time to open a connection. Data centres are at most 30 ms apart, one way; a longer wait
 /// means that the other side is gone.
--- a/crates/apricotfold-node/src/target_call.rs
+++ b/crates/apricotfold-node/src/target_call.rs
@@ -10,12 +10,12 @@
 use salvo::Response;
 use salvo::http::ResBody;
 
-use crate::admission::SlotGuard;
 use crate::answer::{CallRefusal, read_header, set_outcome};
 use crate::answer_stream::stream_body;
 use crate::forward::{HeldRequest, InFlightGuard, copy_answer, copy_headers, set_deadline};
 use crate::orders::{ClaimHold, ClaimResult, OrderDesk};
 use crate::state::NodeState;
+use apricotfold_proxy::SlotGuard;
 
 /// Longest wait for the answer of a keyed order. It goes beyond the caller's deadline, so that a
 /// repeat can still get the answer.
--- a/crates/apricotfold-policy/src/admission.rs
+++ b/crates/apricotfold-policy/src/admission.rs
@@ -111,6 +111,7 @@
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     limits: AdmissionLimits,
+    oldest_first: bool,
     draining: bool,
     running: HashMap<AdmissionId, RunningRequest>,
     long_running: u32,
@@ -159,6 +160,7 @@
     pub fn new(limits: AdmissionLimits) -> Self {
         Self {
             limits,
+            oldest_first: false,
             draining: false,
             running: HashMap::new(),
             long_running: 0,
@@ -167,6 +169,14 @@
         }
     }
 
+    /// Serves the oldest request first under sustained overload, too. This suits callers whose
+    /// deadlines are set so short that a request which would wait in vain is refused on arrival.
+    #[must_use]
+    pub fn oldest_first(mut self) -> Self {
+        self.oldest_first = true;
+        self
+    }
+
     /// Decides about a new request. The events concern other requests: those that expired or that
     /// this one displaced.
     pub fn offer(
@@ -228,7 +238,7 @@
     pub fn expire(&mut self, now: Instant) -> AdmissionEvents {
         let mut events = AdmissionEvents::new();
         for class in [WorkClass::Short, WorkClass::Long] {
-            let overloaded = self.queue(class).is_overloaded(now);
+            let overloaded = self.is_overloaded(class, now);
             for request in self.queue_mut(class).waiting.take_expired(now) {
                 let reason = expiry_reason(&request, overloaded);
                 events.push(AdmissionEvent::Refuse(request.id, reason));
@@ -286,6 +296,10 @@
         self.long_running
     }
 
+    fn is_overloaded(&self, class: WorkClass, now: Instant) -> bool {
+        !self.oldest_first && self.queue(class).is_overloaded(now)
+    }
+
     fn queue(&self, class: WorkClass) -> &ClassQueue {
         match class {
             WorkClass::Short => &self.short,
@@ -339,7 +353,7 @@
         now: Instant,
         events: &mut AdmissionEvents,
     ) -> Admission {
-        let overloaded = self.queue(class).is_overloaded(now);
+        let overloaded = self.is_overloaded(class, now);
         let limit = self.limits.queue_limit(class);
         let never_runs = class == WorkClass::Long && self.limits.long_slots() == 0;
         if limit == 0 || never_runs {
@@ -362,7 +376,7 @@
     /// the slots of its class.
     fn expected_wait(&self, class: WorkClass, priority: CallPriority, now: Instant) -> Duration {
         let queue = self.queue(class);
-        let newest_first = queue.is_overloaded(now);
+        let newest_first = self.is_overloaded(class, now);
         let ahead = queue.waiting.count_ahead(priority, newest_first);
         let slots = match class {
             WorkClass::Short => self.limits.slots.saturating_sub(self.long_running),
@@ -386,8 +400,8 @@
             (Some(short), Some(long)) if long == short && self.long_running == 0 => WorkClass::Long,
             (Some(_), _) => WorkClass::Short,
         };
+        let newest_first = self.is_overloaded(class, now);
         let queue = self.queue_mut(class);
-        let newest_first = queue.is_overloaded(now);
         let request = queue.waiting.take_first(newest_first)?;
         Some((request.id, class))
     }
--- a/crates/apricotfold-policy/src/budget.rs
+++ b/crates/apricotfold-policy/src/budget.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     share: f64,
+    minimum: f64,
     first_attempts: DecayingSum,
     retries: DecayingSum,
 }
@@ -28,11 +29,20 @@
     pub fn new(percent: u32) -> Self {
         Self {
             share: f64::from(percent) / 100.0,
+            minimum: MIN_RETRIES_PER_SECOND,
             first_attempts: DecayingSum::new(BUDGET_WINDOW),
             retries: DecayingSum::new(BUDGET_WINDOW),
         }
     }
 
+    /// Changes the retries per second that are allowed at any rate of calls. Nodes that share one
+    /// limit each keep to their part of it.
+    #[must_use]
+    pub fn with_minimum(mut self, per_second: f64) -> Self {
+        self.minimum = per_second;
+        self
+    }
+
     /// Changes the share and keeps the counts.
     pub fn set_percent(&mut self, percent: u32) {
         self.share = f64::from(percent) / 100.0;
@@ -49,7 +59,7 @@
         if self.share <= 0.0 {
             return false;
         }
-        let minimum = MIN_RETRIES_PER_SECOND * BUDGET_WINDOW.as_secs_f64();
+        let minimum = self.minimum * BUDGET_WINDOW.as_secs_f64();
         let allowed = (self.share * self.first_attempts.value_at(now)).max(minimum);
         if self.retries.value_at(now) + 1.0 > allowed {
             return false;
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -26,10 +26,16 @@
 mod crash;
 mod decay;
 mod hedge;
+mod instance_registry;
 mod ledger;
+mod load_choice;
+mod local_instance;
 mod picker;
 mod plan;
+mod repeat_guide;
+mod return_time;
 mod target;
+mod traffic_split;
 mod waiting;
 
 pub use admission::{
@@ -44,6 +50,14 @@
 pub use claims::{ClaimBatch, ClaimRequest, ClaimTicket};
 pub use crash::{CrashGuard, RequestFingerprint};
 pub use hedge::HedgeTimer;
+pub use instance_registry::{ChangedNodes, InstanceRegistry};
 pub use ledger::{ClaimId, OrderKey, OrderLedger, OrderOutcome, StoredAnswer};
+pub use load_choice::{
+    AttemptEnd, ChoiceCandidate, InstanceReport, LinkCosts, LoadChooser, LoadPick,
+};
+pub use local_instance::{AnnouncementEffect, LocalInstance};
 pub use picker::{ChoiceReason, PickCandidate, TargetPicker};
 pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
+pub use repeat_guide::{NextStep, RepeatGuide, SendEnd};
+pub use return_time::advise_return;
+pub use traffic_split::TrafficSplit;
--- /dev/null
+++ b/crates/apricotfold-policy/src/load_choice.rs
@@ -0,0 +1,461 @@
+//! Load pattern: targets of unequal and changing speed behind nodes that see each other's load
+//! late. See `docs/platform.md`, section 6.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{NodeId, RouteName};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use smallvec::SmallVec;
+
+use crate::LocalityTier;
+use crate::decay::remaining_share;
+
+/// Time constant with which reported load of other nodes loses its meaning: about one service time.
+const REPORT_WINDOW: Duration = Duration::from_millis(700);
+
+/// Weight of a new sample in moving estimates of service times and speeds; they follow a change
+/// within about ten answers.
+const ESTIMATE_WEIGHT: f64 = 0.1;
+
+/// Service time that is assumed before the first answer of a route.
+const FIRST_SERVICE: Duration = Duration::from_millis(80);
+
+/// Bounds of a target's learned speed, so that one odd sample does not exclude it.
+const SLOWNESS_RANGE: (f64, f64) = (0.2, 8.0);
+
+/// Length of the first exclusion of an unreachable target; each further one doubles it.
+const FIRST_EXCLUSION: Duration = Duration::from_millis(300);
+
+/// Longest exclusion, so that a target that returns is found within about two seconds.
+const MAX_EXCLUSION: Duration = Duration::from_secs(2);
+
+/// Lost or late answers in a row after which a target counts as unreachable. A single one may be
+/// the fault of the request.
+const FAILURES_TO_EXCLUDE: u32 = 3;
+
+/// Time for which a target that refused for lack of room gets no further try of the same node.
+const FULL_PAUSE: Duration = Duration::from_millis(25);
+
+/// Differences of cost below this share are noise; a random factor of this size keeps nodes with
+/// equal knowledge from choosing alike.
+const COST_NOISE: f64 = 0.1;
+
+/// Slowness of a target that has just started.
+const COLD_FACTOR: f64 = 1.6;
+
+/// What a route's work is known to cost.
+#[derive(Clone, Copy, Debug)]
+struct WorkEstimate {
+    /// Seconds on a target of usual speed.
+    service: f64,
+    /// Bytes of an answer.
+    answer_bytes: f64,
+}
+
+impl Default for WorkEstimate {
+    fn default() -> Self {
+        Self {
+            service: FIRST_SERVICE.as_secs_f64(),
+            answer_bytes: 0.0,
+        }
+    }
+}
+
+/// Load and speed of a target, as its node reports them with each answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct InstanceReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// How long work takes on the target's machine at present, in percent of the usual time.
+    pub pace: u32,
+}
+
+/// A target that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceCandidate<'a> {
+    /// The target's node.
+    pub node: &'a NodeId,
+    /// Its distance.
+    pub tier: LocalityTier,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it has just started.
+    pub cold: bool,
+    /// Its exact load where it is the target beside this node.
+    pub own: Option<InstanceReport>,
+}
+
+/// The chosen target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadPick {
+    /// Index among the candidates.
+    pub index: usize,
+    /// Time until an answer that is expected there.
+    pub expected: Duration,
+    /// Part of it that is spent waiting for a slot.
+    pub queueing: Duration,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The target answered; `service` is the time that its node measured.
+    Answered {
+        /// Time between the target's receipt of the request and its answer.
+        service: Duration,
+        /// Bytes of the answer.
+        bytes: usize,
+    },
+    /// The target's node had no room.
+    Full,
+    /// The target takes no work at present, though its node answers.
+    Unavailable,
+    /// No connection was made.
+    Unreachable,
+    /// The connection or the answer was lost, or came too late.
+    Lost,
+    /// The caller left or another attempt was faster.
+    Cancelled,
+}
+
+/// Extra cost of answers from elsewhere. The links are shared and partly paid by volume, so
+/// a large answer is worth some waiting nearby.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LinkCosts {
+    /// Round trip within the data centre.
+    pub data_centre: Duration,
+    /// Round trip to another data centre of the region.
+    pub region: Duration,
+    /// Round trip to another region.
+    pub remote: Duration,
+    /// Waiting time that one kilobyte between data centres is worth.
+    pub region_per_kb: Duration,
+    /// Waiting time that one kilobyte between regions is worth.
+    pub remote_per_kb: Duration,
+}
+
+impl LinkCosts {
+    fn of(&self, tier: LocalityTier, answer_bytes: f64) -> f64 {
+        let (trip, per_kb) = match tier {
+            LocalityTier::SameDataCentre => (self.data_centre, Duration::ZERO),
+            LocalityTier::SameRegion => (self.region, self.region_per_kb),
+            LocalityTier::Remote => (self.remote, self.remote_per_kb),
+        };
+        trip.as_secs_f64() + per_kb.as_secs_f64() * answer_bytes / 1024.0
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SeenReport {
+    report: InstanceReport,
+    /// Reported requests that are not this node's own.
+    others: f64,
+    received: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct TargetLoad {
+    in_flight: u32,
+    waiting_since: Option<Instant>,
+    slowness: f64,
+    report: Option<SeenReport>,
+    failures: u32,
+    exclusions: u32,
+    excluded_until: Option<Instant>,
+    full_until: Option<Instant>,
+    used: Instant,
+}
+
+impl TargetLoad {
+    fn new(now: Instant) -> Self {
+        Self {
+            in_flight: 0,
+            waiting_since: None,
+            slowness: 1.0,
+            report: None,
+            failures: 0,
+            exclusions: 0,
+            excluded_until: None,
+            full_until: None,
+            used: now,
+        }
+    }
+
+    fn others(&self, now: Instant) -> f64 {
+        self.report.map_or(0.0, |seen| {
+            let age = now.saturating_duration_since(seen.received);
+            seen.others * remaining_share(age, REPORT_WINDOW)
+        })
+    }
+
+    /// Momentary slowness of the machine, which fades to the usual as the report ages.
+    fn pace(&self, now: Instant) -> f64 {
+        self.report.map_or(1.0, |seen| {
+            let age = now.saturating_duration_since(seen.received);
+            let reported = f64::from(seen.report.pace.max(1)) / 100.0;
+            1.0 + (reported - 1.0) * remaining_share(age, REPORT_WINDOW)
+        })
+    }
+
+    fn is_excluded(&self, now: Instant) -> bool {
+        self.excluded_until.is_some_and(|until| until > now)
+    }
+
+    fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| until > now)
+    }
+
+    fn exclude(&mut self, now: Instant) {
+        let factor = 1_u32.checked_shl(self.exclusions).unwrap_or(u32::MAX);
+        let time = FIRST_EXCLUSION.saturating_mul(factor).min(MAX_EXCLUSION);
+        self.exclusions += 1;
+        self.excluded_until = Some(now + time);
+    }
+}
+
+/// Chooses the target with the shortest expected time until the answer.
+///
+/// For each target the estimate adds up the service time of the route's work at the target's
+/// learned and momentary speed, the wait for a slot under the node's own requests and the reported
+/// ones of others, the round trip, and the weight of the answer on the link.
+#[derive(Debug)]
+pub struct LoadChooser {
+    costs: LinkCosts,
+    targets: HashMap<NodeId, TargetLoad>,
+    works: HashMap<RouteName, WorkEstimate>,
+    random: StdRng,
+}
+
+impl LoadChooser {
+    /// Creates a chooser that knows nothing yet.
+    #[must_use]
+    pub fn new(costs: LinkCosts, seed: u64) -> Self {
+        Self {
+            costs,
+            targets: HashMap::new(),
+            works: HashMap::new(),
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses among the candidates that are not in `excluded`. Unreachable targets are left out
+    /// while any other is left; targets that were just full are left out altogether.
+    pub fn pick(
+        &mut self,
+        route: &RouteName,
+        candidates: &[ChoiceCandidate<'_>],
+        excluded: &[NodeId],
+        now: Instant,
+    ) -> Option<LoadPick> {
+        let work = self.works.get(route).copied().unwrap_or_default();
+        let mut best: Option<(bool, f64, LoadPick)> = None;
+        for (index, candidate) in candidates.iter().enumerate() {
+            if excluded.contains(candidate.node) {
+                continue;
+            }
+            let target = self.targets.get(candidate.node);
+            if target.is_some_and(|target| target.is_full(now)) {
+                continue;
+            }
+            let out = target.is_some_and(|target| target.is_excluded(now));
+            let (cost, pick) = self.estimate(work, index, candidate, now);
+            let noise = 1.0 + COST_NOISE * self.random.random::<f64>();
+            let cost = cost * noise;
+            let better = best
+                .as_ref()
+                .is_none_or(|(best_out, best_cost, _)| (out, cost) < (*best_out, *best_cost));
+            if better {
+                best = Some((out, cost, pick));
+            }
+        }
+        best.map(|(_, _, pick)| pick)
+    }
+
+    fn estimate(
+        &self,
+        work: WorkEstimate,
+        index: usize,
+        candidate: &ChoiceCandidate<'_>,
+        now: Instant,
+    ) -> (f64, LoadPick) {
+        let slots = f64::from(candidate.slots.max(1));
+        let known = self.targets.get(candidate.node);
+        let own = known.map_or(0.0, |target| f64::from(target.in_flight));
+        let load = match candidate.own {
+            Some(report) => f64::from(report.running + report.waiting),
+            None => own + known.map_or(0.0, |target| target.others(now)),
+        };
+        let cold = if candidate.cold { COLD_FACTOR } else { 1.0 };
+        let pace = known.map_or(1.0, |target| target.slowness * target.pace(now)) * cold;
+        let service = work.service * pace;
+        let mean_service = self.mean_service() * pace;
+        let queueing = queue_time(load, slots, mean_service);
+        let stuck = known.map_or(0.0, |target| stuck_time(target, service, now));
+        let link = self.costs.of(candidate.tier, work.answer_bytes);
+        let expected = service + queueing + stuck + link;
+        let pick = LoadPick {
+            index,
+            expected: Duration::from_secs_f64(expected),
+            queueing: Duration::from_secs_f64(queueing),
+        };
+        (expected, pick)
+    }
+
+    /// Mean over all routes, which is what the requests ahead in a queue take.
+    fn mean_service(&self) -> f64 {
+        if self.works.is_empty() {
+            return FIRST_SERVICE.as_secs_f64();
+        }
+        let sum: f64 = self.works.values().map(|work| work.service).sum();
+        let count = u32::try_from(self.works.len()).unwrap_or(u32::MAX);
+        sum / f64::from(count)
+    }
+
+    /// Notes that an attempt is sent.
+    pub fn start(&mut self, node: &NodeId, now: Instant) {
+        let target = self
+            .targets
+            .entry(node.clone())
+            .or_insert_with(|| TargetLoad::new(now));
+        if target.in_flight == 0 {
+            target.waiting_since = Some(now);
+        }
+        target.in_flight += 1;
+        target.used = now;
+    }
+
+    /// Notes the end of an attempt that was started. Returns whether the target is now excluded
+    /// for a while, to be logged.
+    pub fn finish(
+        &mut self,
+        node: &NodeId,
+        route: &RouteName,
+        end: AttemptEnd,
+        report: Option<InstanceReport>,
+        now: Instant,
+    ) -> bool {
+        let Some(target) = self.targets.get_mut(node) else {
+            return false;
+        };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        target.waiting_since = (target.in_flight > 0).then_some(now);
+        if let Some(report) = report {
+            let total = f64::from(report.running + report.waiting);
+            target.report = Some(SeenReport {
+                report,
+                others: (total - f64::from(target.in_flight)).max(0.0),
+                received: now,
+            });
+        }
+        match end {
+            AttemptEnd::Answered { service, bytes } => {
+                target.failures = 0;
+                target.exclusions = 0;
+                target.excluded_until = None;
+                self.learn(node, route, service, bytes);
+                false
+            }
+            AttemptEnd::Full => {
+                target.full_until = Some(now + FULL_PAUSE);
+                false
+            }
+            AttemptEnd::Unavailable | AttemptEnd::Unreachable => {
+                target.exclude(now);
+                true
+            }
+            AttemptEnd::Lost => {
+                target.failures += 1;
+                let excluded = target.failures >= FAILURES_TO_EXCLUDE;
+                if excluded {
+                    target.exclude(now);
+                }
+                excluded
+            }
+            AttemptEnd::Cancelled => false,
+        }
+    }
+
+    fn learn(&mut self, node: &NodeId, route: &RouteName, service: Duration, bytes: usize) {
+        let Some(target) = self.targets.get_mut(node) else {
+            return;
+        };
+        let pace = target
+            .report
+            .map_or(1.0, |seen| f64::from(seen.report.pace.max(1)) / 100.0);
+        let seconds = service.as_secs_f64() / pace;
+        let first = WorkEstimate {
+            service: seconds / target.slowness,
+            answer_bytes: to_float(bytes),
+        };
+        let work = self.works.entry(route.clone()).or_insert(first);
+        let (least, most) = SLOWNESS_RANGE;
+        let slowness = (seconds / work.service.max(1e-4)).clamp(least, most);
+        blend(&mut target.slowness, slowness);
+        blend(&mut work.service, seconds / target.slowness.max(least));
+        blend(&mut work.answer_bytes, to_float(bytes));
+    }
+
+    /// Drops routes that are gone and targets that have not been used for `age`.
+    pub fn prune(&mut self, age: Duration, now: Instant) {
+        self.targets.retain(|_, target| {
+            target.in_flight > 0 || now.saturating_duration_since(target.used) < age
+        });
+    }
+
+    /// Time that a route's work is expected to take on a target of usual speed.
+    #[must_use]
+    pub fn usual_service(&self, route: &RouteName) -> Duration {
+        let work = self.works.get(route).copied().unwrap_or_default();
+        Duration::from_secs_f64(work.service)
+    }
+
+    /// Draws from the chooser's generator.
+    pub fn random(&mut self) -> &mut StdRng {
+        &mut self.random
+    }
+
+    /// Own requests in flight at each target, for the metrics.
+    #[must_use]
+    pub fn in_flight(&self) -> SmallVec<[(&NodeId, u32); 16]> {
+        self.targets
+            .iter()
+            .map(|(node, target)| (node, target.in_flight))
+            .collect()
+    }
+}
+
+/// Expected wait for a slot. Below saturation it grows steeply as the last slots fill, since the
+/// load that is known is a little old; above it, each waiting request adds its share of a turn.
+fn queue_time(load: f64, slots: f64, service: f64) -> f64 {
+    let turn = service / slots;
+    let use_of_slots = ((load + 1.0) / slots).min(1.0);
+    let waiting = (load + 1.0 - slots).max(0.0);
+    turn * (use_of_slots.powi(6) * 2.0 + waiting)
+}
+
+/// Time for which a target has answered nothing beyond what its work takes.
+fn stuck_time(target: &TargetLoad, service: f64, now: Instant) -> f64 {
+    let silent = target.waiting_since.map_or(0.0, |since| {
+        now.saturating_duration_since(since).as_secs_f64()
+    });
+    (silent - 2.0 * service).max(0.0)
+}
+
+fn blend(estimate: &mut f64, sample: f64) {
+    *estimate += ESTIMATE_WEIGHT * (sample - *estimate);
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "sizes of answers are far below 2^52"
+)]
+fn to_float(bytes: usize) -> f64 {
+    bytes as f64
+}
--- a/crates/apricotfold-node/src/admission.rs
+++ b/crates/apricotfold-proxy/src/admission.rs
@@ -31,12 +31,24 @@
     finished: bool,
 }
 
+impl Default for AdmissionDesk {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl AdmissionDesk {
     /// Starts without slots, until the target has announced itself.
+    #[must_use]
     pub fn new() -> Self {
+        Self::with_queue(std::convert::identity)
+    }
+
+    /// Like [`new`](Self::new), with a queue that `configure` has changed.
+    pub fn with_queue(configure: impl FnOnce(AdmissionQueue) -> AdmissionQueue) -> Self {
         let limits = AdmissionLimits::new(&LimitRule::default(), 0);
         Self(Arc::new(Mutex::new(DeskState {
-            queue: AdmissionQueue::new(limits),
+            queue: configure(AdmissionQueue::new(limits)),
             waiting: HashMap::new(),
             next_id: 0,
         })))
@@ -124,10 +136,17 @@
     }
 
     /// Requests in progress and slots.
+    #[must_use]
     pub fn load(&self) -> LoadReport {
         self.lock().queue.load()
     }
 
+    /// Requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.lock().queue.running()
+    }
+
     fn lock(&self) -> MutexGuard<'_, DeskState> {
         self.0.lock().expect("no panic while locked")
     }
--- /dev/null
+++ b/crates/apricotfold-proxy/src/announce_server.rs
@@ -0,0 +1,80 @@
+//! The side that the local target sees: takes its announcements.
+
+use std::sync::Arc;
+
+use apricotfold_model::{CallerLimits, log_event};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use crate::borders::{AnnounceCall, AnnounceDialect};
+use crate::call_body::AnswerBody;
+use crate::connection::{CallerGone, RequestHandler};
+use crate::engine::Engine;
+
+/// Largest announcement that is read; usual ones have some hundred bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
+
+/// Serves the local target's announcements.
+pub struct AnnounceHandler {
+    engine: Arc<Engine>,
+    dialect: Arc<dyn AnnounceDialect>,
+}
+
+impl AnnounceHandler {
+    /// Prepares the handler.
+    pub fn new(engine: Arc<Engine>, dialect: Arc<dyn AnnounceDialect>) -> Self {
+        Self { engine, dialect }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, CallerGone> {
+        let (parts, incoming) = request.into_parts();
+        let limited = Limited::new(incoming, MAX_ANNOUNCEMENT_BYTES);
+        let body = limited.collect().await.map_err(|error| {
+            log_event!(warn, AnnouncementIgnored, "broke off: {error}");
+            CallerGone
+        })?;
+        let call = match self.dialect.read(&parts, &body.to_bytes()) {
+            Ok(call) => call,
+            Err(errors) => {
+                log_event!(warn, AnnouncementIgnored, "{errors}");
+                return Ok(bare(StatusCode::BAD_REQUEST));
+            }
+        };
+        match call {
+            AnnounceCall::Announce(news) => {
+                self.engine.announce(news);
+            }
+            AnnounceCall::Leave { instance, born } => {
+                if self.engine.local().leave(&instance, born) {
+                    log_event!(info, TargetGone, "{instance} left by its own word");
+                    self.engine.change_registration();
+                }
+            }
+            AnnounceCall::Unknown => return Ok(bare(StatusCode::NOT_FOUND)),
+        }
+        Ok(self.dialect.acknowledge().map(AnswerBody::whole))
+    }
+}
+
+fn bare(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+impl RequestHandler for AnnounceHandler {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Response<AnswerBody>, CallerGone>> {
+        async move { self.answer(request).await }.boxed()
+    }
+
+    fn limits(&self) -> CallerLimits {
+        CallerLimits::default()
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/call_body.rs
@@ -0,0 +1,115 @@
+//! Bodies of answers: whole ones in memory, and those that are passed on as they arrive.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+
+use crate::admission::SlotGuard;
+use crate::link_pool::{LinkPool, OpenLink};
+
+/// Why a body ended early.
+#[derive(Debug)]
+pub struct BodyError(pub String);
+
+impl std::fmt::Display for BodyError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// What an answer that is passed on holds until its last byte.
+pub struct LinkLease {
+    /// Pool to which the connection returns.
+    pub pool: LinkPool,
+    /// The connection.
+    pub link: Option<OpenLink>,
+    /// Slot of the local target.
+    pub slot: Option<SlotGuard>,
+}
+
+impl LinkLease {
+    /// Returns connection and slot after the last byte. When the lease is dropped instead, the
+    /// connection is closed, which cancels the work at the other end.
+    fn finish(&mut self) {
+        if let Some(link) = self.link.take() {
+            self.pool.give_back(link);
+        }
+        if let Some(slot) = self.slot.take() {
+            slot.release();
+        }
+    }
+}
+
+/// Body of an answer.
+pub enum AnswerBody {
+    /// In memory.
+    Whole(Option<Bytes>),
+    /// Passed on as it arrives.
+    Passing {
+        /// The rest of the body.
+        incoming: Incoming,
+        /// What is held meanwhile.
+        lease: LinkLease,
+    },
+}
+
+impl AnswerBody {
+    /// A body in memory.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+
+    /// No body.
+    pub fn empty() -> Self {
+        Self::Whole(None)
+    }
+
+    /// Passes a body on; one that has already ended gives back what it holds at once.
+    pub fn passing(incoming: Incoming, mut lease: LinkLease) -> Self {
+        if incoming.is_end_stream() {
+            lease.finish();
+            return Self::empty();
+        }
+        Self::Passing { incoming, lease }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Passing { incoming, lease } => {
+                let frame = std::task::ready!(Pin::new(&mut *incoming).poll_frame(context));
+                if frame.is_none() || (matches!(frame, Some(Ok(_))) && incoming.is_end_stream()) {
+                    lease.finish();
+                }
+                Poll::Ready(frame.map(|frame| frame.map_err(|error| BodyError(error.to_string()))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Passing { incoming, .. } => incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Passing { incoming, .. } => incoming.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -0,0 +1,333 @@
+//! State that the proxy's tasks share.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use apricotfold_model::{
+    DataCentreName, InstanceAnnouncement, InstanceRecord, InstanceState, LimitRule, NodeId,
+    ProxyConfig, ServiceName, log_event,
+};
+use apricotfold_policy::{
+    AdmissionQueue, AnnouncementEffect, InstanceRegistry, InstanceReport, LinkCosts, LoadChooser,
+    LocalInstance, LocalityTier, RetryBudget, TrafficSplit,
+};
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+
+use crate::admission::AdmissionDesk;
+use crate::borders::CallDialect;
+use crate::crash_watch::CrashWatch;
+use crate::lifecycle::{Lifecycle, ProcessPhase};
+use crate::link_pool::{LinkPool, LinkRules};
+use crate::table_keeper::TableKeeper;
+
+/// Limits of the local target's queues. A request waits only while it is expected to be answered
+/// in time, so the lengths merely bound memory.
+const TARGET_LIMITS: LimitRule = LimitRule {
+    slots: None,
+    long_percent: 75,
+    short_queue: 256,
+    long_queue: 64,
+    queue_wait: Duration::from_secs(3),
+};
+
+/// Connections to the local target: on the same instance, where a listener answers at once.
+const TARGET_LINKS: LinkRules = LinkRules {
+    kind: "target",
+    connect_limit: Duration::from_millis(250),
+    idle_limit: Duration::from_secs(8),
+    unacknowledged_limit: Duration::from_secs(2),
+};
+
+/// Connections to other proxies: at most 60 ms away, so that three lost round trips are the limit.
+const PEER_LINKS: LinkRules = LinkRules {
+    kind: "peer",
+    connect_limit: Duration::from_millis(250),
+    idle_limit: Duration::from_secs(10),
+    unacknowledged_limit: Duration::from_millis(1_500),
+};
+
+/// Round trips between instances, and what volume is worth: the links between regions carry about
+/// 4 KB/ms for all traffic together and are paid by volume.
+const LINK_COSTS: LinkCosts = LinkCosts {
+    data_centre: Duration::from_millis(1),
+    region: Duration::from_millis(4),
+    remote: Duration::from_millis(62),
+    region_per_kb: Duration::from_millis(1),
+    remote_per_kb: Duration::from_millis(4),
+};
+
+/// Time for which a new instance counts as cold when its announcement says that it is.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
+/// Part of the shared retry limit that the proxies use. They cannot see each other's repeats, so
+/// the rest covers uneven load and calls that repeated requests make.
+const RETRY_LIMIT_USE: f64 = 0.5;
+
+/// Reported pace of a target that reports none.
+const USUAL_PACE: u32 = 100;
+
+/// The local target as its last answer described it.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetPace {
+    pace: Option<u32>,
+}
+
+/// Shared state of one proxy.
+pub struct Engine {
+    /// Checked settings; replaced when the file changes.
+    pub config: ArcSwap<ProxyConfig>,
+    /// Headers and statuses of callers and targets.
+    pub dialect: Arc<dyn CallDialect>,
+    /// The route table.
+    pub tables: TableKeeper,
+    /// Limits of the local target.
+    pub admission: AdmissionDesk,
+    /// Requests that crash targets.
+    pub crashes: CrashWatch,
+    /// Connections to the local target.
+    pub target_links: LinkPool,
+    /// Connections to other proxies.
+    pub peer_links: LinkPool,
+    /// Phase and work in progress.
+    pub lifecycle: Lifecycle,
+    /// Changes whenever the entry of this node in the store must change.
+    pub registration: watch::Sender<u64>,
+    registry: Mutex<InstanceRegistry>,
+    chooser: Mutex<LoadChooser>,
+    split: Mutex<TrafficSplit>,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    local: Mutex<LocalInstance>,
+    pace: Mutex<TargetPace>,
+    target_down: AtomicBool,
+    store_word: Mutex<Option<Instant>>,
+    ready: AtomicBool,
+}
+
+impl Engine {
+    /// Prepares the state of a proxy that has just started.
+    pub fn new(config: ProxyConfig, dialect: Arc<dyn CallDialect>, tables: TableKeeper) -> Self {
+        let seed = if config.seed == 0 {
+            random_seed(&config.node)
+        } else {
+            config.seed
+        };
+        Self {
+            crashes: CrashWatch::new(config.node.clone()),
+            config: ArcSwap::from_pointee(config),
+            dialect,
+            tables,
+            admission: AdmissionDesk::with_queue(AdmissionQueue::oldest_first),
+            target_links: LinkPool::new(TARGET_LINKS),
+            peer_links: LinkPool::new(PEER_LINKS),
+            lifecycle: Lifecycle::new(),
+            registration: watch::Sender::new(0),
+            registry: Mutex::default(),
+            chooser: Mutex::new(LoadChooser::new(LINK_COSTS, seed)),
+            split: Mutex::default(),
+            budgets: Mutex::default(),
+            local: Mutex::default(),
+            pace: Mutex::default(),
+            target_down: AtomicBool::new(false),
+            store_word: Mutex::new(None),
+            ready: AtomicBool::new(false),
+        }
+    }
+
+    /// Id of this node.
+    pub fn node(&self) -> NodeId {
+        self.config.load().node.clone()
+    }
+
+    /// Known instances.
+    pub fn registry(&self) -> MutexGuard<'_, InstanceRegistry> {
+        lock(&self.registry)
+    }
+
+    /// Choice of targets.
+    pub fn chooser(&self) -> MutexGuard<'_, LoadChooser> {
+        lock(&self.chooser)
+    }
+
+    /// Shares of weighted routes.
+    pub fn split(&self) -> MutexGuard<'_, TrafficSplit> {
+        lock(&self.split)
+    }
+
+    /// The target beside this node.
+    pub fn local(&self) -> MutexGuard<'_, LocalInstance> {
+        lock(&self.local)
+    }
+
+    /// Uses the retry budget of a service.
+    pub fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        run: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = lock(&self.budgets);
+        if let Some(budget) = budgets.get_mut(service) {
+            return run(budget);
+        }
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| self.new_budget());
+        run(budget)
+    }
+
+    /// This node's part of the limit that all proxies share.
+    fn new_budget(&self) -> RetryBudget {
+        let limit = self.config.load().retry_limit;
+        let proxies = u32::try_from(self.registry().len().max(1)).unwrap_or(u32::MAX);
+        let slack_per_second = f64::from(limit.slack) / limit.window.as_secs_f64();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the share is between 0 and 1"
+        )]
+        let percent = (limit.share * RETRY_LIMIT_USE * 100.0) as u32;
+        RetryBudget::new(percent)
+            .with_minimum(RETRY_LIMIT_USE * slack_per_second / f64::from(proxies))
+    }
+
+    /// Takes over an announcement of the local target.
+    pub fn announce(&self, news: InstanceAnnouncement) -> AnnouncementEffect {
+        let (slots, state) = (news.slots, news.state);
+        let text = format!(
+            "{} service {} state {state} slots {slots} born {} number {}",
+            news.instance, news.service, news.born, news.number
+        );
+        let effect = self.local().announce(news, Instant::now());
+        match effect {
+            AnnouncementEffect::Changed => {
+                self.admission.set_limits(&TARGET_LIMITS, slots);
+                self.target_down.store(false, Ordering::Relaxed);
+                log_event!(info, TargetAnnounced, "{text}");
+                self.change_registration();
+            }
+            AnnouncementEffect::Repeated => {}
+            AnnouncementEffect::Outdated => {
+                log_event!(warn, AnnouncementIgnored, "{text}: outdated");
+            }
+        }
+        effect
+    }
+
+    /// Asks for this node's entry in the store to be brought up to date.
+    pub fn change_registration(&self) {
+        self.registration.send_modify(|count| *count += 1);
+    }
+
+    /// The target beside this node if it may receive calls of other proxies.
+    pub fn local_record(&self) -> Option<InstanceRecord> {
+        let config = self.config.load();
+        let local = self.local();
+        let target = local.current()?;
+        let leaving = self.lifecycle.phase() != ProcessPhase::Serving;
+        let state = if leaving {
+            target.state.max(InstanceState::Draining)
+        } else {
+            target.state
+        };
+        Some(InstanceRecord {
+            node: config.node.clone(),
+            address: config.peer_address,
+            data_centre: config.data_centre.clone(),
+            instance: target.instance.clone(),
+            born: target.born,
+            number: target.number,
+            service: target.service.clone(),
+            slots: target.slots,
+            state,
+            cold_ms: u64::try_from(target.cold.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
+    /// Load and speed of the local target.
+    pub fn report(&self) -> InstanceReport {
+        let load = self.admission.load();
+        let running = self.admission.running();
+        InstanceReport {
+            running,
+            waiting: load.in_flight.saturating_sub(running),
+            slots: load.slots,
+            pace: lock(&self.pace).pace.unwrap_or(USUAL_PACE),
+        }
+    }
+
+    /// Takes over the speed that the local target reported.
+    pub fn record_pace(&self, pace: u32) {
+        lock(&self.pace).pace = Some(pace);
+    }
+
+    /// Tells whether the local target refuses connections.
+    pub fn is_target_down(&self) -> bool {
+        self.target_down.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the local target accepts connections. Returns whether that is news.
+    pub fn set_target_down(&self, down: bool) -> bool {
+        self.target_down.swap(down, Ordering::Relaxed) != down
+    }
+
+    /// Distance of a data centre.
+    pub fn tier(&self, data_centre: &DataCentreName) -> LocalityTier {
+        let config = self.config.load();
+        if config.data_centre == *data_centre {
+            return LocalityTier::SameDataCentre;
+        }
+        if config.data_centres.get(data_centre) == Some(&config.region) {
+            return LocalityTier::SameRegion;
+        }
+        LocalityTier::Remote
+    }
+
+    /// Tells whether an instance that has been known for `age` is still cold.
+    pub fn is_cold(record: &InstanceRecord, age: Duration) -> bool {
+        age < COLD_TIME.min(Duration::from_millis(record.cold_ms))
+    }
+
+    /// Notes that the store answered.
+    pub fn record_store_word(&self) {
+        *lock(&self.store_word) = Some(Instant::now());
+    }
+
+    /// Time since the store answered last; `None` if it never has.
+    pub fn store_age(&self) -> Option<Duration> {
+        lock(&self.store_word).map(|at| at.elapsed())
+    }
+
+    /// Tells whether callers may come: the node knows routes, and it is not leaving.
+    pub fn is_ready(&self) -> bool {
+        let serving = self.lifecycle.phase() == ProcessPhase::Serving;
+        let version = self.tables.version();
+        let ready = serving && version > 0;
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            let phase = self.lifecycle.phase();
+            log_event!(
+                info,
+                ReadinessChanged,
+                "ready {ready}: route table {version}, phase {phase}"
+            );
+        }
+        ready
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no panic while locked")
+}
+
+/// Differs from node to node and from start to start: instances may start at the same moment and
+/// with equal process ids.
+fn random_seed(node: &NodeId) -> u64 {
+    let age = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let mut hasher = DefaultHasher::new();
+    (node, age, std::process::id()).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -0,0 +1,421 @@
+//! Guides a caller's request to a target and its answer back.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{
+    CallOutcome, InstanceRecord, NodeId, RefusalReason, RepeatRule, ServiceName, log_event,
+};
+use apricotfold_policy::{
+    AttemptEnd, ChoiceCandidate, LoadPick, NextStep, RepeatGuide, SendEnd, advise_return,
+};
+use http::{Response, header};
+use http_body_util::BodyExt;
+use smallvec::SmallVec;
+
+use crate::borders::CallRefusal;
+use crate::call_body::AnswerBody;
+use crate::caller_server::write_refusal;
+use crate::connection::CallerGone;
+use crate::engine::Engine;
+use crate::entry_route::RoutedCall;
+use crate::measure;
+use crate::peer_call;
+use crate::target_call::{self, CallOrder, CallRequest, TargetAnswer, TargetRefusal};
+
+/// Largest answer that is held until it is whole, so that one which breaks off can be fetched from
+/// another target. Larger ones are passed on as they arrive.
+const MAX_HELD_BYTES: u64 = 256 * 1024;
+
+/// Expected time until a slot is free when no target could be asked.
+const UNKNOWN_ROOM: Duration = Duration::from_millis(100);
+
+/// One caller's request on its way.
+pub struct EntryCall<'a> {
+    engine: &'a Arc<Engine>,
+    routed: RoutedCall,
+    request: CallRequest,
+    guide: RepeatGuide,
+    tried: SmallVec<[NodeId; 4]>,
+}
+
+/// A target that was chosen, with what the choice was based on.
+struct ChosenTarget {
+    record: InstanceRecord,
+    pick: LoadPick,
+}
+
+/// Tells the chooser about an attempt, also when the caller leaves and the attempt is dropped.
+struct AttemptGuard<'a> {
+    call: &'a EntryCall<'a>,
+    node: NodeId,
+    open: bool,
+}
+
+impl AttemptGuard<'_> {
+    fn finish(mut self, end: AttemptEnd, report: Option<apricotfold_policy::InstanceReport>) {
+        self.open = false;
+        let now = Instant::now();
+        let engine = self.call.engine;
+        let route = &self.call.routed.route.name;
+        let excluded = engine.chooser().finish(&self.node, route, end, report, now);
+        if excluded {
+            log_event!(warn, TargetQuarantined, "{} after {end:?}", self.node);
+        }
+        if report.is_some() {
+            engine.registry().record_answer(&self.node, now);
+        }
+    }
+}
+
+impl Drop for AttemptGuard<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            let route = &self.call.routed.route.name;
+            let end = AttemptEnd::Cancelled;
+            let mut chooser = self.call.engine.chooser();
+            chooser.finish(&self.node, route, end, None, Instant::now());
+        }
+    }
+}
+
+impl<'a> EntryCall<'a> {
+    /// Prepares a call.
+    pub fn new(engine: &'a Arc<Engine>, routed: RoutedCall, request: CallRequest) -> Self {
+        let route = &routed.route;
+        let guide = RepeatGuide::new(route.repeat, route.max_attempts);
+        Self {
+            engine,
+            routed,
+            request,
+            guide,
+            tried: SmallVec::new(),
+        }
+    }
+
+    /// Sends the request until it has an answer, or none can be had.
+    pub async fn run(mut self) -> Result<Response<AnswerBody>, CallerGone> {
+        let Some(service) = self.choose_service() else {
+            return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::NoTarget, None));
+        };
+        loop {
+            let chosen = match self.choose_target(&service) {
+                Ok(chosen) => chosen,
+                Err(reason) => {
+                    let outcome = self.guide.outcome();
+                    return Ok(self.refuse(outcome, reason, None));
+                }
+            };
+            self.tried.push(chosen.record.node.clone());
+            if self.guide.arrivals() == 0 && self.tried.len() == 1 {
+                let now = Instant::now();
+                self.engine
+                    .with_budget(&service, |budget| budget.record_first(now));
+            }
+            let result = self.send(&chosen).await;
+            let (end, reason) = match result {
+                Ok(answer) if self.is_final(&answer, &service) => {
+                    return Ok(self.finish(answer, &chosen));
+                }
+                Ok(_) => (SendEnd::FailedAnswer, RefusalReason::ConnectionLost),
+                Err(refusal) => (send_end(&refusal), refusal.reason),
+            };
+            if let Some(answer) = self.decide(end, reason, &chosen, &service) {
+                return Ok(answer);
+            }
+        }
+    }
+
+    fn choose_service(&self) -> Option<ServiceName> {
+        let route = &self.routed.route;
+        let mut chooser = self.engine.chooser();
+        let mut split = self.engine.split();
+        split
+            .next_service(
+                self.routed.version,
+                &route.name,
+                &route.parts,
+                chooser.random(),
+            )
+            .cloned()
+    }
+
+    fn choose_target(&self, service: &ServiceName) -> Result<ChosenTarget, RefusalReason> {
+        let engine = self.engine;
+        let now = Instant::now();
+        let own_node = engine.node();
+        let registry = engine.registry();
+        let instances: SmallVec<[(&InstanceRecord, Duration); 16]> =
+            registry.ready(service, now).collect();
+        let candidates: SmallVec<[ChoiceCandidate<'_>; 16]> = instances
+            .iter()
+            .map(|(record, age)| ChoiceCandidate {
+                node: &record.node,
+                tier: engine.tier(&record.data_centre),
+                slots: record.slots,
+                cold: Engine::is_cold(record, *age),
+                own: (record.node == own_node).then(|| engine.report()),
+            })
+            .collect();
+        if candidates.is_empty() {
+            return Err(RefusalReason::NoTarget);
+        }
+        let mut chooser = engine.chooser();
+        let route = &self.routed.route.name;
+        let pick = chooser
+            .pick(route, &candidates, &self.tried, now)
+            .ok_or(RefusalReason::Overloaded)?;
+        let record = instances[pick.index].0.clone();
+        chooser.start(&record.node, now);
+        Ok(ChosenTarget { record, pick })
+    }
+
+    /// Sends the request to a target and holds small answers until they are whole.
+    async fn send(&self, chosen: &ChosenTarget) -> Result<TargetAnswer, TargetRefusal> {
+        let engine = self.engine;
+        let guard = AttemptGuard {
+            call: self,
+            node: chosen.record.node.clone(),
+            open: true,
+        };
+        let order = self.order(chosen);
+        let sent = async {
+            let answer = if chosen.record.node == engine.node() {
+                target_call::run(engine, &order, &self.request).await?
+            } else {
+                let address = chosen.record.address;
+                peer_call::run(engine, address, &order, &self.request).await?
+            };
+            self.hold_answer(answer).await
+        };
+        let sent = tokio::time::timeout_at(self.routed.deadline.into(), sent).await;
+        let result = sent.unwrap_or(Err(TargetRefusal {
+            outcome: CallOutcome::MayHaveRun,
+            reason: RefusalReason::DeadlinePassed,
+            arrived: true,
+            report: None,
+        }));
+        match &result {
+            Ok(answer) => {
+                let end = AttemptEnd::Answered {
+                    service: answer.service,
+                    bytes: answer_bytes(answer),
+                };
+                guard.finish(end, Some(answer.report));
+            }
+            Err(refusal) => {
+                let node = &chosen.record.node;
+                let instance = &chosen.record.instance;
+                let left = matches!(
+                    refusal.reason,
+                    RefusalReason::Draining | RefusalReason::NoLocalTarget
+                );
+                if left && engine.registry().record_departure(node, instance) {
+                    log_event!(
+                        info,
+                        InstanceChanged,
+                        "{node} {instance} leaves, by its own word"
+                    );
+                }
+                guard.finish(attempt_end(refusal), refusal.report);
+            }
+        }
+        result
+    }
+
+    fn order(&self, chosen: &ChosenTarget) -> CallOrder {
+        let route = &self.routed.route;
+        let service = self.engine.chooser().usual_service(&route.name);
+        CallOrder {
+            instance: chosen.record.instance.clone(),
+            caller_service: self.engine.config.load().service.clone(),
+            deadline: self.routed.deadline,
+            useful_until: self.routed.useful_until(service),
+            class: route.class,
+            priority: route.priority,
+            repeat: route.repeat,
+        }
+    }
+
+    async fn hold_answer(&self, answer: TargetAnswer) -> Result<TargetAnswer, TargetRefusal> {
+        let TargetAnswer {
+            status,
+            headers,
+            body,
+            service,
+            report,
+        } = answer;
+        let small = http_body::Body::size_hint(&body)
+            .upper()
+            .is_some_and(|length| length <= MAX_HELD_BYTES);
+        let body = if small {
+            let whole = body.collect().await.map_err(|error| {
+                let id = self.request.log_id();
+                log_event!(warn, AnswerCut, "id={id} {error}");
+                TargetRefusal {
+                    outcome: CallOutcome::MayHaveRun,
+                    reason: RefusalReason::ConnectionLost,
+                    arrived: true,
+                    report: Some(report),
+                }
+            })?;
+            AnswerBody::whole(whole.to_bytes())
+        } else {
+            body
+        };
+        Ok(TargetAnswer {
+            status,
+            headers,
+            body,
+            service,
+            report,
+        })
+    }
+
+    /// Tells whether an answer goes to the caller. A target's failure does, too, unless the
+    /// request may be tried at another target.
+    fn is_final(&self, answer: &TargetAnswer, service: &ServiceName) -> bool {
+        let route = &self.routed.route;
+        let retriable = answer.status.is_server_error()
+            && route.repeat == RepeatRule::Idempotent
+            && self.guide.arrivals() + 1 < route.max_attempts
+            && self.routed.left() > self.engine.chooser().usual_service(&route.name);
+        !(retriable && self.may_spend(service))
+    }
+
+    fn may_spend(&self, service: &ServiceName) -> bool {
+        let now = Instant::now();
+        self.engine
+            .with_budget(service, |budget| budget.try_spend(now))
+    }
+
+    /// Decides after a send without a final answer. Returns the caller's answer when the call ends.
+    fn decide(
+        &mut self,
+        end: SendEnd,
+        reason: RefusalReason,
+        chosen: &ChosenTarget,
+        service: &ServiceName,
+    ) -> Option<Response<AnswerBody>> {
+        let step = self.guide.after(end, reason);
+        let room = chosen.pick.queueing + chosen.pick.expected / 4;
+        match step {
+            NextStep::GiveUp(outcome) => Some(self.refuse(outcome, reason, Some(room))),
+            NextStep::Repeat { spends_budget } => {
+                // The budget of a failed answer was taken when the answer was set aside.
+                let paid = end == SendEnd::FailedAnswer;
+                if spends_budget && !paid && !self.may_spend(service) {
+                    return Some(self.refuse(self.guide.outcome(), reason, Some(room)));
+                }
+                let left = self.routed.left();
+                if left.is_zero() {
+                    return Some(self.refuse(self.guide.outcome(), reason, None));
+                }
+                measure::count_repeat(reason.into());
+                log_event!(
+                    info,
+                    CallRetried,
+                    "id={} after {} {reason}, {left:?} left",
+                    self.request.log_id(),
+                    chosen.record.node
+                );
+                None
+            }
+        }
+    }
+
+    fn finish(&self, answer: TargetAnswer, chosen: &ChosenTarget) -> Response<AnswerBody> {
+        let route = &self.routed.route;
+        let elapsed = self.routed.arrived.elapsed();
+        if self.engine.dialect.promises_not_run(answer.status) {
+            // The target gave this status without stating that it did not run the request.
+            return self.refuse(CallOutcome::MayHaveRun, RefusalReason::ConnectionLost, None);
+        }
+        log_event!(
+            info,
+            CallAnswered,
+            "id={} route {} table {} target {} {} tries {} status {} after {elapsed:?} target {:?} expected {:?} load {}+{}/{} pace {}",
+            self.request.log_id(),
+            route.name,
+            self.routed.version,
+            chosen.record.node,
+            chosen.record.instance,
+            self.tried.len(),
+            answer.status.as_u16(),
+            answer.service,
+            chosen.pick.expected,
+            answer.report.running,
+            answer.report.waiting,
+            answer.report.slots,
+            answer.report.pace
+        );
+        measure::record_call(CallOutcome::Ran, None, route.class, elapsed);
+        let mut response = Response::new(answer.body);
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = answer.headers;
+        response
+    }
+
+    fn refuse(
+        &self,
+        outcome: CallOutcome,
+        reason: RefusalReason,
+        room: Option<Duration>,
+    ) -> Response<AnswerBody> {
+        let route = &self.routed.route;
+        let elapsed = self.routed.arrived.elapsed();
+        let left = self.routed.left();
+        let return_in = (outcome == CallOutcome::NotRun)
+            .then(|| {
+                let room = room.unwrap_or(UNKNOWN_ROOM);
+                advise_return(room, left, self.engine.chooser().random())
+            })
+            .flatten();
+        log_event!(
+            info,
+            CallRefused,
+            "id={} route {} table {} {outcome} {reason} tried {:?} after {elapsed:?}, {left:?} left, return in {return_in:?}",
+            self.request.log_id(),
+            route.name,
+            self.routed.version,
+            self.tried
+        );
+        measure::record_call(outcome, Some(reason), route.class, elapsed);
+        let refusal = CallRefusal {
+            outcome,
+            reason,
+            return_in,
+        };
+        write_refusal(self.engine, &refusal)
+    }
+}
+
+fn send_end(refusal: &TargetRefusal) -> SendEnd {
+    match (refusal.outcome, refusal.arrived) {
+        (CallOutcome::NotRun, false) => SendEnd::BeforeTarget,
+        (CallOutcome::NotRun, true) => SendEnd::RejectedByTarget,
+        _ => SendEnd::MayHaveRun,
+    }
+}
+
+fn attempt_end(refusal: &TargetRefusal) -> AttemptEnd {
+    match refusal.reason {
+        RefusalReason::QueueFull | RefusalReason::Overloaded | RefusalReason::DeadlineTooClose => {
+            AttemptEnd::Full
+        }
+        RefusalReason::ConnectFailed if refusal.report.is_none() => AttemptEnd::Unreachable,
+        RefusalReason::ConnectFailed | RefusalReason::Draining | RefusalReason::NoLocalTarget => {
+            AttemptEnd::Unavailable
+        }
+        RefusalReason::ConnectionLost | RefusalReason::DeadlinePassed => AttemptEnd::Lost,
+        _ => AttemptEnd::Cancelled,
+    }
+}
+
+fn answer_bytes(answer: &TargetAnswer) -> usize {
+    let declared = answer.headers.get(header::CONTENT_LENGTH);
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse().ok());
+    let held = http_body::Body::size_hint(&answer.body).exact();
+    let held = held.and_then(|length| usize::try_from(length).ok());
+    held.or(declared).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/entry_route.rs
@@ -0,0 +1,138 @@
+//! Finds the route of a caller's request and checks what the caller sent.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallerLimits, RefusalReason, RouteTable, TableRoute};
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::borders::CallHead;
+use crate::connection::CallerGone;
+use crate::head::strip_connection_headers;
+
+/// Prefix of the headers that proxies exchange; callers cannot set them.
+const OWN_PREFIX: &str = "apricotfold-";
+
+/// A caller's request with its route and times.
+#[derive(Clone, Debug)]
+pub struct RoutedCall {
+    /// Its route.
+    pub route: Arc<TableRoute>,
+    /// Version of the table that the route comes from.
+    pub version: u64,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller's patience or its route's timeout ends.
+    pub deadline: Instant,
+    /// End of the time within which answers are wanted.
+    pub wanted_until: Instant,
+}
+
+impl RoutedCall {
+    /// Finds the route of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn find(
+        table: &RouteTable,
+        parts: &Parts,
+        head: &CallHead,
+        arrived: Instant,
+    ) -> Result<Self, RefusalReason> {
+        if table.version == 0 {
+            return Err(RefusalReason::NotReady);
+        }
+        let host = read_host(parts).ok_or(RefusalReason::BadRequest)?;
+        let route = table
+            .find(host, parts.uri.path())
+            .ok_or(RefusalReason::NoRoute)?;
+        let patience = head.time_left.unwrap_or(route.timeout).min(route.timeout);
+        Ok(Self {
+            route: route.clone(),
+            version: table.version,
+            arrived,
+            deadline: arrived + patience,
+            wanted_until: arrived + route.target_latency.min(patience),
+        })
+    }
+
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Time until which the request should wait for a slot. One that can no longer be answered
+    /// within the wanted time is still answered within its deadline.
+    pub fn useful_until(&self, service: Duration) -> Instant {
+        if Instant::now() + service < self.wanted_until {
+            self.wanted_until
+        } else {
+            self.deadline
+        }
+    }
+}
+
+fn read_host(parts: &Parts) -> Option<&str> {
+    match parts.headers.get(header::HOST) {
+        Some(host) => host.to_str().ok(),
+        None => parts.uri.authority().map(http::uri::Authority::as_str),
+    }
+}
+
+/// Removes headers that are not passed on: those of one connection, and those of proxies.
+pub fn clean_headers(headers: &mut HeaderMap) {
+    strip_connection_headers(headers);
+    headers.remove(header::EXPECT);
+    let own: Vec<_> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Why a body is not passed on.
+pub enum BodyProblem {
+    /// The caller gets an answer.
+    Refused(RefusalReason),
+    /// The caller left while sending it.
+    Gone(CallerGone),
+}
+
+/// Reads the whole body, so that a target which answers early never leaves part of it for the next
+/// request on its connection.
+///
+/// # Errors
+///
+/// Returns why the request cannot be passed on; no part of it has been.
+pub async fn read_body(
+    incoming: Incoming,
+    headers: &HeaderMap,
+    limits: &CallerLimits,
+    deadline: Instant,
+) -> Result<Bytes, BodyProblem> {
+    let too_large = || BodyProblem::Refused(RefusalReason::BodyTooLarge);
+    let declared = headers.get(header::CONTENT_LENGTH);
+    let declared: Option<u64> = declared.and_then(|value| value.to_str().ok()?.parse().ok());
+    if declared.is_some_and(|length| length > limits.body_bytes) {
+        return Err(too_large());
+    }
+    let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
+    let collected = Limited::new(incoming, limit).collect();
+    match tokio::time::timeout_at(deadline.into(), collected).await {
+        Err(_) => Err(BodyProblem::Refused(RefusalReason::BodyLate)),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => {
+            log::debug!("a caller's request broke off: {error}");
+            Err(BodyProblem::Gone(CallerGone))
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/head.rs
@@ -0,0 +1,41 @@
+//! Headers that concern one connection and are not passed on.
+
+use http::HeaderMap;
+use http::header::{
+    CONNECTION, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use smallvec::SmallVec;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Headers that RFC 9110, section 7.6.1, keeps to one connection.
+const CONNECTION_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes headers that concern one connection, those that `connection` names among them.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: SmallVec<[HeaderName; 4]> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/log_output.rs
@@ -0,0 +1,151 @@
+//! Log output that never blocks and whose volume is bounded. See `docs/OPERATIONS.md`.
+
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{EventCode, event_message};
+use compact_str::CompactString;
+
+use crate::measure;
+
+/// Lines of one event per second; further ones are counted and left out.
+const LINES_PER_EVENT: u32 = 250;
+
+/// Bytes that may wait for the writer. Lines that find the buffer full are counted and left out.
+const BUFFER_BYTES: usize = 256 * 1024;
+
+/// Interval at which waiting lines are written, so that a busy second costs a few writes.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Length of an event number such as `AF3001`.
+const CODE_CHARS: usize = 6;
+
+#[derive(Default)]
+struct BufferState {
+    waiting: Vec<u8>,
+    second: Option<Instant>,
+    lines: BTreeMap<CompactString, u32>,
+    dropped: BTreeMap<CompactString, u64>,
+}
+
+#[derive(Default)]
+struct SharedBuffer {
+    state: Mutex<BufferState>,
+    filled: Condvar,
+}
+
+/// Takes lines for a writer that runs in a thread of its own.
+#[derive(Clone)]
+pub struct BoundedLog(Arc<SharedBuffer>);
+
+impl BoundedLog {
+    /// Starts the writer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the thread cannot be started.
+    pub fn start(output: impl Write + Send + 'static) -> io::Result<Self> {
+        let buffer = Arc::new(SharedBuffer::default());
+        let shared = buffer.clone();
+        std::thread::Builder::new()
+            .name("log-writer".to_owned())
+            .spawn(move || write_lines(&shared, output))?;
+        Ok(Self(buffer))
+    }
+
+    /// Writes what waits, for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the output.
+    pub fn flush_to(&self, mut output: impl Write) -> io::Result<()> {
+        let waiting = std::mem::take(&mut self.0.lock().waiting);
+        output.write_all(&waiting)?;
+        output.flush()
+    }
+}
+
+impl SharedBuffer {
+    fn lock(&self) -> MutexGuard<'_, BufferState> {
+        self.state.lock().expect("no panic while locked")
+    }
+}
+
+impl Write for BoundedLog {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut state = self.0.lock();
+        state.take_line(line, Instant::now());
+        self.0.filled.notify_one();
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl BufferState {
+    fn take_line(&mut self, line: &[u8], now: Instant) {
+        let second = *self.second.get_or_insert(now);
+        if now.saturating_duration_since(second) >= Duration::from_secs(1) {
+            self.second = Some(now);
+            self.lines.clear();
+            self.report_dropped();
+        }
+        let code = event_code(line);
+        let lines = self.lines.entry(code.clone()).or_default();
+        *lines += 1;
+        if *lines > LINES_PER_EVENT || self.waiting.len() + line.len() > BUFFER_BYTES {
+            *self.dropped.entry(code).or_default() += 1;
+            return;
+        }
+        self.waiting.extend_from_slice(line);
+    }
+
+    /// Adds a line that says what was left out, so that nothing is silently missing.
+    fn report_dropped(&mut self) {
+        let dropped = std::mem::take(&mut self.dropped);
+        let total = dropped.values().sum();
+        if total == 0 {
+            return;
+        }
+        measure::count_dropped_lines(total);
+        let code = EventCode::LogDropped;
+        let message = event_message(code);
+        let line = format!("WARN {} {message}: {dropped:?}\n", code.as_ref());
+        self.waiting.extend_from_slice(line.as_bytes());
+    }
+}
+
+/// The number of a line's event; lines without one count together.
+fn event_code(line: &[u8]) -> CompactString {
+    let text = String::from_utf8_lossy(line);
+    let code = text
+        .match_indices("AF")
+        .filter_map(|(start, _)| text.get(start..start + CODE_CHARS))
+        .find(|code| code[2..].bytes().all(|byte| byte.is_ascii_digit()));
+    code.unwrap_or_default().into()
+}
+
+fn write_lines(buffer: &SharedBuffer, mut output: impl Write) {
+    loop {
+        let lines = {
+            let mut state = buffer.lock();
+            while state.waiting.is_empty() {
+                state = buffer.filled.wait(state).expect("no panic while locked");
+            }
+            std::mem::take(&mut state.waiting)
+        };
+        // Nobody is left to be told when the output is closed; the metrics go on.
+        if output
+            .write_all(&lines)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            return;
+        }
+        std::thread::sleep(WRITE_INTERVAL);
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/measure.rs
@@ -0,0 +1,96 @@
+//! Metrics of the proxy, in the text format that the metrics address serves.
+
+use std::time::Duration;
+
+use apricotfold_model::{CallOutcome, RefusalReason, WorkClass};
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Upper bounds of the latency buckets in seconds, from a local look-up to the longest deadline.
+const LATENCY_BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.5, 5.0];
+
+/// Starts the recorder.
+pub fn install() -> eyre::Result<PrometheusHandle> {
+    let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS)?;
+    Ok(builder.install_recorder()?)
+}
+
+/// Counts a finished call at the proxy that its caller sent it to.
+pub fn record_call(
+    outcome: CallOutcome,
+    reason: Option<RefusalReason>,
+    class: WorkClass,
+    elapsed: Duration,
+) {
+    let reason: &'static str = reason.map_or("none", Into::into);
+    let outcome: &'static str = outcome.into();
+    let class: &'static str = class.into();
+    counter!("apricotfold_calls_total", "outcome" => outcome, "reason" => reason).increment(1);
+    histogram!("apricotfold_call_seconds", "class" => class, "hop" => "caller")
+        .record(elapsed.as_secs_f64());
+}
+
+/// Records the time that the local target took for a call.
+pub fn record_target_time(class: WorkClass, elapsed: Duration) {
+    let class: &'static str = class.into();
+    histogram!("apricotfold_call_seconds", "class" => class, "hop" => "target")
+        .record(elapsed.as_secs_f64());
+}
+
+/// Counts a call that was sent again.
+pub fn count_repeat(reason: &'static str) {
+    counter!("apricotfold_repeats_total", "reason" => reason).increment(1);
+}
+
+/// Counts a new connection; `kind` is `target` or `peer`.
+pub fn count_connection(kind: &'static str) {
+    counter!("apricotfold_connections_opened_total", "kind" => kind).increment(1);
+}
+
+/// Counts a call to the store.
+pub fn count_store_call(kind: &'static str, answered: bool) {
+    let result = if answered { "answered" } else { "failed" };
+    counter!("apricotfold_store_calls_total", "kind" => kind, "result" => result).increment(1);
+}
+
+/// Counts log lines that were left out.
+pub fn count_dropped_lines(lines: u64) {
+    counter!("apricotfold_log_lines_dropped_total").increment(lines);
+}
+
+/// Publishes what the node knows.
+pub fn publish_state(state: &StateFigures) {
+    gauge!("apricotfold_route_table_version").set(to_float(state.table_version));
+    gauge!("apricotfold_instances_known").set(to_float(state.instances));
+    gauge!("apricotfold_target_running").set(f64::from(state.running));
+    gauge!("apricotfold_target_waiting").set(f64::from(state.waiting));
+    gauge!("apricotfold_target_slots").set(f64::from(state.slots));
+    gauge!("apricotfold_store_word_age_seconds").set(state.store_age.as_secs_f64());
+    gauge!("apricotfold_ready").set(f64::from(u8::from(state.ready)));
+}
+
+/// Figures of [`publish_state`].
+pub struct StateFigures {
+    /// Version of the route table in force.
+    pub table_version: u64,
+    /// Instances known.
+    pub instances: u64,
+    /// Requests that the local target runs.
+    pub running: u32,
+    /// Requests that wait for it.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time since the store answered last.
+    pub store_age: Duration,
+    /// Whether callers may come.
+    pub ready: bool,
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "gauges are floating-point numbers"
+)]
+fn to_float(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -0,0 +1,192 @@
+//! Calls between proxies: the headers that they add, and the sending side.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{
+    CallOutcome, CallPriority, InstanceId, RefusalReason, RepeatRule, ServiceName, WorkClass,
+};
+use apricotfold_policy::InstanceReport;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::call_body::{AnswerBody, LinkLease};
+use crate::engine::Engine;
+use crate::head::strip_connection_headers;
+use crate::link_pool::SendFailure;
+use crate::target_call::{CallOrder, CallRequest, TargetAnswer, TargetRefusal};
+
+/// Header with the entry node's decision.
+pub const CALL_HEADER: HeaderName = HeaderName::from_static("apricotfold-call");
+/// Header with the target's load and the time that it took.
+pub const REPORT_HEADER: HeaderName = HeaderName::from_static("apricotfold-report");
+/// Header with the reason why the target's node has no answer.
+pub const REFUSAL_HEADER: HeaderName = HeaderName::from_static("apricotfold-refusal");
+
+/// Idle time up to which a kept connection to a proxy is used. Proxies keep theirs open longer.
+const FRESH_LINK: Duration = Duration::from_secs(10);
+
+/// Extra time for the answer of the target's node, which ends the call at the deadline by itself.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
+/// [`CallOrder`] as it is sent; short names, because it goes with each call.
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct WireOrder(
+    u64,
+    u64,
+    InstanceId,
+    ServiceName,
+    WorkClass,
+    CallPriority,
+    RepeatRule,
+);
+
+impl WireOrder {
+    /// Writes an order with times relative to `now`.
+    pub fn new(order: &CallOrder, now: Instant) -> Self {
+        let left = |until: Instant| millis(until.saturating_duration_since(now));
+        Self(
+            left(order.deadline),
+            left(order.useful_until),
+            order.instance.clone(),
+            order.caller_service.clone(),
+            order.class,
+            order.priority,
+            order.repeat,
+        )
+    }
+
+    /// Reads an order that arrived at `now`.
+    pub fn into_order(self, now: Instant) -> CallOrder {
+        CallOrder {
+            deadline: now + Duration::from_millis(self.0),
+            useful_until: now + Duration::from_millis(self.1),
+            instance: self.2,
+            caller_service: self.3,
+            class: self.4,
+            priority: self.5,
+            repeat: self.6,
+        }
+    }
+}
+
+/// Load of the target, and the time in milliseconds that it took for this call.
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct WireReport(u32, u32, u32, u32, u64);
+
+impl WireReport {
+    /// Writes a report.
+    pub fn new(report: InstanceReport, service: Duration) -> Self {
+        Self(
+            report.running,
+            report.waiting,
+            report.slots,
+            report.pace,
+            millis(service),
+        )
+    }
+
+    fn report(&self) -> InstanceReport {
+        InstanceReport {
+            running: self.0,
+            waiting: self.1,
+            slots: self.2,
+            pace: self.3,
+        }
+    }
+}
+
+/// [`TargetRefusal`] as it is sent.
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct WireRefusal(pub CallOutcome, pub RefusalReason, pub bool);
+
+/// Writes a value for one of the headers above.
+pub fn write_header(value: &impl Serialize) -> Option<HeaderValue> {
+    let text = serde_json::to_vec(value).ok()?;
+    HeaderValue::from_bytes(&text).ok()
+}
+
+/// Reads one of the headers above.
+pub fn read_header<T: DeserializeOwned>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    serde_json::from_slice(headers.get(name)?.as_bytes()).ok()
+}
+
+/// Passes a call to the proxy beside its target.
+pub async fn run(
+    engine: &Arc<Engine>,
+    address: SocketAddr,
+    order: &CallOrder,
+    request: &CallRequest,
+) -> Result<TargetAnswer, TargetRefusal> {
+    let started = Instant::now();
+    let mut headers = request.headers.clone();
+    let wire = write_header(&WireOrder::new(order, started));
+    let Some(wire) = wire else {
+        return Err(refusal(CallOutcome::NotRun, RefusalReason::BadRequest));
+    };
+    headers.insert(CALL_HEADER, wire);
+    let deadline = order.deadline + ANSWER_MARGIN;
+    let sent = engine
+        .peer_links
+        .send(address, request.build(headers), FRESH_LINK, deadline)
+        .await;
+    let (answer, link) = sent.map_err(|failure| match failure {
+        SendFailure::NotSent(cause) => {
+            log::debug!("{address} not reached: {cause}");
+            refusal(CallOutcome::NotRun, RefusalReason::ConnectFailed)
+        }
+        SendFailure::Lost(cause) => {
+            log::debug!("{address} lost: {cause}");
+            refusal(CallOutcome::MayHaveRun, RefusalReason::ConnectionLost)
+        }
+        SendFailure::TimedOut => refusal(CallOutcome::MayHaveRun, RefusalReason::DeadlinePassed),
+    })?;
+    let (mut parts, incoming) = answer.into_parts();
+    let report: Option<WireReport> = read_header(&parts.headers, &REPORT_HEADER);
+    let refused: Option<WireRefusal> = read_header(&parts.headers, &REFUSAL_HEADER);
+    let lease = LinkLease {
+        pool: engine.peer_links.clone(),
+        link: Some(link),
+        slot: None,
+    };
+    let body = AnswerBody::passing(incoming, lease);
+    if let Some(WireRefusal(outcome, reason, arrived)) = refused {
+        return Err(TargetRefusal {
+            outcome,
+            reason,
+            arrived,
+            report: report.map(|report| report.report()),
+        });
+    }
+    let Some(report) = report else {
+        // Only a proxy adds the report: something else has taken over the address.
+        return Err(refusal(
+            CallOutcome::MayHaveRun,
+            RefusalReason::ConnectionLost,
+        ));
+    };
+    parts.headers.remove(REPORT_HEADER);
+    strip_connection_headers(&mut parts.headers);
+    Ok(TargetAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        service: Duration::from_millis(report.4),
+        report: report.report(),
+    })
+}
+
+fn refusal(outcome: CallOutcome, reason: RefusalReason) -> TargetRefusal {
+    TargetRefusal {
+        outcome,
+        reason,
+        arrived: outcome != CallOutcome::NotRun,
+        report: None,
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -0,0 +1,178 @@
+//! Exchanges of state between proxies, for nodes that the store turns away. See
+//! `docs/platform.md`, section 4.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{InstanceRecord, NodeId, TableVersion, log_event};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use rand::seq::IteratorRandom;
+
+use crate::call_body::{AnswerBody, LinkLease};
+use crate::crash_watch::CrashCounts;
+use crate::engine::Engine;
+
+/// Marks an exchange among the calls that a proxy receives.
+pub const EXCHANGE_HEADER: HeaderName = HeaderName::from_static("apricotfold-exchange");
+
+/// Time without the store's word after which a node asks its peers. Renewals succeed about every
+/// second, so two of them have failed by then.
+const STORE_SILENCE: Duration = Duration::from_secs(2);
+
+/// Interval of exchanges while the store is silent. A change reaches a node that asks two of its
+/// peers each time well within the seconds that operators wait for it.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Peers asked each time.
+const PEERS_ASKED: usize = 2;
+
+/// Longest time for one exchange.
+const EXCHANGE_LIMIT: Duration = Duration::from_millis(600);
+
+/// What a node tells a peer.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ExchangeRequest {
+    node: NodeId,
+    table_version: TableVersion,
+    record: Option<InstanceRecord>,
+    crashes: CrashCounts,
+}
+
+/// What the peer tells in return.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ExchangeAnswer {
+    /// Text of the route table where it is newer.
+    table: Option<String>,
+    records: Vec<InstanceRecord>,
+    crashes: BTreeMap<NodeId, CrashCounts>,
+}
+
+/// Asks peers while the store is silent.
+pub async fn run(engine: Arc<Engine>) {
+    loop {
+        tokio::time::sleep(EXCHANGE_INTERVAL).await;
+        let silent = engine.store_age().is_none_or(|age| age > STORE_SILENCE);
+        if !silent {
+            continue;
+        }
+        let peers = choose_peers(&engine);
+        for address in peers {
+            let asked = ask(&engine, address);
+            if let Err(cause) = asked.await {
+                log_event!(debug, ExchangeFailed, "{address}: {cause}");
+            }
+        }
+    }
+}
+
+fn choose_peers(engine: &Engine) -> Vec<SocketAddr> {
+    let own = engine.node();
+    let registry = engine.registry();
+    let others = registry.records().filter(|record| record.node != own);
+    let mut chooser = engine.chooser();
+    others
+        .map(|record| record.address)
+        .sample(chooser.random(), PEERS_ASKED)
+}
+
+async fn ask(engine: &Arc<Engine>, address: SocketAddr) -> eyre::Result<()> {
+    let message = ExchangeRequest {
+        node: engine.node(),
+        table_version: engine.tables.version(),
+        record: engine.local_record(),
+        crashes: engine.crashes.told(),
+    };
+    let mut request = Request::new(Full::new(Bytes::from(serde_json::to_vec(&message)?)));
+    *request.method_mut() = Method::POST;
+    *request.headers_mut() = exchange_headers(address)?;
+    let deadline = Instant::now() + EXCHANGE_LIMIT;
+    let sent = engine
+        .peer_links
+        .send(address, request, EXCHANGE_INTERVAL * 4, deadline)
+        .await
+        .map_err(|failure| eyre::eyre!("{failure:?}"))?;
+    let (answer, link) = sent;
+    let lease = LinkLease {
+        pool: engine.peer_links.clone(),
+        link: Some(link),
+        slot: None,
+    };
+    let body = AnswerBody::passing(answer.into_body(), lease);
+    let body = tokio::time::timeout_at(deadline.into(), body.collect()).await??;
+    let answer: ExchangeAnswer = serde_json::from_slice(&body.to_bytes())?;
+    learn(engine, answer, address);
+    Ok(())
+}
+
+fn exchange_headers(address: SocketAddr) -> eyre::Result<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    headers.insert(EXCHANGE_HEADER, HeaderValue::from_static("1"));
+    headers.insert(http::header::HOST, address.to_string().parse()?);
+    Ok(headers)
+}
+
+fn learn(engine: &Engine, answer: ExchangeAnswer, address: SocketAddr) {
+    if let Some(text) = answer.table
+        && engine.tables.offer(&text, "a peer")
+    {
+        let version = engine.tables.version();
+        log_event!(info, PeerLearned, "route table {version} from {address}");
+    }
+    let own = engine.node();
+    let now = Instant::now();
+    let mut registry = engine.registry();
+    for record in answer.records {
+        let (node, instance) = (record.node.clone(), record.instance.clone());
+        if node != own && registry.apply_told(record, now) {
+            log_event!(info, PeerLearned, "{node} {instance} from {address}");
+        }
+    }
+    drop(registry);
+    for (node, counts) in &answer.crashes {
+        engine.crashes.merge(node, counts);
+    }
+}
+
+/// Answers another node's exchange and takes over what it tells.
+pub fn answer_exchange(engine: &Engine, body: &[u8]) -> Response<AnswerBody> {
+    let Ok(asked) = serde_json::from_slice::<ExchangeRequest>(body) else {
+        log_event!(warn, ExchangeFailed, "unreadable request of a peer");
+        return bare(StatusCode::BAD_REQUEST);
+    };
+    if let Some(record) = asked.record
+        && record.node == asked.node
+    {
+        let (node, instance) = (record.node.clone(), record.instance.clone());
+        if engine.registry().apply_told(record, Instant::now()) {
+            log_event!(info, PeerLearned, "{node} {instance} by its own word");
+        }
+    }
+    engine.crashes.merge(&asked.node, &asked.crashes);
+    let kept = engine.tables.current();
+    let newer = kept.table.version > asked.table_version;
+    let own_crashes = BTreeMap::from([(engine.node(), engine.crashes.told())]);
+    let answer = ExchangeAnswer {
+        table: newer.then(|| kept.text.clone()),
+        records: engine.registry().records().cloned().collect(),
+        crashes: own_crashes,
+    };
+    match serde_json::to_vec(&answer) {
+        Ok(text) => Response::new(AnswerBody::whole(text.into())),
+        Err(error) => {
+            log_event!(warn, ExchangeFailed, "{error}");
+            bare(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn bare(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -0,0 +1,150 @@
+//! The side that other proxies see: runs their calls at the local target.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallOutcome, CallerLimits, RefusalReason, log_event};
+use apricotfold_policy::InstanceReport;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::call_body::AnswerBody;
+use crate::connection::{CallerGone, RequestHandler};
+use crate::engine::Engine;
+use crate::lifecycle::ProcessPhase;
+use crate::peer_call::{
+    CALL_HEADER, REFUSAL_HEADER, REPORT_HEADER, WireOrder, WireRefusal, WireReport, read_header,
+    write_header,
+};
+use crate::peer_exchange::{EXCHANGE_HEADER, answer_exchange};
+use crate::target_call::{self, CallRequest, TargetRefusal};
+
+/// Limits on other proxies. They pass on requests that have met the callers' limits; their
+/// connections outlive the sending side's idle limit.
+const PEER_LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 128 * 1024,
+    body_bytes: u64::MAX,
+    header_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(30),
+};
+
+/// Serves the calls and exchanges of other proxies.
+pub struct PeerHandler {
+    engine: Arc<Engine>,
+}
+
+impl PeerHandler {
+    /// Prepares the handler.
+    pub fn new(engine: Arc<Engine>) -> Self {
+        Self { engine }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, CallerGone> {
+        let arrived = Instant::now();
+        let (mut parts, incoming) = request.into_parts();
+        let exchange = parts.headers.contains_key(EXCHANGE_HEADER);
+        let order: Option<WireOrder> = read_header(&parts.headers, &CALL_HEADER);
+        parts.headers.remove(CALL_HEADER);
+        let body = incoming.collect().await.map_err(|error| {
+            log::debug!("request of a peer broke off: {error}");
+            CallerGone
+        })?;
+        let body = body.to_bytes();
+        if exchange {
+            return Ok(answer_exchange(&self.engine, &body));
+        }
+        let Some(path) = parts.uri.path_and_query().cloned() else {
+            return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::BadRequest, false));
+        };
+        let Some(order) = order else {
+            return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::BadRequest, false));
+        };
+        if self.engine.lifecycle.phase() != ProcessPhase::Serving {
+            return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::Draining, false));
+        }
+        let order = order.into_order(arrived);
+        let call = CallRequest {
+            id: self.engine.dialect.read_call(&parts.headers).request_id,
+            method: parts.method,
+            path,
+            headers: parts.headers,
+            body,
+        };
+        Ok(self.run(&order, &call, arrived).await)
+    }
+
+    async fn run(
+        &self,
+        order: &target_call::CallOrder,
+        call: &CallRequest,
+        arrived: Instant,
+    ) -> Response<AnswerBody> {
+        match target_call::run(&self.engine, order, call).await {
+            Ok(answer) => {
+                let mut response = Response::new(answer.body);
+                *response.status_mut() = answer.status;
+                *response.headers_mut() = answer.headers;
+                add_report(response.headers_mut(), answer.report, answer.service);
+                response
+            }
+            Err(TargetRefusal {
+                outcome,
+                reason,
+                arrived: reached,
+                ..
+            }) => {
+                let report = self.engine.report();
+                log_event!(
+                    info,
+                    CallRefused,
+                    "id={} at-target {outcome} {reason} after {:?} running {} waiting {} slots {}",
+                    call.log_id(),
+                    arrived.elapsed(),
+                    report.running,
+                    report.waiting,
+                    report.slots
+                );
+                self.refuse(outcome, reason, reached)
+            }
+        }
+    }
+
+    fn refuse(
+        &self,
+        outcome: CallOutcome,
+        reason: RefusalReason,
+        arrived: bool,
+    ) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let headers = response.headers_mut();
+        if let Some(value) = write_header(&WireRefusal(outcome, reason, arrived)) {
+            headers.insert(REFUSAL_HEADER, value);
+        }
+        add_report(headers, self.engine.report(), Duration::ZERO);
+        response
+    }
+}
+
+fn add_report(headers: &mut HeaderMap, report: InstanceReport, service: Duration) {
+    if let Some(value) = write_header(&WireReport::new(report, service)) {
+        headers.insert(REPORT_HEADER, value);
+    }
+}
+
+impl RequestHandler for PeerHandler {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Response<AnswerBody>, CallerGone>> {
+        async move { self.answer(request).await }.boxed()
+    }
+
+    fn limits(&self) -> CallerLimits {
+        PEER_LIMITS
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -0,0 +1,232 @@
+//! Keeps this node's entry in the store: its instance and the crashes that it saw. See
+//! `docs/platform.md`, section 4.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricotfold_model::{InstanceRecord, InstanceState, log_event};
+use apricotfold_store::{
+    Compare, ConfigStore, LeaseId, Revision, StoreEntry, StoreError, StoreTxn,
+};
+
+use crate::crash_watch::CrashCounts;
+use crate::engine::Engine;
+use crate::measure;
+
+/// Prefix of the nodes' entries.
+pub const NODE_PREFIX: &str = "apricotfold/nodes/";
+
+/// Life of an entry without a renewal: three renewals may be lost.
+const LEASE_TTL: Duration = Duration::from_secs(4);
+
+/// Life of the entry of an instance that drains or has left. It outlives delayed announcements, so
+/// that a restarted node does not take them for news.
+const LEAVING_TTL: Duration = Duration::from_mins(1);
+
+/// Interval of renewals.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Pauses after failures: the first is short, since a single call may be turned away, and they
+/// stay below the time within which entries must be back after the store's return.
+const RETRY_PAUSES: [Duration; 3] = [
+    Duration::from_millis(150),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+];
+
+/// A node's entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct NodeEntry {
+    /// Its instance.
+    pub record: Option<InstanceRecord>,
+    /// Crashes that it saw.
+    pub crashes: CrashCounts,
+}
+
+/// Key of a node's entry.
+pub fn node_key(node: &str) -> String {
+    format!("{NODE_PREFIX}{node}")
+}
+
+/// Writes and renews this node's entry until the process ends.
+pub struct Registration {
+    engine: Arc<Engine>,
+    store: Arc<dyn ConfigStore>,
+    lease: Option<(LeaseId, Duration)>,
+    written: Option<NodeEntry>,
+    revision: Revision,
+    failures: usize,
+}
+
+impl Registration {
+    /// Prepares the duty.
+    pub fn new(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) -> Self {
+        Self {
+            engine,
+            store,
+            lease: None,
+            written: None,
+            revision: 0,
+            failures: 0,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let mut changes = self.engine.registration.subscribe();
+        loop {
+            let pause = self.step().await;
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                Ok(()) = changes.changed() => {}
+            }
+        }
+    }
+
+    /// Does what is due and returns the time until the next step.
+    async fn step(&mut self) -> Duration {
+        match self.keep_entry().await {
+            Ok(()) => {
+                self.failures = 0;
+                RENEWAL_INTERVAL
+            }
+            Err(error) => {
+                let pause = RETRY_PAUSES[self.failures.min(RETRY_PAUSES.len() - 1)];
+                self.failures += 1;
+                if self.failures == 1 {
+                    log_event!(warn, RegistrationLost, "{error}");
+                }
+                pause
+            }
+        }
+    }
+
+    async fn keep_entry(&mut self) -> Result<(), StoreError> {
+        let wanted = NodeEntry {
+            record: self.engine.local_record(),
+            crashes: self.engine.crashes.told(),
+        };
+        if wanted.record.is_none() && self.written.is_none() {
+            return Ok(());
+        }
+        let wanted = self.with_departure(wanted);
+        if self.written.as_ref() == Some(&wanted) && self.renew().await? {
+            return Ok(());
+        }
+        self.write(wanted).await
+    }
+
+    /// Keeps the record of an instance that is no longer there, marked as gone, so that delayed
+    /// announcements of it are recognised.
+    fn with_departure(&self, mut wanted: NodeEntry) -> NodeEntry {
+        if wanted.record.is_none() {
+            let written = self.written.as_ref();
+            let former = written.and_then(|entry| entry.record.clone());
+            wanted.record = former.map(|record| InstanceRecord {
+                state: InstanceState::Gone,
+                ..record
+            });
+        }
+        wanted
+    }
+
+    /// Renews the lease. Returns false when it has ended.
+    async fn renew(&mut self) -> Result<bool, StoreError> {
+        let Some((lease, _)) = self.lease else {
+            return Ok(false);
+        };
+        let left = self.store.keep_alive(lease).await;
+        self.note_call("renew", left.as_ref().err());
+        if left?.is_zero() {
+            self.lease = None;
+            self.written = None;
+            log_event!(warn, RegistrationLost, "lease {lease} has ended");
+            return Ok(false);
+        }
+        Ok(true)
+    }
+
+    async fn write(&mut self, entry: NodeEntry) -> Result<(), StoreError> {
+        let ready = is_ready(&entry);
+        let ttl = if ready { LEASE_TTL } else { LEAVING_TTL };
+        let lease = match self.lease {
+            Some((lease, known)) if known == ttl => lease,
+            _ => {
+                let granted = self.store.grant(ttl).await;
+                self.note_call("grant", granted.as_ref().err());
+                let lease = granted?;
+                self.lease = Some((lease, ttl));
+                lease
+            }
+        };
+        let key = node_key(&self.engine.node());
+        let value = serde_json::to_string(&entry).unwrap_or_default();
+        let compare = Compare::ModRevision {
+            key: key.clone(),
+            revision: self.revision,
+        };
+        let txn = StoreTxn::default()
+            .when(compare)
+            .put_leased(key, value, lease);
+        let answer = self.store.commit(&txn).await;
+        self.note_call("write", answer.as_ref().err());
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                // The lease may have ended, or the write may still take effect: the next try
+                // starts with a new lease and finds the present revision.
+                self.lease = None;
+                self.written = None;
+                return Err(error);
+            }
+        };
+        if !answer.succeeded {
+            self.adopt(answer.found.first());
+            self.engine.change_registration();
+            return Ok(());
+        }
+        self.revision = answer.revision;
+        if let Some(record) = &entry.record {
+            let (instance, state) = (&record.instance, record.state);
+            let revision = self.revision;
+            log_event!(
+                info,
+                RegistrationWritten,
+                "{instance} {state} at revision {revision}"
+            );
+        }
+        self.written = Some(entry);
+        Ok(())
+    }
+
+    /// Takes over the entry that is there: one of an earlier process of this node, which may say
+    /// that the target is leaving, or an own write whose answer was lost.
+    fn adopt(&mut self, found: Option<&StoreEntry>) {
+        let Some(found) = found else {
+            self.revision = 0;
+            return;
+        };
+        self.revision = found.mod_revision;
+        let Ok(entry) = serde_json::from_str::<NodeEntry>(&found.value) else {
+            log_event!(warn, EntryIgnored, "{} cannot be read", found.key);
+            return;
+        };
+        if let Some(record) = entry.record {
+            let (instance, born) = (&record.instance, record.born);
+            self.engine.local().recall(instance, born, record.state);
+        }
+    }
+
+    fn note_call(&self, kind: &'static str, failure: Option<&StoreError>) {
+        measure::count_store_call(kind, failure.is_none());
+        if failure.is_none() {
+            self.engine.record_store_word();
+        }
+    }
+}
+
+fn is_ready(entry: &NodeEntry) -> bool {
+    let record = entry.record.as_ref();
+    record.is_some_and(|record| record.state == InstanceState::Ready)
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -0,0 +1,137 @@
+//! Starts and stops the proxy.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{ProxyConfig, log_event};
+use apricotfold_store::ConfigStore;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::announce_server::AnnounceHandler;
+use crate::borders::{AnnounceDialect, CallDialect, TableSource};
+use crate::caller_server::CallerHandler;
+use crate::connection::{RequestHandler, listen, serve};
+use crate::engine::Engine;
+use crate::lifecycle::ProcessPhase;
+use crate::measure;
+use crate::peer_exchange;
+use crate::peer_server::PeerHandler;
+use crate::registration::Registration;
+use crate::settings_file::{SettingsReader, follow};
+use crate::status_server::{MetricsHandler, ReadyHandler};
+use crate::store_session::{StoreSession, keep_house};
+use crate::table_keeper::TableKeeper;
+
+/// Share of the grace period after which idle connections are closed. Until then callers learn
+/// from the readiness checks, one a second, that this node takes no more of them.
+const DRAINING_SHARE: f64 = 0.45;
+
+/// Share of the grace period after which the process exits even if work is in progress.
+const LAST_SHARE: f64 = 0.93;
+
+/// Interval at which the end of the work in progress is checked.
+const EXIT_CHECK: Duration = Duration::from_millis(25);
+
+/// What a platform provides, behind traits.
+pub struct ProxyBorders {
+    /// Headers and statuses of callers and targets.
+    pub calls: Arc<dyn CallDialect>,
+    /// Messages of the local target.
+    pub announcements: Arc<dyn AnnounceDialect>,
+    /// The route table in the store.
+    pub tables: Arc<dyn TableSource>,
+    /// The store.
+    pub store: Arc<dyn ConfigStore>,
+}
+
+/// Serves until SIGTERM, then finishes what is in progress. `settings` is followed for changes of
+/// the file whose first text is given with it.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be opened.
+pub async fn run_proxy(
+    config: ProxyConfig,
+    borders: ProxyBorders,
+    settings: Option<(SettingsReader, String)>,
+) -> eyre::Result<()> {
+    let metrics = measure::install()?;
+    let tables = TableKeeper::new(borders.tables);
+    let engine = Arc::new(Engine::new(config.clone(), borders.calls, tables));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let announcements = AnnounceHandler::new(engine.clone(), borders.announcements);
+    let mut handlers: Vec<(_, Arc<dyn RequestHandler>)> = vec![
+        (config.announce_address, Arc::new(announcements)),
+        (config.ready_address, Arc::new(ReadyHandler(engine.clone()))),
+        (
+            config.peer_address,
+            Arc::new(PeerHandler::new(engine.clone())),
+        ),
+        (
+            config.caller_address,
+            Arc::new(CallerHandler::new(engine.clone())),
+        ),
+    ];
+    if let Some(address) = config.metrics_address {
+        handlers.push((address, Arc::new(MetricsHandler(metrics))));
+    }
+    for (address, handler) in handlers {
+        let listener = listen(address).await?;
+        tokio::spawn(serve(listener, handler, engine.lifecycle.clone()));
+    }
+    log_event!(
+        info,
+        Started,
+        "node {} service {} data centre {} callers {} peers {}",
+        config.node,
+        config.service,
+        config.data_centre,
+        config.caller_address,
+        config.peer_address
+    );
+    tokio::spawn(StoreSession::new(engine.clone(), borders.store.clone()).run());
+    tokio::spawn(Registration::new(engine.clone(), borders.store).run());
+    tokio::spawn(peer_exchange::run(engine.clone()));
+    tokio::spawn(keep_house(engine.clone()));
+    if let Some((reader, text)) = settings {
+        tokio::spawn(follow(engine.clone(), reader, text));
+    }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    drain(&engine).await;
+    Ok(())
+}
+
+/// Leaves without cutting a request: other proxies are told, callers are asked to leave, and what
+/// is in progress ends.
+async fn drain(engine: &Arc<Engine>) {
+    let started = Instant::now();
+    let grace = engine.config.load().grace;
+    engine.lifecycle.enter(ProcessPhase::Draining);
+    engine.change_registration();
+    let in_flight = engine.lifecycle.in_flight();
+    log_event!(
+        info,
+        DrainStarted,
+        "{in_flight} requests in progress, {grace:?} left"
+    );
+    engine.is_ready();
+    tokio::time::sleep(grace.mul_f64(DRAINING_SHARE)).await;
+    engine.lifecycle.enter(ProcessPhase::Closing);
+    // Idle connections are closed within this turn, and what they had sent is taken up.
+    tokio::time::sleep(EXIT_CHECK * 4).await;
+    let last = started + grace.mul_f64(LAST_SHARE);
+    while engine.lifecycle.in_flight() > 0 && Instant::now() < last {
+        tokio::time::sleep(EXIT_CHECK).await;
+    }
+    let cut = engine.lifecycle.in_flight();
+    if cut > 0 {
+        log_event!(warn, DrainExpired, "{cut} requests in progress");
+    }
+    // Last bytes of answers are on their way from the connections' buffers.
+    tokio::time::sleep(EXIT_CHECK * 4).await;
+    log_event!(info, Stopped, "after {:?}", started.elapsed());
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/status_server.rs
@@ -0,0 +1,54 @@
+//! Readiness checks and metrics.
+
+use std::sync::Arc;
+
+use apricotfold_model::CallerLimits;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::call_body::AnswerBody;
+use crate::connection::{CallerGone, RequestHandler};
+use crate::engine::Engine;
+
+/// Answers readiness checks: 200 while callers may come, 503 otherwise.
+pub struct ReadyHandler(pub Arc<Engine>);
+
+impl RequestHandler for ReadyHandler {
+    fn handle(
+        self: Arc<Self>,
+        _: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Response<AnswerBody>, CallerGone>> {
+        async move {
+            let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+            if !self.0.is_ready() {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            Ok(response)
+        }
+        .boxed()
+    }
+
+    fn limits(&self) -> CallerLimits {
+        CallerLimits::default()
+    }
+}
+
+/// Serves the metrics as text.
+pub struct MetricsHandler(pub PrometheusHandle);
+
+impl RequestHandler for MetricsHandler {
+    fn handle(
+        self: Arc<Self>,
+        _: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Response<AnswerBody>, CallerGone>> {
+        async move { Ok(Response::new(AnswerBody::whole(self.0.render().into()))) }.boxed()
+    }
+
+    fn limits(&self) -> CallerLimits {
+        CallerLimits::default()
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -0,0 +1,341 @@
+//! Runs a call at the target beside this node.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{
+    CallOutcome, CallPriority, InstanceId, InstanceState, RefusalReason, RepeatRule, ServiceName,
+    WorkClass, log_event,
+};
+use apricotfold_policy::{InstanceReport, RequestFingerprint};
+use bytes::Bytes;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::admission::SlotGuard;
+use crate::borders::{AnswerHead, RequestId, TargetHead};
+use crate::call_body::{AnswerBody, LinkLease};
+use crate::engine::Engine;
+use crate::fingerprint::fingerprint;
+use crate::head::strip_connection_headers;
+use crate::link_pool::{OpenLink, SendFailure};
+use crate::measure;
+
+/// Idle time up to which a kept connection serves a request that must not run twice. Such a request
+/// is lost when the target closes the idle connection at the same moment.
+const FRESH_FOR_ORDERS: Duration = Duration::from_millis(500);
+
+/// Idle time up to which a kept connection serves other requests, which can be sent again.
+const FRESH_FOR_REPEATABLE: Duration = Duration::from_secs(8);
+
+/// Margin by which a kept connection is closed before the target closes it.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Pause between attempts to reach a target that refused a connection.
+const DOWN_PROBE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// A request with its body, ready to be sent to any target.
+#[derive(Clone, Debug)]
+pub struct CallRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub path: PathAndQuery,
+    /// Headers without those that concern one connection.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// The caller's id of the request.
+    pub id: Option<RequestId>,
+}
+
+impl CallRequest {
+    /// Builds the request for the next hop.
+    pub fn build(&self, headers: HeaderMap) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.path.clone());
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// The id for log lines.
+    pub fn log_id(&self) -> &str {
+        self.id.as_deref().unwrap_or("-")
+    }
+}
+
+/// What the entry node decided about a call.
+#[derive(Clone, Debug)]
+pub struct CallOrder {
+    /// The target that is meant.
+    pub instance: InstanceId,
+    /// Service of the instance from which the request came.
+    pub caller_service: ServiceName,
+    /// Time at which the caller's patience ends.
+    pub deadline: Instant,
+    /// Time until which an answer is worth waiting for a slot.
+    pub useful_until: Instant,
+    /// Short or long work.
+    pub class: WorkClass,
+    /// Importance under overload.
+    pub priority: CallPriority,
+    /// Whether the request may run again.
+    pub repeat: RepeatRule,
+}
+
+/// A target's answer.
+pub struct TargetAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers without those that concern one connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: AnswerBody,
+    /// Time that the target took until the head of its answer.
+    pub service: Duration,
+    /// The target's load.
+    pub report: InstanceReport,
+}
+
+/// Why the target's node has no answer.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetRefusal {
+    /// Whether the target ran the request.
+    pub outcome: CallOutcome,
+    /// Why.
+    pub reason: RefusalReason,
+    /// Whether the request arrived at the target, which then rejected or lost it.
+    pub arrived: bool,
+    /// The target's load, where its node reported it.
+    pub report: Option<InstanceReport>,
+}
+
+/// Runs a call at the local target.
+pub async fn run(
+    engine: &Arc<Engine>,
+    order: &CallOrder,
+    request: &CallRequest,
+) -> Result<TargetAnswer, TargetRefusal> {
+    let call = TargetCall {
+        engine,
+        order,
+        request,
+    };
+    call.run().await
+}
+
+struct TargetCall<'a> {
+    engine: &'a Arc<Engine>,
+    order: &'a CallOrder,
+    request: &'a CallRequest,
+}
+
+impl TargetCall<'_> {
+    async fn run(&self) -> Result<TargetAnswer, TargetRefusal> {
+        self.check_target()?;
+        let fingerprint = self.fingerprint();
+        if self.engine.crashes.is_blocked(&fingerprint) {
+            let id = self.request.log_id();
+            log_event!(warn, RequestBlocked, "id={id} request {fingerprint}");
+            return Err(self.refuse(RefusalReason::PoisonRequest));
+        }
+        let slot = self.admit().await?;
+        self.check_target()?;
+        let started = Instant::now();
+        let sent = self.send().await;
+        match sent {
+            Ok((answer, link)) => {
+                let service = started.elapsed();
+                self.read_answer(answer, link, slot, service, &fingerprint)
+            }
+            Err(SendFailure::NotSent(cause)) => {
+                log::debug!("local target not reached: {cause}");
+                watch_down_target(self.engine);
+                Err(self.refuse(RefusalReason::ConnectFailed))
+            }
+            Err(SendFailure::Lost(cause)) => {
+                let id = self.request.log_id();
+                log_event!(info, TargetGone, "id={id} connection lost: {cause}");
+                watch_crash(self.engine, fingerprint, started);
+                Err(self.lose(RefusalReason::ConnectionLost))
+            }
+            Err(SendFailure::TimedOut) => Err(self.lose(RefusalReason::DeadlinePassed)),
+        }
+    }
+
+    /// Checks that the target which the entry node means is the one here, and takes work.
+    fn check_target(&self) -> Result<(), TargetRefusal> {
+        let state = {
+            let local = self.engine.local();
+            let current = local.current();
+            let meant = current.filter(|target| target.instance == self.order.instance);
+            meant.map(|target| target.state)
+        };
+        match state {
+            None => Err(self.refuse(RefusalReason::NoLocalTarget)),
+            Some(InstanceState::Ready) if self.engine.is_target_down() => {
+                Err(self.refuse(RefusalReason::ConnectFailed))
+            }
+            Some(InstanceState::Ready) => Ok(()),
+            Some(InstanceState::Draining | InstanceState::Gone) => {
+                Err(self.refuse(RefusalReason::Draining))
+            }
+        }
+    }
+
+    async fn admit(&self) -> Result<SlotGuard, TargetRefusal> {
+        let order = self.order;
+        let admission = &self.engine.admission;
+        admission
+            .admit(order.class, order.priority, order.useful_until)
+            .await
+            .map_err(|reason| self.refuse(reason))
+    }
+
+    async fn send(&self) -> Result<(Response<Incoming>, OpenLink), SendFailure> {
+        let engine = self.engine;
+        let address = engine.config.load().target_address;
+        let head = TargetHead {
+            time_left: self
+                .order
+                .deadline
+                .saturating_duration_since(Instant::now()),
+            instance: &self.order.instance,
+            caller_service: &self.order.caller_service,
+        };
+        let mut headers = self.request.headers.clone();
+        engine.dialect.prepare_call(&mut headers, &head);
+        let freshest = match self.order.repeat {
+            RepeatRule::Idempotent => FRESH_FOR_REPEATABLE,
+            RepeatRule::AtMostOnce => FRESH_FOR_ORDERS,
+        };
+        let request = self.request.build(headers);
+        engine
+            .target_links
+            .send(address, request, freshest, self.order.deadline)
+            .await
+    }
+
+    fn read_answer(
+        &self,
+        answer: Response<Incoming>,
+        mut link: OpenLink,
+        slot: SlotGuard,
+        service: Duration,
+        fingerprint: &RequestFingerprint,
+    ) -> Result<TargetAnswer, TargetRefusal> {
+        let engine = self.engine;
+        let (mut parts, incoming) = answer.into_parts();
+        let head = engine.dialect.read_answer(parts.status, &parts.headers);
+        self.check_owner(&head)?;
+        engine.crashes.record_answer(fingerprint);
+        if let Some(load) = head.load {
+            engine.record_pace(load.pace);
+        }
+        link.announced_idle = head
+            .idle_limit
+            .map(|limit| limit.saturating_sub(IDLE_MARGIN));
+        measure::record_target_time(self.order.class, service);
+        let lease = LinkLease {
+            pool: engine.target_links.clone(),
+            link: Some(link),
+            slot: Some(slot),
+        };
+        let body = AnswerBody::passing(incoming, lease);
+        if head.not_run {
+            let mut refusal = self.refuse(RefusalReason::Overloaded);
+            refusal.arrived = true;
+            return Err(refusal);
+        }
+        strip_connection_headers(&mut parts.headers);
+        Ok(TargetAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            service,
+            report: engine.report(),
+        })
+    }
+
+    /// Checks that the answer bears the request's id: a target may send a second answer to an
+    /// earlier request on the same connection.
+    fn check_owner(&self, head: &AnswerHead) -> Result<(), TargetRefusal> {
+        if self.request.id.is_none() || head.request_id == self.request.id {
+            return Ok(());
+        }
+        let (id, other) = (self.request.log_id(), head.request_id.as_deref());
+        log_event!(warn, ForeignAnswer, "id={id} got the answer of {other:?}");
+        Err(self.lose(RefusalReason::ConnectionLost))
+    }
+
+    fn fingerprint(&self) -> RequestFingerprint {
+        let request = self.request;
+        let caller = &self.order.caller_service;
+        fingerprint(
+            &request.method,
+            request.path.as_str(),
+            caller,
+            &request.body,
+        )
+    }
+
+    fn refuse(&self, reason: RefusalReason) -> TargetRefusal {
+        TargetRefusal {
+            outcome: CallOutcome::NotRun,
+            reason,
+            arrived: false,
+            report: Some(self.engine.report()),
+        }
+    }
+
+    fn lose(&self, reason: RefusalReason) -> TargetRefusal {
+        TargetRefusal {
+            outcome: CallOutcome::MayHaveRun,
+            reason,
+            arrived: true,
+            report: Some(self.engine.report()),
+        }
+    }
+}
+
+/// Marks the target as down and tries until it accepts connections again or announces itself.
+fn watch_down_target(engine: &Arc<Engine>) {
+    if !engine.set_target_down(true) {
+        return;
+    }
+    log_event!(warn, TargetGone, "the target refuses connections");
+    let engine = engine.clone();
+    tokio::spawn(async move {
+        while engine.is_target_down() {
+            tokio::time::sleep(DOWN_PROBE_INTERVAL).await;
+            let address = engine.config.load().target_address;
+            if engine.target_links.probe(address).await.is_ok() && engine.set_target_down(false) {
+                log_event!(
+                    info,
+                    TargetAnnounced,
+                    "the target accepts connections again"
+                );
+            }
+        }
+    });
+}
+
+/// Counts a lost request as one that was in flight at a crash if the target then refuses
+/// connections. A reset alone does not show a crash.
+fn watch_crash(engine: &Arc<Engine>, fingerprint: RequestFingerprint, started: Instant) {
+    let engine = engine.clone();
+    tokio::spawn(async move {
+        let address = engine.config.load().target_address;
+        let crashed = engine.target_links.probe(address).await.is_err();
+        if !crashed {
+            return;
+        }
+        watch_down_target(&engine);
+        if engine.crashes.record_crash(&fingerprint, started) {
+            engine.change_registration();
+        }
+    });
+}
