Run callers' pipelined requests at the same time

Change: callers' connections are read with httparse; requests run in tasks of their own and answers are written in order.

--- a/crates/apricotfold-model/src/instance.rs
+++ b/crates/apricotfold-model/src/instance.rs
@@ -95,4 +95,16 @@
     pub fn order(&self) -> (BornMillis, InstanceState, AnnouncementNumber) {
         (self.born, self.state, self.number)
     }
+
+    /// Tells whether two records say the same to those who choose targets. The number of the
+    /// announcement grows all the time and the cold time shrinks without being news.
+    #[must_use]
+    pub fn says_same(&self, other: &Self) -> bool {
+        let renumbered = Self {
+            number: other.number,
+            cold_ms: other.cold_ms,
+            ..self.clone()
+        };
+        renumbered == *other
+    }
 }
--- a/crates/apricotfold-proxy/src/announce_server.rs
+++ b/crates/apricotfold-proxy/src/announce_server.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use apricotfold_model::{CallerLimits, log_event};
+use apricotfold_model::log_event;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -73,8 +73,4 @@
     ) -> BoxFuture<'static, Result<Response<AnswerBody>, CallerGone>> {
         async move { self.answer(request).await }.boxed()
     }
-
-    fn limits(&self) -> CallerLimits {
-        CallerLimits::default()
-    }
 }
--- /dev/null
+++ b/crates/apricotfold-proxy/src/answer_codec.rs
@@ -0,0 +1,93 @@
+//! Writes answers to callers as bytes.
+
+use bytes::{BufMut, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, StatusCode};
+
+/// How the end of an answer's body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerFraming {
+    /// There is no body, whatever its length.
+    NoBody,
+    /// The head says the length.
+    Length,
+    /// In chunks.
+    Chunked,
+}
+
+impl AnswerFraming {
+    /// Chooses the framing. `length` is the exact length where it is known.
+    pub fn choose(method: &Method, status: StatusCode, length: Option<u64>) -> Self {
+        let bodiless = *method == Method::HEAD
+            || status.is_informational()
+            || status == StatusCode::NO_CONTENT
+            || status == StatusCode::NOT_MODIFIED;
+        match length {
+            _ if bodiless => Self::NoBody,
+            Some(_) => Self::Length,
+            None => Self::Chunked,
+        }
+    }
+}
+
+/// Writes the head of an answer.
+pub fn put_head(
+    buffer: &mut BytesMut,
+    status: StatusCode,
+    headers: &HeaderMap,
+    framing: AnswerFraming,
+    length: Option<u64>,
+    close: bool,
+) {
+    buffer.put_slice(b"HTTP/1.1 ");
+    buffer.put_slice(status.as_str().as_bytes());
+    buffer.put_u8(b' ');
+    buffer.put_slice(status.canonical_reason().unwrap_or_default().as_bytes());
+    buffer.put_slice(b"\r\n");
+    for (name, value) in headers {
+        let framed = name == CONTENT_LENGTH && framing != AnswerFraming::NoBody;
+        if framed || name == TRANSFER_ENCODING || name == CONNECTION {
+            continue;
+        }
+        put_header(buffer, name.as_str(), value.as_bytes());
+    }
+    match (framing, length) {
+        (AnswerFraming::Length, Some(length)) => {
+            put_header(buffer, "content-length", length.to_string().as_bytes());
+        }
+        (AnswerFraming::Chunked, _) => put_header(buffer, "transfer-encoding", b"chunked"),
+        _ => {}
+    }
+    if close {
+        put_header(buffer, "connection", b"close");
+    }
+    buffer.put_slice(b"\r\n");
+}
+
+fn put_header(buffer: &mut BytesMut, name: &str, value: &[u8]) {
+    buffer.put_slice(name.as_bytes());
+    buffer.put_slice(b": ");
+    buffer.put_slice(value);
+    buffer.put_slice(b"\r\n");
+}
+
+/// Writes a piece of a body. An empty piece would end a chunked body, so it is left out.
+pub fn put_piece(buffer: &mut BytesMut, framing: AnswerFraming, piece: &[u8]) {
+    match framing {
+        AnswerFraming::NoBody => {}
+        AnswerFraming::Length => buffer.put_slice(piece),
+        AnswerFraming::Chunked if piece.is_empty() => {}
+        AnswerFraming::Chunked => {
+            buffer.put_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+            buffer.put_slice(piece);
+            buffer.put_slice(b"\r\n");
+        }
+    }
+}
+
+/// Writes the end of a whole body.
+pub fn put_end(buffer: &mut BytesMut, framing: AnswerFraming) {
+    if framing == AnswerFraming::Chunked {
+        buffer.put_slice(b"0\r\n\r\n");
+    }
+}
--- a/crates/apricotfold-proxy/src/call_body.rs
+++ b/crates/apricotfold-proxy/src/call_body.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::admission::SlotGuard;
+use crate::lifecycle::InFlightGuard;
 use crate::link_pool::{LinkPool, OpenLink};
 
 /// Why a body ended early.
@@ -45,6 +46,32 @@
     }
 }
 
+/// An answer's body that marks its request as in progress until its end.
+pub struct TrackedBody {
+    body: AnswerBody,
+    _in_flight: InFlightGuard,
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Body of an answer.
 pub enum AnswerBody {
     /// In memory.
@@ -69,6 +96,14 @@
         Self::Whole(None)
     }
 
+    /// Marks the body's request as in progress until the body's end.
+    pub fn tracked(self, in_flight: InFlightGuard) -> TrackedBody {
+        TrackedBody {
+            body: self,
+            _in_flight: in_flight,
+        }
+    }
+
     /// Passes a body on; one that has already ended gives back what it holds at once.
     pub fn passing(incoming: Incoming, mut lease: LinkLease) -> Self {
         if incoming.is_end_stream() {
--- /dev/null
+++ b/crates/apricotfold-proxy/src/caller_connection.rs
@@ -0,0 +1,453 @@
+//! Serves one caller's connection: requests run as they arrive, and answers go back in order.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallerLimits, log_event};
+use bytes::{Bytes, BytesMut};
+use http::{Method, Response, StatusCode};
+use http_body::Body;
+use http_body_util::BodyExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use crate::answer_codec::{AnswerFraming, put_end, put_head, put_piece};
+use crate::call_body::AnswerBody;
+use crate::caller_server::{CallerHandler, EntryRefusal, PreparedCall};
+use crate::connection::CallerGone;
+use crate::lifecycle::{InFlightGuard, Lifecycle, ProcessPhase};
+use crate::link_pool::set_socket_options;
+use crate::request_codec::{BodyLength, BodyReader, RequestFault, RequestHead, take_head};
+
+/// Requests of one connection that are in progress at once; further ones stay unread.
+const MAX_PIPELINED: usize = 32;
+
+/// Size of a read from the connection.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Time after which a caller that acknowledges nothing counts as gone.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time for which a closed connection is still read: a caller whose bytes meet a closed socket
+/// gets a reset, which can destroy the answer that is on its way to it.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// The interim answer that lets a caller send its body.
+const PERMISSION: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// An answer that is being made, in the order of the requests.
+enum PendingAnswer {
+    Running(AnswerTask),
+    Ready(Box<Response<AnswerBody>>),
+    /// The interim answer that lets the caller send its body.
+    Permission,
+}
+
+/// A request's task; it ends when the connection does.
+struct AnswerTask(JoinHandle<Result<Response<AnswerBody>, CallerGone>>);
+
+impl Drop for AnswerTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+struct PendingEntry {
+    method: Method,
+    answer: PendingAnswer,
+    /// The connection ends after this answer.
+    last: bool,
+    _in_flight: InFlightGuard,
+}
+
+/// What the reading and the writing side of a connection share.
+#[derive(Default)]
+struct LineState {
+    pending: VecDeque<PendingEntry>,
+    /// Requests taken from the connection whose answers are not yet written.
+    unanswered: usize,
+    /// When the latest answer was written.
+    idle_since: Option<Instant>,
+    /// No further request is read.
+    ending: bool,
+}
+
+#[derive(Default)]
+struct AnswerLine {
+    state: Mutex<LineState>,
+    arrived: Notify,
+    written: Notify,
+}
+
+impl AnswerLine {
+    fn lock(&self) -> MutexGuard<'_, LineState> {
+        self.state.lock().expect("no panic while locked")
+    }
+
+    fn push(&self, entry: PendingEntry) {
+        let mut state = self.lock();
+        state.ending |= entry.last;
+        state.unanswered += 1;
+        state.pending.push_back(entry);
+        self.arrived.notify_one();
+    }
+
+    fn finish_one(&self) {
+        let mut state = self.lock();
+        state.unanswered -= 1;
+        state.idle_since = Some(Instant::now());
+        self.written.notify_one();
+    }
+
+    /// Time at which the last answer was written; `None` before the first and while one is awaited.
+    fn idle_since(&self) -> Option<Instant> {
+        let state = self.lock();
+        state.idle_since.filter(|_| state.unanswered == 0)
+    }
+
+    fn is_idle(&self) -> bool {
+        self.lock().unanswered == 0
+    }
+
+    fn is_ending(&self) -> bool {
+        self.lock().ending
+    }
+
+    /// Waits until at most `most` requests are unanswered.
+    async fn wait_below(&self, most: usize) {
+        while self.lock().unanswered > most {
+            self.written.notified().await;
+        }
+    }
+}
+
+/// Serves a connection until either side ends it.
+pub async fn serve_caller(stream: TcpStream, handler: Arc<CallerHandler>, lifecycle: Lifecycle) {
+    set_socket_options(&stream, UNACKNOWLEDGED_LIMIT);
+    let (input, output) = stream.into_split();
+    let line = Arc::new(AnswerLine::default());
+    let mut reader = CallerReader {
+        input,
+        buffer: BytesMut::new(),
+        handler,
+        lifecycle: lifecycle.clone(),
+        line: line.clone(),
+    };
+    let mut writer = CallerWriter {
+        output,
+        lifecycle,
+        line,
+    };
+    let whole = tokio::select! {
+        // A caller that has left cancels its requests: the line is dropped with its tasks.
+        () = reader.read_requests() => return,
+        result = writer.write_answers() => result,
+    };
+    if let Err(error) = whole {
+        log_event!(debug, ConnectionFailed, "{error}");
+        return;
+    }
+    if writer.output.shutdown().await.is_ok() {
+        let drained = reader.drain_input();
+        // Whatever still comes belongs to no request that was taken.
+        let _ = tokio::time::timeout(LINGER, drained).await;
+    }
+}
+
+struct CallerReader {
+    input: OwnedReadHalf,
+    buffer: BytesMut,
+    handler: Arc<CallerHandler>,
+    lifecycle: Lifecycle,
+    line: Arc<AnswerLine>,
+}
+
+/// Why reading ends.
+enum ReadEnd {
+    /// The caller closed its side or broke off.
+    Departed,
+    /// The connection is to be closed after what is in progress.
+    Refused(RequestFault),
+    /// The caller sent too slowly.
+    Late,
+    /// Nothing came for the idle limit, or the process is closing.
+    Idle,
+}
+
+impl CallerReader {
+    /// Takes requests until the caller has left. When the connection is to end for another reason,
+    /// it only watches the caller's presence while the last answers are written.
+    async fn read_requests(&mut self) {
+        let end = loop {
+            self.line.wait_below(MAX_PIPELINED - 1).await;
+            if self.line.is_ending() {
+                break ReadEnd::Idle;
+            }
+            if let Err(end) = self.read_request().await {
+                break end;
+            }
+        };
+        match end {
+            ReadEnd::Departed => return,
+            ReadEnd::Refused(fault) => self.answer_fault(fault.status()),
+            ReadEnd::Late => {
+                log_event!(info, ConnectionFailed, "a request's head came too slowly");
+                self.answer_fault(StatusCode::REQUEST_TIMEOUT);
+            }
+            ReadEnd::Idle => {
+                self.line.lock().ending = true;
+                self.line.arrived.notify_one();
+            }
+        }
+        self.drain_input().await;
+    }
+
+    /// Reads until the caller closes its side.
+    async fn drain_input(&mut self) {
+        loop {
+            self.buffer.clear();
+            self.buffer.reserve(READ_BYTES);
+            if !matches!(self.input.read_buf(&mut self.buffer).await, Ok(1..)) {
+                return;
+            }
+        }
+    }
+
+    async fn read_request(&mut self) -> Result<(), ReadEnd> {
+        let limits = self.handler.limits();
+        let head = self.read_head(&limits).await?;
+        let arrived = Instant::now();
+        let in_flight = self.lifecycle.begin_request();
+        let method = head.parts.method.clone();
+        let has_body = head.body != BodyLength::Known(0);
+        let last = head.last;
+        let (answer, last) = match self.handler.prepare(head.parts, arrived) {
+            Ok(call) => {
+                let body =
+                    BodyReader::new(head.body, limits.body_bytes).map_err(ReadEnd::Refused)?;
+                if head.expects_permission && has_body {
+                    self.permit_body();
+                }
+                match self.read_body(body, call.deadline()).await? {
+                    Some(body) => (self.start(call, body), last),
+                    None => (
+                        PendingAnswer::Ready(Box::new(self.handler.refuse_late(&call))),
+                        true,
+                    ),
+                }
+            }
+            // The body of a refused request is not read, so nothing can follow it.
+            Err(EntryRefusal(response)) => (PendingAnswer::Ready(response), last || has_body),
+        };
+        self.line.push(PendingEntry {
+            method,
+            answer,
+            last,
+            _in_flight: in_flight,
+        });
+        Ok(())
+    }
+
+    fn permit_body(&self) {
+        self.line.push(PendingEntry {
+            method: Method::GET,
+            answer: PendingAnswer::Permission,
+            last: false,
+            _in_flight: self.lifecycle.begin_request(),
+        });
+    }
+
+    fn start(&self, call: PreparedCall, body: Bytes) -> PendingAnswer {
+        let handler = self.handler.clone();
+        let task = tokio::spawn(async move { handler.run(call, body).await });
+        PendingAnswer::Running(AnswerTask(task))
+    }
+
+    async fn read_head(&mut self, limits: &CallerLimits) -> Result<RequestHead, ReadEnd> {
+        let started = Instant::now();
+        let mut head_since = None;
+        let mut phases = self.lifecycle.watch();
+        loop {
+            let head = take_head(&mut self.buffer, limits.header_bytes);
+            if let Some(head) = head.map_err(ReadEnd::Refused)? {
+                return Ok(head);
+            }
+            if !self.buffer.is_empty() {
+                head_since.get_or_insert_with(Instant::now);
+            }
+            let idle = head_since.is_none() && self.line.is_idle();
+            if idle && *phases.borrow() == ProcessPhase::Closing {
+                return Err(ReadEnd::Idle);
+            }
+            let idle_since = self.line.idle_since().unwrap_or(started);
+            let (due, end) = match head_since {
+                Some(since) => (since + limits.header_time, ReadEnd::Late),
+                None if idle => (idle_since + limits.idle_time, ReadEnd::Idle),
+                None => (Instant::now() + limits.idle_time, ReadEnd::Idle),
+            };
+            tokio::select! {
+                read = read_more(&mut self.input, &mut self.buffer) => read?,
+                () = tokio::time::sleep_until(due.into()), if idle || head_since.is_some() => {
+                    if head_since.is_some() || self.line.is_idle() {
+                        return Err(end);
+                    }
+                }
+                () = self.line.written.notified() => {}
+                Ok(()) = phases.changed() => {}
+            }
+        }
+    }
+
+    /// Reads a body; `None` when it is not whole at the deadline.
+    async fn read_body(
+        &mut self,
+        mut body: BodyReader,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, ReadEnd> {
+        loop {
+            if let Some(whole) = body.take(&mut self.buffer).map_err(ReadEnd::Refused)? {
+                return Ok(Some(whole));
+            }
+            let more = read_more(&mut self.input, &mut self.buffer);
+            match tokio::time::timeout_at(deadline.into(), more).await {
+                Ok(read) => read?,
+                Err(_) => return Ok(None),
+            }
+        }
+    }
+
+    fn answer_fault(&self, status: StatusCode) {
+        let mut response = Response::new(AnswerBody::empty());
+        *response.status_mut() = status;
+        self.line.push(PendingEntry {
+            method: Method::GET,
+            answer: PendingAnswer::Ready(Box::new(response)),
+            last: true,
+            _in_flight: self.lifecycle.begin_request(),
+        });
+    }
+}
+
+async fn read_more(input: &mut OwnedReadHalf, buffer: &mut BytesMut) -> Result<(), ReadEnd> {
+    buffer.reserve(READ_BYTES);
+    match input.read_buf(buffer).await {
+        Ok(1..) => Ok(()),
+        Ok(0) | Err(_) => Err(ReadEnd::Departed),
+    }
+}
+
+struct CallerWriter {
+    output: OwnedWriteHalf,
+    lifecycle: Lifecycle,
+    line: Arc<AnswerLine>,
+}
+
+impl CallerWriter {
+    /// Writes answers in order until the last one of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the connection must be closed without a further answer.
+    async fn write_answers(&mut self) -> eyre::Result<()> {
+        loop {
+            let Some(entry) = self.next_entry().await else {
+                return Ok(());
+            };
+            let response = match entry.answer {
+                PendingAnswer::Ready(response) => *response,
+                PendingAnswer::Running(mut task) => (&mut task.0).await??,
+                PendingAnswer::Permission => {
+                    self.output.write_all(PERMISSION).await?;
+                    self.line.finish_one();
+                    continue;
+                }
+            };
+            let close = entry.last || self.ends_here();
+            self.write_answer(response, &entry.method, close).await?;
+            self.line.finish_one();
+            if close {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn next_entry(&self) -> Option<PendingEntry> {
+        loop {
+            {
+                let mut state = self.line.lock();
+                if let Some(entry) = state.pending.pop_front() {
+                    return Some(entry);
+                }
+                if state.ending {
+                    return None;
+                }
+            }
+            self.line.arrived.notified().await;
+        }
+    }
+
+    /// A leaving process closes a connection after the last request that it has taken from it.
+    fn ends_here(&self) -> bool {
+        if self.lifecycle.phase() == ProcessPhase::Serving {
+            return false;
+        }
+        let mut state = self.line.lock();
+        let ends = state.unanswered == 1;
+        state.ending |= ends;
+        ends
+    }
+
+    async fn write_answer(
+        &mut self,
+        response: Response<AnswerBody>,
+        method: &Method,
+        close: bool,
+    ) -> eyre::Result<()> {
+        let (parts, mut body) = response.into_parts();
+        let length = body.size_hint().exact();
+        let framing = AnswerFraming::choose(method, parts.status, length);
+        let mut bytes = BytesMut::with_capacity(READ_BYTES);
+        put_head(
+            &mut bytes,
+            parts.status,
+            &parts.headers,
+            framing,
+            length,
+            close,
+        );
+        if framing != AnswerFraming::NoBody {
+            self.write_pieces(&mut body, framing, &mut bytes).await?;
+        }
+        put_end(&mut bytes, framing);
+        self.output.write_all(&bytes).await?;
+        Ok(())
+    }
+
+    /// Writes a body as it arrives; the last bytes stay in `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the body or the connection breaks off. The connection is then dropped
+    /// before the announced length or the last chunk, so that the answer does not look whole.
+    async fn write_pieces(
+        &mut self,
+        body: &mut AnswerBody,
+        framing: AnswerFraming,
+        bytes: &mut BytesMut,
+    ) -> eyre::Result<()> {
+        while let Some(frame) = body.frame().await {
+            if let Ok(piece) = frame?.into_data() {
+                put_piece(bytes, framing, &piece);
+            }
+            if bytes.len() >= READ_BYTES {
+                self.output.write_all(bytes).await?;
+                bytes.clear();
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/apricotfold-proxy/src/caller_server.rs
+++ b/crates/apricotfold-proxy/src/caller_server.rs
@@ -4,17 +4,19 @@
 use std::time::Instant;
 
 use apricotfold_model::{CallOutcome, CallerLimits, RefusalReason, WorkClass, log_event};
-use futures_util::FutureExt;
-use futures_util::future::BoxFuture;
-use http::{Request, Response};
-use hyper::body::Incoming;
+use bytes::Bytes;
+use http::Response;
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use tokio::net::TcpListener;
 
 use crate::borders::{CallHead, CallRefusal};
 use crate::call_body::AnswerBody;
-use crate::connection::{CallerGone, RequestHandler};
+use crate::caller_connection::serve_caller;
+use crate::connection::{CallerGone, accept};
 use crate::engine::Engine;
 use crate::entry_call::EntryCall;
-use crate::entry_route::{BodyProblem, RoutedCall, clean_headers, read_body};
+use crate::entry_route::{RoutedCall, clean_headers};
 use crate::measure;
 use crate::target_call::CallRequest;
 
@@ -23,7 +25,25 @@
     engine: Arc<Engine>,
 }
 
-/// Logs a caller that leaves: the handler is dropped then, before it has answered.
+/// A request whose route is known and whose body is still to come.
+pub struct PreparedCall {
+    routed: RoutedCall,
+    path: PathAndQuery,
+    parts: Parts,
+    head: CallHead,
+}
+
+impl PreparedCall {
+    /// End of the caller's patience.
+    pub fn deadline(&self) -> Instant {
+        self.routed.deadline
+    }
+}
+
+/// Answer to a request that cannot be routed.
+pub struct EntryRefusal(pub Box<Response<AnswerBody>>);
+
+/// Logs a caller that leaves: its request is dropped then, before it has answered.
 struct DepartureLog {
     id: Option<String>,
     arrived: Instant,
@@ -44,51 +64,76 @@
         Self { engine }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, CallerGone> {
-        let arrived = Instant::now();
-        let (parts, incoming) = request.into_parts();
-        let head = self.engine.dialect.read_call(&parts.headers);
-        let mut departure = DepartureLog {
-            id: Some(head.request_id.as_deref().unwrap_or("-").to_owned()),
-            arrived,
-        };
-        let answer = self.route(parts, incoming, &head, arrived).await;
-        departure.id = None;
-        answer
+    /// Limits on callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.engine.tables.current().table.limits
     }
 
-    async fn route(
+    /// Finds the route of a request whose body is still to come.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to a request that cannot be routed.
+    pub fn prepare(
         &self,
-        mut parts: http::request::Parts,
-        incoming: Incoming,
-        head: &CallHead,
+        mut parts: Parts,
         arrived: Instant,
-    ) -> Result<Response<AnswerBody>, CallerGone> {
+    ) -> Result<PreparedCall, EntryRefusal> {
+        let head = self.engine.dialect.read_call(&parts.headers);
         let kept = self.engine.tables.current();
-        let limits = kept.table.limits;
-        let routed = match RoutedCall::find(&kept.table, &parts, head, arrived) {
-            Ok(routed) => routed,
-            Err(reason) => return Ok(self.refuse(head, reason, &parts, arrived)),
-        };
-        let Some(path) = parts.uri.path_and_query().cloned() else {
-            return Ok(self.refuse(head, RefusalReason::BadRequest, &parts, arrived));
-        };
-        clean_headers(&mut parts.headers);
-        let body = match read_body(incoming, &parts.headers, &limits, routed.deadline).await {
-            Ok(body) => body,
-            Err(BodyProblem::Refused(reason)) => {
-                return Ok(self.refuse(head, reason, &parts, arrived));
+        let routed = RoutedCall::find(&kept.table, &parts, &head, arrived);
+        let path = parts.uri.path_and_query().cloned();
+        let path = path.ok_or(RefusalReason::BadRequest);
+        match routed.and_then(|routed| Ok((routed, path?))) {
+            Ok((routed, path)) => {
+                clean_headers(&mut parts.headers);
+                Ok(PreparedCall {
+                    routed,
+                    path,
+                    parts,
+                    head,
+                })
+            }
+            Err(reason) => {
+                let response = self.refuse(&head, reason, &parts, arrived);
+                Err(EntryRefusal(Box::new(response)))
             }
-            Err(BodyProblem::Gone(gone)) => return Err(gone),
+        }
+    }
+
+    /// Sends a request with its whole body on its way.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection must be closed without an answer.
+    pub async fn run(
+        self: Arc<Self>,
+        call: PreparedCall,
+        body: Bytes,
+    ) -> Result<Response<AnswerBody>, CallerGone> {
+        let id = call.head.request_id.as_deref().unwrap_or("-");
+        let mut departure = DepartureLog {
+            id: Some(id.to_owned()),
+            arrived: call.routed.arrived,
         };
         let request = CallRequest {
-            method: parts.method,
-            path,
-            headers: parts.headers,
+            method: call.parts.method,
+            path: call.path,
+            headers: call.parts.headers,
             body,
-            id: head.request_id.clone(),
+            id: call.head.request_id,
         };
-        EntryCall::new(&self.engine, routed, request).run().await
+        let answer = EntryCall::new(&self.engine, call.routed, request)
+            .run()
+            .await;
+        departure.id = None;
+        answer
+    }
+
+    /// Answers a request whose body did not arrive before its deadline.
+    pub fn refuse_late(&self, call: &PreparedCall) -> Response<AnswerBody> {
+        let arrived = call.routed.arrived;
+        self.refuse(&call.head, RefusalReason::BodyLate, &call.parts, arrived)
     }
 
     /// Refuses a request for what it is; no target was chosen.
@@ -96,7 +141,7 @@
         &self,
         head: &CallHead,
         reason: RefusalReason,
-        parts: &http::request::Parts,
+        parts: &Parts,
         arrived: Instant,
     ) -> Response<AnswerBody> {
         let id = head.request_id.as_deref().unwrap_or("-");
@@ -131,15 +176,11 @@
     response
 }
 
-impl RequestHandler for CallerHandler {
-    fn handle(
-        self: Arc<Self>,
-        request: Request<Incoming>,
-    ) -> BoxFuture<'static, Result<Response<AnswerBody>, CallerGone>> {
-        async move { self.answer(request).await }.boxed()
-    }
-
-    fn limits(&self) -> CallerLimits {
-        self.engine.tables.current().table.limits
+/// Accepts callers until the process ends.
+pub async fn serve_callers(listener: TcpListener, handler: Arc<CallerHandler>) {
+    let lifecycle = handler.engine.lifecycle.clone();
+    loop {
+        let stream = accept(&listener).await;
+        tokio::spawn(serve_caller(stream, handler.clone(), lifecycle.clone()));
     }
 }
--- a/crates/apricotfold-proxy/src/entry_route.rs
+++ b/crates/apricotfold-proxy/src/entry_route.rs
@@ -3,15 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallerLimits, RefusalReason, RouteTable, TableRoute};
-use bytes::Bytes;
+use apricotfold_model::{RefusalReason, RouteTable, TableRoute};
 use http::request::Parts;
 use http::{HeaderMap, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 
 use crate::borders::CallHead;
-use crate::connection::CallerGone;
 use crate::head::strip_connection_headers;
 
 /// Prefix of the headers that proxies exchange; callers cannot set them.
@@ -97,42 +93,3 @@
         headers.remove(name);
     }
 }
-
-/// Why a body is not passed on.
-pub enum BodyProblem {
-    /// The caller gets an answer.
-    Refused(RefusalReason),
-    /// The caller left while sending it.
-    Gone(CallerGone),
-}
-
-/// Reads the whole body, so that a target which answers early never leaves part of it for the next
-/// request on its connection.
-///
-/// # Errors
-///
-/// Returns why the request cannot be passed on; no part of it has been.
-pub async fn read_body(
-    incoming: Incoming,
-    headers: &HeaderMap,
-    limits: &CallerLimits,
-    deadline: Instant,
-) -> Result<Bytes, BodyProblem> {
-    let too_large = || BodyProblem::Refused(RefusalReason::BodyTooLarge);
-    let declared = headers.get(header::CONTENT_LENGTH);
-    let declared: Option<u64> = declared.and_then(|value| value.to_str().ok()?.parse().ok());
-    if declared.is_some_and(|length| length > limits.body_bytes) {
-        return Err(too_large());
-    }
-    let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
-    let collected = Limited::new(incoming, limit).collect();
-    match tokio::time::timeout_at(deadline.into(), collected).await {
-        Err(_) => Err(BodyProblem::Refused(RefusalReason::BodyLate)),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => {
-            log::debug!("a caller's request broke off: {error}");
-            Err(BodyProblem::Gone(CallerGone))
-        }
-    }
-}
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod admission;
 mod announce_server;
+mod answer_codec;
 pub mod borders;
 mod call_body;
+mod caller_connection;
 mod caller_server;
 mod connection;
 mod crash_watch;
@@ -25,6 +27,7 @@
 mod peer_exchange;
 mod peer_server;
 mod registration;
+mod request_codec;
 mod run;
 mod settings_file;
 mod status_server;
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallOutcome, CallerLimits, RefusalReason, log_event};
+use apricotfold_model::{CallOutcome, RefusalReason, log_event};
 use apricotfold_policy::InstanceReport;
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -23,15 +23,6 @@
 use crate::peer_exchange::{EXCHANGE_HEADER, answer_exchange};
 use crate::target_call::{self, CallRequest, TargetRefusal};
 
-/// Limits on other proxies. They pass on requests that have met the callers' limits; their
-/// connections outlive the sending side's idle limit.
-const PEER_LIMITS: CallerLimits = CallerLimits {
-    header_bytes: 128 * 1024,
-    body_bytes: u64::MAX,
-    header_time: Duration::from_secs(3),
-    idle_time: Duration::from_secs(30),
-};
-
 /// Serves the calls and exchanges of other proxies.
 pub struct PeerHandler {
     engine: Arc<Engine>,
@@ -143,8 +134,4 @@
     ) -> BoxFuture<'static, Result<Response<AnswerBody>, CallerGone>> {
         async move { self.answer(request).await }.boxed()
     }
-
-    fn limits(&self) -> CallerLimits {
-        PEER_LIMITS
-    }
 }
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -111,12 +111,25 @@
             return Ok(());
         }
         let wanted = self.with_departure(wanted);
-        if self.written.as_ref() == Some(&wanted) && self.renew().await? {
+        if self.is_written(&wanted) && self.renew().await? {
             return Ok(());
         }
         self.write(wanted).await
     }
 
+    /// Tells whether the store has what other nodes need to know.
+    fn is_written(&self, wanted: &NodeEntry) -> bool {
+        let Some(written) = &self.written else {
+            return false;
+        };
+        let same_record = match (&written.record, &wanted.record) {
+            (Some(known), Some(record)) => known.says_same(record),
+            (None, None) => true,
+            _ => false,
+        };
+        same_record && written.crashes == wanted.crashes
+    }
+
     /// Keeps the record of an instance that is no longer there, marked as gone, so that delayed
     /// announcements of it are recognised.
     fn with_departure(&self, mut wanted: NodeEntry) -> NodeEntry {
--- /dev/null
+++ b/crates/apricotfold-proxy/src/request_codec.rs
@@ -0,0 +1,287 @@
+//! Reads callers' requests from bytes.
+//!
+//! hyper's server answers pipelined requests one after the other, so that each waits for the work
+//! of those before it. Callers' connections are therefore read here, with `httparse`, and their
+//! requests run at the same time. See `docs/platform.md`, section 5.
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, Version};
+
+/// Headers of one request; more are refused.
+const MAX_HEADERS: usize = 128;
+
+/// Longest line with the size of a chunk.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// Why a request cannot be read; its connection is closed after the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestFault {
+    /// It is malformed, or its length is ambiguous.
+    Malformed,
+    /// Its head is too large.
+    HeadTooLarge,
+    /// Its body is too large.
+    BodyTooLarge,
+}
+
+impl RequestFault {
+    /// Status of the answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        }
+    }
+}
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyLength {
+    /// After this many bytes.
+    Known(u64),
+    /// After the last chunk.
+    Chunked,
+}
+
+/// Head of a request.
+#[derive(Debug)]
+pub struct RequestHead {
+    /// Method, target and headers.
+    pub parts: Parts,
+    /// Length of the body.
+    pub body: BodyLength,
+    /// The caller sends no further request on the connection.
+    pub last: bool,
+    /// The caller waits for permission to send the body.
+    pub expects_permission: bool,
+}
+
+/// Takes a head from the front of `buffer`, `None` while it is incomplete.
+///
+/// # Errors
+///
+/// Returns why it cannot be read.
+pub fn take_head(
+    buffer: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<Option<RequestHead>, RequestFault> {
+    skip_empty_lines(buffer);
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let length = match request.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if buffer.len() <= max_bytes => return Ok(None),
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+            return Err(RequestFault::HeadTooLarge);
+        }
+        Err(_) => return Err(RequestFault::Malformed),
+    };
+    if length > max_bytes {
+        return Err(RequestFault::HeadTooLarge);
+    }
+    let head = read_head(&request)?;
+    buffer.advance(length);
+    Ok(Some(head))
+}
+
+/// Skips empty lines before a request, as RFC 9112, section 2.2, asks of servers.
+fn skip_empty_lines(buffer: &mut BytesMut) {
+    while buffer.starts_with(b"\r\n") {
+        buffer.advance(2);
+    }
+}
+
+fn read_head(request: &httparse::Request<'_, '_>) -> Result<RequestHead, RequestFault> {
+    let malformed = RequestFault::Malformed;
+    let method = request.method.ok_or(malformed)?;
+    let method = Method::from_bytes(method.as_bytes()).map_err(|_| malformed)?;
+    let uri: Uri = request
+        .path
+        .ok_or(malformed)?
+        .parse()
+        .map_err(|_| malformed)?;
+    let mut headers = HeaderMap::with_capacity(request.headers.len());
+    for header in request.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(|_| malformed)?;
+        let value = HeaderValue::from_bytes(header.value).map_err(|_| malformed)?;
+        headers.append(name, value);
+    }
+    if headers.get_all(HOST).iter().count() > 1 {
+        return Err(malformed);
+    }
+    let body = read_length(&headers)?;
+    let modern = request.version == Some(1);
+    let last = !modern || names_token(&headers, "close");
+    let expects = headers.get(EXPECT);
+    let expects_permission =
+        expects.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    let mut parts = Request::new(()).into_parts().0;
+    parts.method = method;
+    parts.uri = uri;
+    parts.headers = headers;
+    parts.version = Version::HTTP_11;
+    Ok(RequestHead {
+        parts,
+        body,
+        last,
+        expects_permission,
+    })
+}
+
+/// Finds the body's length. A request with two lengths could be read as two requests by somebody
+/// else, so it is refused.
+fn read_length(headers: &HeaderMap) -> Result<BodyLength, RequestFault> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let encodings = headers.get_all(TRANSFER_ENCODING);
+    let length = lengths.next();
+    if let Some(encoding) = encodings.iter().next() {
+        let chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        if !chunked || encodings.iter().count() > 1 || length.is_some() {
+            return Err(RequestFault::Malformed);
+        }
+        return Ok(BodyLength::Chunked);
+    }
+    let Some(length) = length else {
+        return Ok(BodyLength::Known(0));
+    };
+    if lengths.next().is_some() || !length.as_bytes().iter().all(u8::is_ascii_digit) {
+        return Err(RequestFault::Malformed);
+    }
+    let length = length.to_str().ok().and_then(|text| text.parse().ok());
+    length.map(BodyLength::Known).ok_or(RequestFault::Malformed)
+}
+
+fn names_token(headers: &HeaderMap, token: &str) -> bool {
+    let values = headers.get_all(CONNECTION);
+    let mut names = values
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','));
+    names.any(|name| name.trim().eq_ignore_ascii_case(token))
+}
+
+/// Collects a body as its bytes arrive.
+#[derive(Debug)]
+pub struct BodyReader {
+    length: BodyLength,
+    max_bytes: u64,
+    body: BytesMut,
+    /// Bytes of the present chunk that are still to come, with the line end behind it.
+    chunk_left: usize,
+    last_chunk: bool,
+}
+
+impl BodyReader {
+    /// Prepares to read a body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault when the announced length is above `max_bytes`.
+    pub fn new(length: BodyLength, max_bytes: u64) -> Result<Self, RequestFault> {
+        if matches!(length, BodyLength::Known(bytes) if bytes > max_bytes) {
+            return Err(RequestFault::BodyTooLarge);
+        }
+        Ok(Self {
+            length,
+            max_bytes,
+            body: BytesMut::new(),
+            chunk_left: 0,
+            last_chunk: false,
+        })
+    }
+
+    /// Takes what belongs to the body from the front of `buffer`. Returns the body when it is whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be read.
+    pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, RequestFault> {
+        match self.length {
+            BodyLength::Known(length) => {
+                let length = usize::try_from(length).map_err(|_| RequestFault::BodyTooLarge)?;
+                let wanted = (length - self.body.len()).min(buffer.len());
+                self.body.unsplit(buffer.split_to(wanted));
+                Ok((self.body.len() == length).then(|| self.finish()))
+            }
+            BodyLength::Chunked => self.take_chunks(buffer),
+        }
+    }
+
+    fn finish(&mut self) -> Bytes {
+        std::mem::take(&mut self.body).freeze()
+    }
+
+    fn take_chunks(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, RequestFault> {
+        loop {
+            if self.last_chunk {
+                return self.take_trailers(buffer);
+            }
+            if self.chunk_left > 0 {
+                if !self.take_chunk_bytes(buffer)? {
+                    return Ok(None);
+                }
+                continue;
+            }
+            let parsed = httparse::parse_chunk_size(buffer);
+            match parsed.map_err(|_| RequestFault::Malformed)? {
+                httparse::Status::Partial if buffer.len() > MAX_CHUNK_LINE => {
+                    return Err(RequestFault::Malformed);
+                }
+                httparse::Status::Partial => return Ok(None),
+                httparse::Status::Complete((line, size)) => {
+                    buffer.advance(line);
+                    self.start_chunk(size)?;
+                }
+            }
+        }
+    }
+
+    fn start_chunk(&mut self, size: u64) -> Result<(), RequestFault> {
+        let total = (self.body.len() as u64).saturating_add(size);
+        if total > self.max_bytes {
+            return Err(RequestFault::BodyTooLarge);
+        }
+        if size == 0 {
+            self.last_chunk = true;
+            return Ok(());
+        }
+        let size = usize::try_from(size).map_err(|_| RequestFault::BodyTooLarge)?;
+        self.chunk_left = size + 2;
+        Ok(())
+    }
+
+    /// Takes bytes of the present chunk. Returns whether the chunk is whole.
+    fn take_chunk_bytes(&mut self, buffer: &mut BytesMut) -> Result<bool, RequestFault> {
+        let data = self.chunk_left.saturating_sub(2).min(buffer.len());
+        self.body.unsplit(buffer.split_to(data));
+        self.chunk_left -= data;
+        if self.chunk_left > 2 || buffer.len() < 2 {
+            return Ok(false);
+        }
+        if !buffer.starts_with(b"\r\n") {
+            return Err(RequestFault::Malformed);
+        }
+        buffer.advance(2);
+        self.chunk_left = 0;
+        Ok(true)
+    }
+
+    /// Skips trailers, which concern one connection, up to the empty line behind them.
+    fn take_trailers(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, RequestFault> {
+        loop {
+            let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
+                if buffer.len() > MAX_CHUNK_LINE {
+                    return Err(RequestFault::Malformed);
+                }
+                return Ok(None);
+            };
+            buffer.advance(end + 2);
+            if end == 0 {
+                return Ok(Some(self.finish()));
+            }
+        }
+    }
+}
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -9,7 +9,7 @@
 
 use crate::announce_server::AnnounceHandler;
 use crate::borders::{AnnounceDialect, CallDialect, TableSource};
-use crate::caller_server::CallerHandler;
+use crate::caller_server::{CallerHandler, serve_callers};
 use crate::connection::{RequestHandler, listen, serve};
 use crate::engine::Engine;
 use crate::lifecycle::ProcessPhase;
@@ -68,10 +68,6 @@
             config.peer_address,
             Arc::new(PeerHandler::new(engine.clone())),
         ),
-        (
-            config.caller_address,
-            Arc::new(CallerHandler::new(engine.clone())),
-        ),
     ];
     if let Some(address) = config.metrics_address {
         handlers.push((address, Arc::new(MetricsHandler(metrics))));
@@ -80,6 +76,9 @@
         let listener = listen(address).await?;
         tokio::spawn(serve(listener, handler, engine.lifecycle.clone()));
     }
+    let callers = listen(config.caller_address).await?;
+    let handler = CallerHandler::new(engine.clone());
+    tokio::spawn(serve_callers(callers, Arc::new(handler)));
     log_event!(
         info,
         Started,
--- a/crates/apricotfold-proxy/src/status_server.rs
+++ b/crates/apricotfold-proxy/src/status_server.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use apricotfold_model::CallerLimits;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -31,10 +30,6 @@
         }
         .boxed()
     }
-
-    fn limits(&self) -> CallerLimits {
-        CallerLimits::default()
-    }
 }
 
 /// Serves the metrics as text.
@@ -47,8 +42,4 @@
     ) -> BoxFuture<'static, Result<Response<AnswerBody>, CallerGone>> {
         async move { Ok(Response::new(AnswerBody::whole(self.0.render().into()))) }.boxed()
     }
-
-    fn limits(&self) -> CallerLimits {
-        CallerLimits::default()
-    }
 }
