--- a/crates/apricotfold-proxy/src/entry_route.rs
+++ b/crates/apricotfold-proxy/src/entry_route.rs
@@ -13,6 +13,14 @@
 /// Prefix of the headers that proxies exchange; callers cannot set them.
 const OWN_PREFIX: &str = "apricotfold-";
 
+/// Time before the end of a caller's patience at which it is told that there is no answer. Without
+/// it the caller closes the connection at the same moment, and with it go the pipelined requests
+/// behind. It covers the way to the caller.
+const FAREWELL: Duration = Duration::from_millis(30);
+
+/// Largest part of a caller's patience that [`FAREWELL`] may take.
+const FAREWELL_SHARE: u32 = 8;
+
 /// A caller's request with its route and times.
 #[derive(Clone, Debug)]
 pub struct RoutedCall {
@@ -47,7 +55,10 @@
         let route = table
             .find(host, parts.uri.path())
             .ok_or(RefusalReason::NoRoute)?;
-        let patience = head.time_left.unwrap_or(route.timeout).min(route.timeout);
+        let patience = match head.time_left {
+            Some(left) => (left - FAREWELL.min(left / FAREWELL_SHARE)).min(route.timeout),
+            None => route.timeout,
+        };
         Ok(Self {
             route: route.clone(),
             version: table.version,
