Refuse on arrival what would not be answered in time

Ruled out: wrong service estimates; the targets ran all their slots.

Change: CrestQueue admits a request to wait only for a part of the time that it can spare, with more urgent work counted in; the expected waits are reported, and the entry node refuses at once when no target is worth asking. Callers that come back go first. Rejected and failed requests steer the choice away from a target.

--- a/crates/apricotfold-node/src/mesh.rs
+++ b/crates/apricotfold-node/src/mesh.rs
@@ -12,6 +12,7 @@
 use crate::orders::OrderDesk;
 use crate::state::NodeState;
 use crate::target_call::TargetCall;
+use apricotfold_policy::WorkOffer;
 use apricotfold_proxy::SlotGuard;
 
 /// Deadline of a request that names none, which only a broken peer sends.
@@ -83,7 +84,14 @@
     ) -> Result<SlotGuard, CallRefusal> {
         let class = read_header(&request.headers, headers::CLASS).unwrap_or_default();
         let priority = read_header(&request.headers, headers::PRIORITY).unwrap_or_default();
-        let admission = self.state.admission.admit(class, priority, deadline);
+        let offer = WorkOffer {
+            class,
+            priority,
+            returned: false,
+            useful_until: deadline,
+            deadline,
+        };
+        let admission = self.state.admission.admit(&offer);
         let slot = admission
             .await
             .map_err(|reason| CallRefusal::not_run(reason, ""))?;
--- a/crates/apricotfold-policy/src/admission.rs
+++ b/crates/apricotfold-policy/src/admission.rs
@@ -6,8 +6,8 @@
 use apricotfold_model::{CallPriority, LimitRule, RefusalReason, WorkClass};
 use smallvec::SmallVec;
 
-use crate::LoadReport;
 use crate::waiting::{WaitingQueue, WaitingRequest};
+use crate::{LoadReport, PriorityWaits};
 
 /// Identifies a request at this node. The daemon never uses a number twice.
 pub type AdmissionId = u64;
@@ -95,6 +95,104 @@
     Refuse(AdmissionId, RefusalReason),
 }
 
+/// A request that is offered to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkOffer {
+    /// Short or long work.
+    pub class: WorkClass,
+    /// Importance under overload.
+    pub priority: CallPriority,
+    /// The caller was refused before and came back when it was told to.
+    pub returned: bool,
+    /// Time until which an answer is worth waiting for a slot.
+    pub useful_until: Instant,
+    /// End of the caller's patience.
+    pub deadline: Instant,
+}
+
+/// Decides which requests a target runs, which wait, and which are refused.
+pub trait AdmissionRule: Send + std::fmt::Debug {
+    /// Decides about a new request. The events concern other requests.
+    fn offer(
+        &mut self,
+        id: AdmissionId,
+        offer: &WorkOffer,
+        now: Instant,
+    ) -> (Admission, AdmissionEvents);
+
+    /// Notes that a running request has ended, with or without an answer of the target.
+    fn release(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents;
+
+    /// Notes that the caller of a request has gone, whether it waits or runs.
+    fn cancel(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents;
+
+    /// Refuses requests that waited too long and starts those that can run.
+    fn expire(&mut self, now: Instant) -> AdmissionEvents;
+
+    /// Time at which [`expire`](Self::expire) must be called, `None` while nothing waits.
+    fn next_expiry(&self) -> Option<Instant>;
+
+    /// Changes the limits. Running requests continue, even when they are more than the new slots.
+    fn set_limits(&mut self, limits: AdmissionLimits, now: Instant) -> AdmissionEvents;
+
+    /// Starts or stops refusing new requests.
+    fn set_draining(&mut self, draining: bool);
+
+    /// Running and waiting requests, and slots.
+    fn load(&self) -> LoadReport;
+
+    /// Number of requests that run.
+    fn running(&self) -> u32;
+
+    /// Expected waits of new requests by priority; zero where they are not estimated.
+    fn waits(&self, _now: Instant) -> PriorityWaits {
+        PriorityWaits::default()
+    }
+}
+
+impl AdmissionRule for AdmissionQueue {
+    fn offer(
+        &mut self,
+        id: AdmissionId,
+        offer: &WorkOffer,
+        now: Instant,
+    ) -> (Admission, AdmissionEvents) {
+        Self::offer(self, id, offer.class, offer.priority, offer.deadline, now)
+    }
+
+    fn release(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
+        Self::release(self, id, now)
+    }
+
+    fn cancel(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
+        Self::cancel(self, id, now)
+    }
+
+    fn expire(&mut self, now: Instant) -> AdmissionEvents {
+        Self::expire(self, now)
+    }
+
+    fn next_expiry(&self) -> Option<Instant> {
+        Self::next_expiry(self)
+    }
+
+    fn set_limits(&mut self, limits: AdmissionLimits, now: Instant) -> AdmissionEvents {
+        Self::set_limits(self, limits, now)
+    }
+
+    fn set_draining(&mut self, draining: bool) {
+        Self::set_draining(self, draining);
+    }
+
+    fn load(&self) -> LoadReport {
+        Self::load(self)
+    }
+
+    fn running(&self) -> u32 {
+        Self::running(self)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct RunningRequest {
     class: WorkClass,
@@ -111,7 +209,6 @@
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     limits: AdmissionLimits,
-    oldest_first: bool,
     draining: bool,
     running: HashMap<AdmissionId, RunningRequest>,
     long_running: u32,
@@ -160,7 +257,6 @@
     pub fn new(limits: AdmissionLimits) -> Self {
         Self {
             limits,
-            oldest_first: false,
             draining: false,
             running: HashMap::new(),
             long_running: 0,
@@ -169,14 +265,6 @@
         }
     }
 
-    /// Serves the oldest request first under sustained overload, too. This suits callers whose
-    /// deadlines are set so short that a request which would wait in vain is refused on arrival.
-    #[must_use]
-    pub fn oldest_first(mut self) -> Self {
-        self.oldest_first = true;
-        self
-    }
-
     /// Decides about a new request. The events concern other requests: those that expired or that
     /// this one displaced.
     pub fn offer(
@@ -238,7 +326,7 @@
     pub fn expire(&mut self, now: Instant) -> AdmissionEvents {
         let mut events = AdmissionEvents::new();
         for class in [WorkClass::Short, WorkClass::Long] {
-            let overloaded = self.is_overloaded(class, now);
+            let overloaded = self.queue(class).is_overloaded(now);
             for request in self.queue_mut(class).waiting.take_expired(now) {
                 let reason = expiry_reason(&request, overloaded);
                 events.push(AdmissionEvent::Refuse(request.id, reason));
@@ -296,10 +384,6 @@
         self.long_running
     }
 
-    fn is_overloaded(&self, class: WorkClass, now: Instant) -> bool {
-        !self.oldest_first && self.queue(class).is_overloaded(now)
-    }
-
     fn queue(&self, class: WorkClass) -> &ClassQueue {
         match class {
             WorkClass::Short => &self.short,
@@ -353,7 +437,7 @@
         now: Instant,
         events: &mut AdmissionEvents,
     ) -> Admission {
-        let overloaded = self.is_overloaded(class, now);
+        let overloaded = self.queue(class).is_overloaded(now);
         let limit = self.limits.queue_limit(class);
         let never_runs = class == WorkClass::Long && self.limits.long_slots() == 0;
         if limit == 0 || never_runs {
@@ -376,7 +460,7 @@
     /// the slots of its class.
     fn expected_wait(&self, class: WorkClass, priority: CallPriority, now: Instant) -> Duration {
         let queue = self.queue(class);
-        let newest_first = self.is_overloaded(class, now);
+        let newest_first = self.queue(class).is_overloaded(now);
         let ahead = queue.waiting.count_ahead(priority, newest_first);
         let slots = match class {
             WorkClass::Short => self.limits.slots.saturating_sub(self.long_running),
@@ -400,8 +484,8 @@
             (Some(short), Some(long)) if long == short && self.long_running == 0 => WorkClass::Long,
             (Some(_), _) => WorkClass::Short,
         };
-        let newest_first = self.is_overloaded(class, now);
         let queue = self.queue_mut(class);
+        let newest_first = queue.is_overloaded(now);
         let request = queue.waiting.take_first(newest_first)?;
         Some((request.id, class))
     }
--- /dev/null
+++ b/crates/apricotfold-policy/src/crest_queue.rs
@@ -0,0 +1,322 @@
+//! Load pattern: demand that rises above capacity within a second and stays there for seconds, with
+//! urgent and less urgent work. See `docs/platform.md`, section 6.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallPriority, RefusalReason, WorkClass};
+
+use crate::decay::DecayingSum;
+use crate::{
+    Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionRule,
+    LoadReport, WorkOffer,
+};
+
+/// Part of the time that a request can spare which it may spend waiting. A queue that is never
+/// empty keeps all slots at work, whatever its length; a short one leaves refused callers the time
+/// to come back, and admitted ones a margin for slow work.
+const WAIT_SHARE: f64 = 0.4;
+
+/// The same for a request whose caller was refused before: being refused again leaves it without
+/// an answer.
+const RETURNED_WAIT_SHARE: f64 = 0.9;
+
+/// Part of the usual service time below which starting a request is a waste of its slot.
+const LEAST_SERVICE_SHARE: f64 = 0.5;
+
+/// Weight of a new service time in the moving estimate; it follows a change within about ten
+/// requests.
+const ESTIMATE_WEIGHT: f64 = 0.1;
+
+/// Window in which the shares of priorities among started requests are counted.
+const SHARE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Largest share that more urgent work is assumed to take, so that an estimate stays finite.
+const MAX_URGENT_SHARE: f64 = 0.9;
+
+/// Number of priorities.
+const PRIORITIES: usize = 3;
+
+/// Expected waits by priority, the least urgent first.
+pub type PriorityWaits = [Duration; PRIORITIES];
+
+#[derive(Clone, Copy, Debug)]
+struct RunningWork {
+    class: WorkClass,
+    started: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WaitingWork {
+    id: AdmissionId,
+    class: WorkClass,
+    priority: CallPriority,
+    returned: bool,
+    /// Latest start with which it is still answered in time.
+    start_by: Instant,
+}
+
+impl WaitingWork {
+    /// What goes first, the highest first.
+    fn order(&self) -> (CallPriority, bool) {
+        (self.priority, self.returned)
+    }
+}
+
+/// Admits what will be answered in time and refuses the rest on arrival.
+///
+/// Requests wait in one queue: the most urgent first, among equals those whose callers were refused
+/// before, then the oldest. A request
+/// waits only if its expected wait, with more urgent work that will overtake it, is a part of the
+/// time that it can spare. What is refused is refused at once, so that its caller can come back or
+/// go elsewhere.
+#[derive(Debug)]
+pub struct CrestQueue {
+    limits: AdmissionLimits,
+    draining: bool,
+    running: HashMap<AdmissionId, RunningWork>,
+    long_running: u32,
+    waiting: Vec<WaitingWork>,
+    short_service: Option<Duration>,
+    long_service: Option<Duration>,
+    /// Started requests by priority.
+    starts: [DecayingSum; PRIORITIES],
+}
+
+impl CrestQueue {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(limits: AdmissionLimits) -> Self {
+        Self {
+            limits,
+            draining: false,
+            running: HashMap::new(),
+            long_running: 0,
+            waiting: Vec::new(),
+            short_service: None,
+            long_service: None,
+            starts: [DecayingSum::new(SHARE_WINDOW); PRIORITIES],
+        }
+    }
+
+    fn service(&self, class: WorkClass) -> Duration {
+        let estimate = match class {
+            WorkClass::Short => self.short_service,
+            WorkClass::Long => self.long_service,
+        };
+        estimate.unwrap_or_default()
+    }
+
+    /// Mean service time of what runs, which decides when the next slot is free.
+    fn mean_service(&self) -> Duration {
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        if running == 0 {
+            return self.service(WorkClass::Short);
+        }
+        let long = self.service(WorkClass::Long) * self.long_running;
+        let short = self.service(WorkClass::Short) * (running - self.long_running);
+        (long + short) / running
+    }
+
+    fn free_slots(&self) -> u32 {
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        self.limits.slots.saturating_sub(running)
+    }
+
+    /// Long work leaves one slot free, unless none of it runs at all.
+    fn may_run(&self, class: WorkClass) -> bool {
+        let free = self.free_slots();
+        match class {
+            WorkClass::Short => free > 0,
+            WorkClass::Long => {
+                let enough = free > 1 || (free == 1 && self.long_running == 0);
+                enough && self.long_running < self.limits.long_slots().max(1)
+            }
+        }
+    }
+
+    /// Expected wait of a request that arrives now.
+    fn expected_wait(&self, priority: CallPriority, returned: bool, now: Instant) -> Duration {
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|known| known.order() >= (priority, returned))
+            .count();
+        if ahead == 0 && self.free_slots() > 0 {
+            return Duration::ZERO;
+        }
+        let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        let turn = self.mean_service() / self.limits.slots.max(1);
+        let left_share = 1.0 - self.urgent_share(priority, now);
+        turn.saturating_mul(turns).div_f64(left_share)
+    }
+
+    /// Share of the slots that goes to more urgent work, which overtakes waiting requests.
+    fn urgent_share(&self, priority: CallPriority, now: Instant) -> f64 {
+        let count = |sum: &DecayingSum| sum.value_at(now);
+        let total: f64 = self.starts.iter().map(count).sum();
+        if total < 1.0 {
+            return 0.0;
+        }
+        let urgent: f64 = self.starts[rank(priority) + 1..].iter().map(count).sum();
+        (urgent / total).min(MAX_URGENT_SHARE)
+    }
+
+    fn start(&mut self, id: AdmissionId, class: WorkClass, priority: CallPriority, now: Instant) {
+        let started = now;
+        self.running.insert(id, RunningWork { class, started });
+        if class == WorkClass::Long {
+            self.long_running += 1;
+        }
+        self.starts[rank(priority)].add(1.0, now);
+    }
+
+    fn stop(&mut self, id: AdmissionId) -> Option<RunningWork> {
+        let ended = self.running.remove(&id)?;
+        if ended.class == WorkClass::Long {
+            self.long_running -= 1;
+        }
+        Some(ended)
+    }
+
+    fn take_next(&mut self) -> Option<WaitingWork> {
+        let mut best: Option<usize> = None;
+        for (index, work) in self.waiting.iter().enumerate() {
+            let better = best.is_none_or(|best| self.waiting[best].order() < work.order());
+            if better && self.may_run(work.class) {
+                best = Some(index);
+            }
+        }
+        best.map(|index| self.waiting.remove(index))
+    }
+
+    /// Expected waits, to be told to those who choose targets.
+    #[must_use]
+    pub fn waits(&self, now: Instant) -> PriorityWaits {
+        [
+            CallPriority::Sheddable,
+            CallPriority::Normal,
+            CallPriority::Critical,
+        ]
+        .map(|priority| self.expected_wait(priority, false, now))
+    }
+}
+
+impl AdmissionRule for CrestQueue {
+    fn offer(
+        &mut self,
+        id: AdmissionId,
+        offer: &WorkOffer,
+        now: Instant,
+    ) -> (Admission, AdmissionEvents) {
+        let mut events = self.expire(now);
+        if self.draining {
+            return (Admission::Refuse(RefusalReason::Draining), events);
+        }
+        let service = self.service(offer.class);
+        if now + service.mul_f64(LEAST_SERVICE_SHARE) >= offer.deadline {
+            return (Admission::Refuse(RefusalReason::DeadlineTooClose), events);
+        }
+        let overtakes = !self.waiting.iter().any(|known| {
+            known.order() >= (offer.priority, offer.returned) && self.may_run(known.class)
+        });
+        if overtakes && self.may_run(offer.class) {
+            self.start(id, offer.class, offer.priority, now);
+            return (Admission::Run, events);
+        }
+        let useful = offer.useful_until.min(offer.deadline);
+        let spare = useful.saturating_duration_since(now + service);
+        let wait = self.expected_wait(offer.priority, offer.returned, now);
+        let allowed = if offer.returned {
+            RETURNED_WAIT_SHARE
+        } else {
+            WAIT_SHARE
+        };
+        if wait > spare.mul_f64(allowed) {
+            return (Admission::Refuse(RefusalReason::Overloaded), events);
+        }
+        self.waiting.push(WaitingWork {
+            id,
+            class: offer.class,
+            priority: offer.priority,
+            returned: offer.returned,
+            start_by: now + spare,
+        });
+        events.extend(self.expire(now));
+        (Admission::Wait, events)
+    }
+
+    fn release(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
+        if let Some(ended) = self.stop(id) {
+            let service = now.saturating_duration_since(ended.started);
+            let estimate = match ended.class {
+                WorkClass::Short => &mut self.short_service,
+                WorkClass::Long => &mut self.long_service,
+            };
+            let blended = estimate.map_or(service, |known| {
+                known.mul_f64(1.0 - ESTIMATE_WEIGHT) + service.mul_f64(ESTIMATE_WEIGHT)
+            });
+            *estimate = Some(blended);
+        }
+        self.expire(now)
+    }
+
+    fn cancel(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
+        if self.stop(id).is_none() {
+            self.waiting.retain(|known| known.id != id);
+        }
+        self.expire(now)
+    }
+
+    fn expire(&mut self, now: Instant) -> AdmissionEvents {
+        let mut events = AdmissionEvents::new();
+        for work in self.waiting.extract_if(.., |work| work.start_by < now) {
+            let reason = RefusalReason::DeadlineTooClose;
+            events.push(AdmissionEvent::Refuse(work.id, reason));
+        }
+        while let Some(work) = self.take_next() {
+            self.start(work.id, work.class, work.priority, now);
+            events.push(AdmissionEvent::Start(work.id));
+        }
+        events
+    }
+
+    fn next_expiry(&self) -> Option<Instant> {
+        self.waiting.iter().map(|work| work.start_by).min()
+    }
+
+    fn set_limits(&mut self, limits: AdmissionLimits, now: Instant) -> AdmissionEvents {
+        self.limits = limits;
+        self.expire(now)
+    }
+
+    fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    fn load(&self) -> LoadReport {
+        let in_flight = self.running.len() + self.waiting.len();
+        LoadReport {
+            in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+            slots: self.limits.slots,
+        }
+    }
+
+    fn running(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    fn waits(&self, now: Instant) -> PriorityWaits {
+        Self::waits(self, now)
+    }
+}
+
+/// Index of a priority, the least urgent first.
+#[must_use]
+pub fn rank(priority: CallPriority) -> usize {
+    match priority {
+        CallPriority::Sheddable => 0,
+        CallPriority::Normal => 1,
+        CallPriority::Critical => 2,
+    }
+}
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod budget;
 mod claims;
 mod crash;
+mod crest_queue;
 mod decay;
 mod hedge;
 mod instance_registry;
@@ -40,6 +41,7 @@
 
 pub use admission::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue,
+    AdmissionRule, WorkOffer,
 };
 pub use attempt::{AttemptResult, LoadReport};
 pub use balancer::{
@@ -49,6 +51,7 @@
 pub use budget::{CallBudgets, RetryBudget};
 pub use claims::{ClaimBatch, ClaimRequest, ClaimTicket};
 pub use crash::{CrashGuard, RequestFingerprint};
+pub use crest_queue::{CrestQueue, PriorityWaits, rank};
 pub use hedge::HedgeTimer;
 pub use instance_registry::{ChangedNodes, InstanceRegistry};
 pub use ledger::{ClaimId, OrderKey, OrderLedger, OrderOutcome, StoredAnswer};
@@ -59,5 +62,5 @@
 pub use picker::{ChoiceReason, PickCandidate, TargetPicker};
 pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
 pub use repeat_guide::{NextStep, RepeatGuide, SendEnd};
-pub use return_time::advise_return;
+pub use return_time::{ReturnDetector, advise_return};
 pub use traffic_split::TrafficSplit;
--- a/crates/apricotfold-policy/src/load_choice.rs
+++ b/crates/apricotfold-policy/src/load_choice.rs
@@ -4,13 +4,13 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{NodeId, RouteName};
+use apricotfold_model::{CallPriority, NodeId, RouteName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
 
-use crate::LocalityTier;
 use crate::decay::remaining_share;
+use crate::{LocalityTier, rank};
 
 /// Time constant with which reported load of other nodes loses its meaning: about one service time.
 const REPORT_WINDOW: Duration = Duration::from_millis(700);
@@ -42,6 +42,17 @@
 /// equal knowledge from choosing alike.
 const COST_NOISE: f64 = 0.1;
 
+/// Weight of the share of rejected and failed requests in the cost: a target that serves half of
+/// them costs three times as much, because a second target must be asked, within the budget.
+const FAULT_COST: f64 = 4.0;
+
+/// Time constant with which the faults of an unused target are forgotten, so that it is tried again.
+const FAULT_WINDOW: Duration = Duration::from_secs(3);
+
+/// Part of the time that a request can spare up to which a wait is worth asking the target. It is
+/// above the part that targets admit, because the estimate is a little old.
+const ASK_SHARE: f64 = 0.6;
+
 /// Slowness of a target that has just started.
 const COLD_FACTOR: f64 = 1.6;
 
@@ -75,6 +86,8 @@
     pub slots: u32,
     /// How long work takes on the target's machine at present, in percent of the usual time.
     pub pace: u32,
+    /// Expected waits by priority, the least urgent first, in milliseconds.
+    pub waits: [u32; 3],
 }
 
 /// A target that may be chosen.
@@ -101,6 +114,18 @@
     pub expected: Duration,
     /// Part of it that is spent waiting for a slot.
     pub queueing: Duration,
+    /// Part of it that the work itself takes there.
+    pub service: Duration,
+}
+
+impl LoadPick {
+    /// Tells whether the target is worth asking for a request that must be answered within `left`.
+    /// A caller whose request would only be refused after a round trip is better told at once.
+    #[must_use]
+    pub fn is_worth_asking(&self, left: Duration) -> bool {
+        let spare = left.saturating_sub(self.service);
+        self.queueing <= spare.mul_f64(ASK_SHARE)
+    }
 }
 
 /// How an attempt ended.
@@ -115,6 +140,8 @@
     },
     /// The target's node had no room.
     Full,
+    /// The target itself rejected the request, or failed at it.
+    Rejected,
     /// The target takes no work at present, though its node answers.
     Unavailable,
     /// No connection was made.
@@ -157,6 +184,8 @@
     report: InstanceReport,
     /// Reported requests that are not this node's own.
     others: f64,
+    /// Own requests in flight when it arrived.
+    own: u32,
     received: Instant,
 }
 
@@ -165,6 +194,8 @@
     in_flight: u32,
     waiting_since: Option<Instant>,
     slowness: f64,
+    /// Share of requests that the target rejects or fails at.
+    faults: f64,
     report: Option<SeenReport>,
     failures: u32,
     exclusions: u32,
@@ -179,6 +210,7 @@
             in_flight: 0,
             waiting_since: None,
             slowness: 1.0,
+            faults: 0.0,
             report: None,
             failures: 0,
             exclusions: 0,
@@ -204,6 +236,26 @@
         })
     }
 
+    /// Wait that the target's node reported for a priority, which fades as the report ages.
+    fn told_wait(&self, priority: CallPriority, now: Instant) -> Option<f64> {
+        let seen = self.report?;
+        let age = now.saturating_duration_since(seen.received);
+        let wait = seconds(seen.report.waits[rank(priority)]);
+        Some(wait * remaining_share(age, REPORT_WINDOW))
+    }
+
+    /// Own requests that were sent after the report was made and are not part of it.
+    fn sent_since_report(&self) -> f64 {
+        let known = self.report.map_or(0, |seen| seen.own);
+        f64::from(self.in_flight.saturating_sub(known))
+    }
+
+    /// Share of rejected and failed requests to expect.
+    fn expected_faults(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.used);
+        self.faults * remaining_share(age, FAULT_WINDOW)
+    }
+
     fn is_excluded(&self, now: Instant) -> bool {
         self.excluded_until.is_some_and(|until| until > now)
     }
@@ -250,6 +302,7 @@
     pub fn pick(
         &mut self,
         route: &RouteName,
+        priority: CallPriority,
         candidates: &[ChoiceCandidate<'_>],
         excluded: &[NodeId],
         now: Instant,
@@ -265,7 +318,7 @@
                 continue;
             }
             let out = target.is_some_and(|target| target.is_excluded(now));
-            let (cost, pick) = self.estimate(work, index, candidate, now);
+            let (cost, pick) = self.estimate(work, priority, index, candidate, now);
             let noise = 1.0 + COST_NOISE * self.random.random::<f64>();
             let cost = cost * noise;
             let better = best
@@ -281,6 +334,7 @@
     fn estimate(
         &self,
         work: WorkEstimate,
+        priority: CallPriority,
         index: usize,
         candidate: &ChoiceCandidate<'_>,
         now: Instant,
@@ -296,16 +350,27 @@
         let pace = known.map_or(1.0, |target| target.slowness * target.pace(now)) * cold;
         let service = work.service * pace;
         let mean_service = self.mean_service() * pace;
-        let queueing = queue_time(load, slots, mean_service);
+        let told = match candidate.own {
+            Some(report) => Some(seconds(report.waits[rank(priority)])),
+            None => known.and_then(|target| target.told_wait(priority, now)),
+        };
+        let sent = known.map_or(0.0, TargetLoad::sent_since_report);
+        let queueing = match told.filter(|wait| *wait > 0.0) {
+            Some(wait) => wait + sent * mean_service / slots,
+            None => queue_time(load, slots, mean_service),
+        };
         let stuck = known.map_or(0.0, |target| stuck_time(target, service, now));
         let link = self.costs.of(candidate.tier, work.answer_bytes);
         let expected = service + queueing + stuck + link;
+        let faults = known.map_or(0.0, |target| target.expected_faults(now));
+        let cost = expected * (1.0 + FAULT_COST * faults);
         let pick = LoadPick {
             index,
             expected: Duration::from_secs_f64(expected),
             queueing: Duration::from_secs_f64(queueing),
+            service: Duration::from_secs_f64(service),
         };
-        (expected, pick)
+        (cost, pick)
     }
 
     /// Mean over all routes, which is what the requests ahead in a queue take.
@@ -351,6 +416,7 @@
             target.report = Some(SeenReport {
                 report,
                 others: (total - f64::from(target.in_flight)).max(0.0),
+                own: target.in_flight,
                 received: now,
             });
         }
@@ -359,6 +425,7 @@
                 target.failures = 0;
                 target.exclusions = 0;
                 target.excluded_until = None;
+                blend(&mut target.faults, 0.0);
                 self.learn(node, route, service, bytes);
                 false
             }
@@ -366,12 +433,17 @@
                 target.full_until = Some(now + FULL_PAUSE);
                 false
             }
+            AttemptEnd::Rejected => {
+                blend(&mut target.faults, 1.0);
+                false
+            }
             AttemptEnd::Unavailable | AttemptEnd::Unreachable => {
                 target.exclude(now);
                 true
             }
             AttemptEnd::Lost => {
                 target.failures += 1;
+                blend(&mut target.faults, 1.0);
                 let excluded = target.failures >= FAILURES_TO_EXCLUDE;
                 if excluded {
                     target.exclude(now);
@@ -448,6 +520,10 @@
     (silent - 2.0 * service).max(0.0)
 }
 
+fn seconds(millis: u32) -> f64 {
+    f64::from(millis) / 1000.0
+}
+
 fn blend(estimate: &mut f64, sample: f64) {
     *estimate += ESTIMATE_WEIGHT * (sample - *estimate);
 }
--- a/crates/apricotfold-policy/src/return_time.rs
+++ b/crates/apricotfold-policy/src/return_time.rs
@@ -1,8 +1,10 @@
 //! Load pattern: a crowd above capacity whose refused callers come back. See `docs/platform.md`,
 //! section 6.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use apricotfold_model::RouteName;
 use rand::RngExt;
 use rand::rngs::StdRng;
 
@@ -25,3 +27,22 @@
     let spread = 0.5 + random.random::<f64>();
     Some(room_in.mul_f64(spread).clamp(MIN_PAUSE, longest))
 }
+
+/// Recognises callers that come back: their patience is shorter than that of first tries of the
+/// same route by at least the shortest advised pause. Callers that repeat at once do not count.
+#[derive(Clone, Debug, Default)]
+pub struct ReturnDetector {
+    longest: HashMap<RouteName, Duration>,
+}
+
+impl ReturnDetector {
+    /// Notes a request and tells whether its caller was refused before.
+    pub fn is_return(&mut self, route: &RouteName, patience: Duration) -> bool {
+        let Some(longest) = self.longest.get_mut(route) else {
+            self.longest.insert(route.clone(), patience);
+            return false;
+        };
+        *longest = patience.max(*longest);
+        patience + MIN_PAUSE <= *longest
+    }
+}
--- a/crates/apricotfold-proxy/src/admission.rs
+++ b/crates/apricotfold-proxy/src/admission.rs
@@ -5,10 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
-use apricotfold_model::{CallPriority, LimitRule, RefusalReason, WorkClass};
+use apricotfold_model::{LimitRule, RefusalReason};
 use apricotfold_policy::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue,
-    LoadReport,
+    AdmissionRule, LoadReport, PriorityWaits, WorkOffer,
 };
 use tokio::sync::oneshot;
 
@@ -19,7 +19,7 @@
 pub struct AdmissionDesk(Arc<Mutex<DeskState>>);
 
 struct DeskState {
-    queue: AdmissionQueue,
+    queue: Box<dyn AdmissionRule>,
     waiting: HashMap<AdmissionId, oneshot::Sender<SlotAnswer>>,
     next_id: AdmissionId,
 }
@@ -41,14 +41,15 @@
     /// Starts without slots, until the target has announced itself.
     #[must_use]
     pub fn new() -> Self {
-        Self::with_queue(std::convert::identity)
+        let limits = AdmissionLimits::new(&LimitRule::default(), 0);
+        Self::with_rule(Box::new(AdmissionQueue::new(limits)))
     }
 
-    /// Like [`new`](Self::new), with a queue that `configure` has changed.
-    pub fn with_queue(configure: impl FnOnce(AdmissionQueue) -> AdmissionQueue) -> Self {
-        let limits = AdmissionLimits::new(&LimitRule::default(), 0);
+    /// Like [`new`](Self::new), with another rule.
+    #[must_use]
+    pub fn with_rule(rule: Box<dyn AdmissionRule>) -> Self {
         Self(Arc::new(Mutex::new(DeskState {
-            queue: configure(AdmissionQueue::new(limits)),
+            queue: rule,
             waiting: HashMap::new(),
             next_id: 0,
         })))
@@ -59,18 +60,13 @@
     /// # Errors
     ///
     /// Returns why the request is not run.
-    pub async fn admit(
-        &self,
-        class: WorkClass,
-        priority: CallPriority,
-        deadline: Instant,
-    ) -> Result<SlotGuard, RefusalReason> {
+    pub async fn admit(&self, offer: &WorkOffer) -> Result<SlotGuard, RefusalReason> {
         let (guard, answer) = {
             let mut state = self.lock();
             let id = state.next_id;
             state.next_id += 1;
             let now = Instant::now();
-            let (admission, events) = state.queue.offer(id, class, priority, deadline, now);
+            let (admission, events) = state.queue.offer(id, offer, now);
             state.deliver(events);
             let guard = SlotGuard {
                 desk: self.clone(),
@@ -147,6 +143,12 @@
         self.lock().queue.running()
     }
 
+    /// Expected waits of new requests by priority.
+    #[must_use]
+    pub fn waits(&self) -> PriorityWaits {
+        self.lock().queue.waits(Instant::now())
+    }
+
     fn lock(&self) -> MutexGuard<'_, DeskState> {
         self.0.lock().expect("no panic while locked")
     }
--- a/crates/apricotfold-proxy/src/borders.rs
+++ b/crates/apricotfold-proxy/src/borders.rs
@@ -7,7 +7,6 @@
     BornMillis, CallOutcome, FieldErrors, InstanceAnnouncement, InstanceId, RefusalReason,
     RouteTable, ServiceName,
 };
-use apricotfold_policy::InstanceReport;
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::request::Parts;
@@ -43,8 +42,8 @@
     pub request_id: Option<RequestId>,
     /// The target states that it did not run the request.
     pub not_run: bool,
-    /// The target's load.
-    pub load: Option<InstanceReport>,
+    /// How long work takes on the target's machine at present, in percent of the usual time.
+    pub pace: Option<u32>,
     /// Time for which the target keeps the idle connection open.
     pub idle_limit: Option<Duration>,
 }
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -11,8 +11,8 @@
     ProxyConfig, ServiceName, log_event,
 };
 use apricotfold_policy::{
-    AdmissionQueue, AnnouncementEffect, InstanceRegistry, InstanceReport, LinkCosts, LoadChooser,
-    LocalInstance, LocalityTier, RetryBudget, TrafficSplit,
+    AdmissionLimits, AnnouncementEffect, CrestQueue, InstanceRegistry, InstanceReport, LinkCosts,
+    LoadChooser, LocalInstance, LocalityTier, RetryBudget, ReturnDetector, TrafficSplit,
 };
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
@@ -65,7 +65,7 @@
 
 /// Part of the shared retry limit that the proxies use. They cannot see each other's repeats, so
 /// the rest covers uneven load and calls that repeated requests make.
-const RETRY_LIMIT_USE: f64 = 0.5;
+const RETRY_LIMIT_USE: f64 = 0.3;
 
 /// Reported pace of a target that reports none.
 const USUAL_PACE: u32 = 100;
@@ -99,6 +99,7 @@
     registry: Mutex<InstanceRegistry>,
     chooser: Mutex<LoadChooser>,
     split: Mutex<TrafficSplit>,
+    returns: Mutex<ReturnDetector>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     local: Mutex<LocalInstance>,
     pace: Mutex<TargetPace>,
@@ -115,12 +116,13 @@
         } else {
             config.seed
         };
+        let limits = AdmissionLimits::new(&TARGET_LIMITS, 0);
         Self {
             crashes: CrashWatch::new(config.node.clone()),
             config: ArcSwap::from_pointee(config),
             dialect,
             tables,
-            admission: AdmissionDesk::with_queue(AdmissionQueue::oldest_first),
+            admission: AdmissionDesk::with_rule(Box::new(CrestQueue::new(limits))),
             target_links: LinkPool::new(TARGET_LINKS),
             peer_links: LinkPool::new(PEER_LINKS),
             lifecycle: Lifecycle::new(),
@@ -128,6 +130,7 @@
             registry: Mutex::default(),
             chooser: Mutex::new(LoadChooser::new(LINK_COSTS, seed)),
             split: Mutex::default(),
+            returns: Mutex::default(),
             budgets: Mutex::default(),
             local: Mutex::default(),
             pace: Mutex::default(),
@@ -157,6 +160,11 @@
         lock(&self.split)
     }
 
+    /// Recognises callers that come back.
+    pub fn returns(&self) -> MutexGuard<'_, ReturnDetector> {
+        lock(&self.returns)
+    }
+
     /// The target beside this node.
     pub fn local(&self) -> MutexGuard<'_, LocalInstance> {
         lock(&self.local)
@@ -255,6 +263,7 @@
             waiting: load.in_flight.saturating_sub(running),
             slots: load.slots,
             pace: lock(&self.pace).pace.unwrap_or(USUAL_PACE),
+            waits: self.admission.waits().map(to_millis),
         }
     }
 
@@ -317,6 +326,10 @@
     }
 }
 
+fn to_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("no panic while locked")
 }
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -37,6 +37,7 @@
     request: CallRequest,
     guide: RepeatGuide,
     tried: SmallVec<[NodeId; 4]>,
+    returned: bool,
 }
 
 /// A target that was chosen, with what the choice was based on.
@@ -45,6 +46,9 @@
     pick: LoadPick,
 }
 
+/// Why no target is asked, and when one is expected to have room.
+type NoTarget = (RefusalReason, Option<Duration>);
+
 /// Tells the chooser about an attempt, also when the caller leaves and the attempt is dropped.
 struct AttemptGuard<'a> {
     call: &'a EntryCall<'a>,
@@ -84,12 +88,14 @@
     pub fn new(engine: &'a Arc<Engine>, routed: RoutedCall, request: CallRequest) -> Self {
         let route = &routed.route;
         let guide = RepeatGuide::new(route.repeat, route.max_attempts);
+        let returned = engine.returns().is_return(&route.name, routed.patience);
         Self {
             engine,
             routed,
             request,
             guide,
             tried: SmallVec::new(),
+            returned,
         }
     }
 
@@ -101,9 +107,9 @@
         loop {
             let chosen = match self.choose_target(&service) {
                 Ok(chosen) => chosen,
-                Err(reason) => {
+                Err((reason, room)) => {
                     let outcome = self.guide.outcome();
-                    return Ok(self.refuse(outcome, reason, None));
+                    return Ok(self.refuse(outcome, reason, room));
                 }
             };
             self.tried.push(chosen.record.node.clone());
@@ -140,7 +146,7 @@
             .cloned()
     }
 
-    fn choose_target(&self, service: &ServiceName) -> Result<ChosenTarget, RefusalReason> {
+    fn choose_target(&self, service: &ServiceName) -> Result<ChosenTarget, NoTarget> {
         let engine = self.engine;
         let now = Instant::now();
         let own_node = engine.node();
@@ -158,13 +164,17 @@
             })
             .collect();
         if candidates.is_empty() {
-            return Err(RefusalReason::NoTarget);
+            return Err((RefusalReason::NoTarget, None));
         }
         let mut chooser = engine.chooser();
-        let route = &self.routed.route.name;
+        let route = &self.routed.route;
         let pick = chooser
-            .pick(route, &candidates, &self.tried, now)
-            .ok_or(RefusalReason::Overloaded)?;
+            .pick(&route.name, route.priority, &candidates, &self.tried, now)
+            .ok_or((RefusalReason::Overloaded, None))?;
+        let useful = self.routed.useful_until(pick.service);
+        if !pick.is_worth_asking(useful.saturating_duration_since(now)) {
+            return Err((RefusalReason::Overloaded, Some(pick.queueing / 2)));
+        }
         let record = instances[pick.index].0.clone();
         chooser.start(&record.node, now);
         Ok(ChosenTarget { record, pick })
@@ -197,9 +207,13 @@
         }));
         match &result {
             Ok(answer) => {
-                let end = AttemptEnd::Answered {
-                    service: answer.service,
-                    bytes: answer_bytes(answer),
+                let end = if answer.status.is_server_error() {
+                    AttemptEnd::Rejected
+                } else {
+                    AttemptEnd::Answered {
+                        service: answer.service,
+                        bytes: answer_bytes(answer),
+                    }
                 };
                 guard.finish(end, Some(answer.report));
             }
@@ -234,6 +248,7 @@
             class: route.class,
             priority: route.priority,
             repeat: route.repeat,
+            returned: self.returned,
         }
     }
 
@@ -400,6 +415,7 @@
 
 fn attempt_end(refusal: &TargetRefusal) -> AttemptEnd {
     match refusal.reason {
+        RefusalReason::Overloaded if refusal.arrived => AttemptEnd::Rejected,
         RefusalReason::QueueFull | RefusalReason::Overloaded | RefusalReason::DeadlineTooClose => {
             AttemptEnd::Full
         }
--- a/crates/apricotfold-proxy/src/entry_route.rs
+++ b/crates/apricotfold-proxy/src/entry_route.rs
@@ -34,6 +34,8 @@
     pub deadline: Instant,
     /// End of the time within which answers are wanted.
     pub wanted_until: Instant,
+    /// Time that the caller had when the request arrived.
+    pub patience: Duration,
 }
 
 impl RoutedCall {
@@ -56,7 +58,9 @@
             .find(host, parts.uri.path())
             .ok_or(RefusalReason::NoRoute)?;
         let patience = match head.time_left {
-            Some(left) => (left - FAREWELL.min(left / FAREWELL_SHARE)).min(route.timeout),
+            Some(left) => left
+                .saturating_sub(FAREWELL.min(left / FAREWELL_SHARE))
+                .min(route.timeout),
             None => route.timeout,
         };
         Ok(Self {
@@ -65,6 +69,7 @@
             arrived,
             deadline: arrived + patience,
             wanted_until: arrived + route.target_latency.min(patience),
+            patience,
         })
     }
 
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -41,6 +41,7 @@
     WorkClass,
     CallPriority,
     RepeatRule,
+    bool,
 );
 
 impl WireOrder {
@@ -55,6 +56,7 @@
             order.class,
             order.priority,
             order.repeat,
+            order.returned,
         )
     }
 
@@ -68,13 +70,14 @@
             class: self.4,
             priority: self.5,
             repeat: self.6,
+            returned: self.7,
         }
     }
 }
 
 /// Load of the target, and the time in milliseconds that it took for this call.
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct WireReport(u32, u32, u32, u32, u64);
+pub struct WireReport(u32, u32, u32, u32, u64, [u32; 3]);
 
 impl WireReport {
     /// Writes a report.
@@ -85,6 +88,7 @@
             report.slots,
             report.pace,
             millis(service),
+            report.waits,
         )
     }
 
@@ -94,6 +98,7 @@
             waiting: self.1,
             slots: self.2,
             pace: self.3,
+            waits: self.5,
         }
     }
 }
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -7,7 +7,7 @@
     CallOutcome, CallPriority, InstanceId, InstanceState, RefusalReason, RepeatRule, ServiceName,
     WorkClass, log_event,
 };
-use apricotfold_policy::{InstanceReport, RequestFingerprint};
+use apricotfold_policy::{InstanceReport, RequestFingerprint, WorkOffer};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -84,6 +84,8 @@
     pub priority: CallPriority,
     /// Whether the request may run again.
     pub repeat: RepeatRule,
+    /// The caller was refused before and came back when it was told to.
+    pub returned: bool,
 }
 
 /// A target's answer.
@@ -189,8 +191,15 @@
     async fn admit(&self) -> Result<SlotGuard, TargetRefusal> {
         let order = self.order;
         let admission = &self.engine.admission;
+        let offer = WorkOffer {
+            class: order.class,
+            priority: order.priority,
+            returned: order.returned,
+            useful_until: order.useful_until,
+            deadline: order.deadline,
+        };
         admission
-            .admit(order.class, order.priority, order.useful_until)
+            .admit(&offer)
             .await
             .map_err(|reason| self.refuse(reason))
     }
@@ -232,8 +241,8 @@
         let head = engine.dialect.read_answer(parts.status, &parts.headers);
         self.check_owner(&head)?;
         engine.crashes.record_answer(fingerprint);
-        if let Some(load) = head.load {
-            engine.record_pace(load.pace);
+        if let Some(pace) = head.pace {
+            engine.record_pace(pace);
         }
         link.announced_idle = head
             .idle_limit
