Let a restarted node take back that its instance leaves

Cause: a node that got SIGTERM wrote its instance as draining; the process that followed read that entry, took it for the target's own word, and never became ready again. A node that had restarted and not yet heard its target answered no-local-target, and callers' nodes took the target out for good. Ruled out: lease loss and delayed announcements (the entries were written and read).

Change: a record carries the start of the node's process, and an entry says apart what the target itself announced; a refusal as leaving counts for 2 s.

--- a/crates/apricotfold-model/src/instance.rs
+++ b/crates/apricotfold-model/src/instance.rs
@@ -70,6 +70,9 @@
     pub node: NodeId,
     /// Address at which that node takes calls for the target.
     pub address: SocketAddr,
+    /// Start of that node's process in milliseconds since the epoch. A node that is stopped says
+    /// that its instance takes no calls; only a later process of the node can take that back.
+    pub node_start: u64,
     /// Data centre of both.
     pub data_centre: DataCentreName,
     /// The target's id.
@@ -89,11 +92,11 @@
 }
 
 impl InstanceRecord {
-    /// Orders the records of one node: a later life goes before an earlier one, and within a life
-    /// a later announcement does. A state never turns back within a life.
+    /// Orders the records of one node: a later life of the target goes before an earlier one, and
+    /// a later process of the node before an earlier one. Within both, a state never turns back.
     #[must_use]
-    pub fn order(&self) -> (BornMillis, InstanceState, AnnouncementNumber) {
-        (self.born, self.state, self.number)
+    pub fn order(&self) -> (BornMillis, u64, InstanceState, AnnouncementNumber) {
+        (self.born, self.node_start, self.state, self.number)
     }
 
     /// Tells whether two records say the same to those who choose targets. The number of the
--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -15,6 +15,10 @@
 /// that node although callers reach it.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Time for which an instance is left out after its node refused a call as leaving. Its record says
+/// so within that time, or a restarted node has taken it back.
+const DEPARTURE_TIME: Duration = Duration::from_secs(2);
+
 /// Names of nodes whose instances changed.
 pub type ChangedNodes = SmallVec<[NodeId; 4]>;
 
@@ -25,6 +29,8 @@
     /// Since when the store has had no entry for it; `None` while it has one.
     lapsed: Option<Instant>,
     answered: Option<Instant>,
+    /// Until when it is left out because its node refused calls as leaving.
+    departed_until: Option<Instant>,
 }
 
 impl KnownInstance {
@@ -69,6 +75,7 @@
                 first_seen: now,
                 lapsed,
                 answered: None,
+                departed_until: None,
             };
             self.known.insert(node, instance);
             return true;
@@ -90,6 +97,7 @@
             known.first_seen = now;
             known.answered = None;
         }
+        known.departed_until = None;
         known.record = record;
         true
     }
@@ -134,16 +142,18 @@
         }
     }
 
-    /// Takes an instance out because its own node refused work as leaving, or serves another one.
-    pub fn record_departure(&mut self, node: &NodeId, instance: &str) -> bool {
+    /// Leaves an instance out for a while because its own node refused work as leaving. Returns
+    /// whether it was in use.
+    pub fn record_departure(&mut self, node: &NodeId, instance: &str, now: Instant) -> bool {
         let Some(known) = self.known.get_mut(node) else {
             return false;
         };
-        let ready = known.record.instance == instance && known.record.state == InstanceState::Ready;
-        if ready {
-            known.record.state = InstanceState::Draining;
+        if known.record.instance != instance {
+            return false;
         }
-        ready
+        let known_departed = known.departed_until.is_some_and(|until| until > now);
+        known.departed_until = Some(now + DEPARTURE_TIME);
+        !known_departed
     }
 
     /// Drops lapsed instances whose grace period is over. Returns their nodes.
@@ -168,7 +178,9 @@
     ) -> impl Iterator<Item = (&'a InstanceRecord, Duration)> + 'a {
         self.known.values().filter_map(move |known| {
             let record = &known.record;
-            let usable = record.service == service && record.state == InstanceState::Ready;
+            let departed = known.departed_until.is_some_and(|until| until > now);
+            let ready = record.state == InstanceState::Ready && !departed;
+            let usable = record.service == service && ready;
             let age = now.saturating_duration_since(known.first_seen);
             usable.then_some((record, age))
         })
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -104,6 +104,7 @@
     local: Mutex<LocalInstance>,
     pace: Mutex<TargetPace>,
     target_down: AtomicBool,
+    node_start: AtomicU64,
     store_word: Mutex<Option<Instant>>,
     ready: AtomicBool,
 }
@@ -135,6 +136,7 @@
             local: Mutex::default(),
             pace: Mutex::default(),
             target_down: AtomicBool::new(false),
+            node_start: AtomicU64::new(unix_millis()),
             store_word: Mutex::new(None),
             ready: AtomicBool::new(false),
         }
@@ -243,6 +245,7 @@
         Some(InstanceRecord {
             node: config.node.clone(),
             address: config.peer_address,
+            node_start: self.node_start.load(Ordering::Relaxed),
             data_centre: config.data_centre.clone(),
             instance: target.instance.clone(),
             born: target.born,
@@ -254,6 +257,19 @@
         })
     }
 
+    /// What the local target itself has announced.
+    pub fn announced_state(&self) -> Option<InstanceState> {
+        self.local().current().map(|target| target.state)
+    }
+
+    /// Puts this process after an earlier one of the node, whose clock may have been ahead.
+    pub fn follow_node_start(&self, earlier: u64) {
+        let own = self.node_start.load(Ordering::Relaxed);
+        if earlier > own {
+            self.node_start.store(earlier + 1, Ordering::Relaxed);
+        }
+    }
+
     /// Load and speed of the local target.
     pub fn report(&self) -> InstanceReport {
         let load = self.admission.load();
@@ -334,6 +350,13 @@
     mutex.lock().expect("no panic while locked")
 }
 
+fn unix_millis() -> u64 {
+    let age = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Differs from node to node and from start to start: instances may start at the same moment and
 /// with equal process ids.
 fn random_seed(node: &NodeId) -> u64 {
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -220,16 +220,16 @@
             Err(refusal) => {
                 let node = &chosen.record.node;
                 let instance = &chosen.record.instance;
-                let left = matches!(
-                    refusal.reason,
-                    RefusalReason::Draining | RefusalReason::NoLocalTarget
-                );
-                if left && engine.registry().record_departure(node, instance) {
-                    log_event!(
-                        info,
-                        InstanceChanged,
-                        "{node} {instance} leaves, by its own word"
-                    );
+                if refusal.reason == RefusalReason::Draining {
+                    let now = Instant::now();
+                    let news = engine.registry().record_departure(node, instance, now);
+                    if news {
+                        log_event!(
+                            info,
+                            InstanceChanged,
+                            "{node} {instance} leaves, by its own word"
+                        );
+                    }
                 }
                 guard.finish(attempt_end(refusal), refusal.report);
             }
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -38,8 +38,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct NodeEntry {
-    /// Its instance.
+    /// Its instance, as others may use it.
     pub record: Option<InstanceRecord>,
+    /// What the instance itself has announced, which a later process of the node must know.
+    pub announced: Option<InstanceState>,
     /// Crashes that it saw.
     pub crashes: CrashCounts,
 }
@@ -105,6 +107,7 @@
     async fn keep_entry(&mut self) -> Result<(), StoreError> {
         let wanted = NodeEntry {
             record: self.engine.local_record(),
+            announced: self.engine.announced_state(),
             crashes: self.engine.crashes.told(),
         };
         if wanted.record.is_none() && self.written.is_none() {
@@ -127,7 +130,7 @@
             (None, None) => true,
             _ => false,
         };
-        same_record && written.crashes == wanted.crashes
+        same_record && written.announced == wanted.announced && written.crashes == wanted.crashes
     }
 
     /// Keeps the record of an instance that is no longer there, marked as gone, so that delayed
@@ -140,6 +143,7 @@
                 state: InstanceState::Gone,
                 ..record
             });
+            wanted.announced = Some(InstanceState::Gone);
         }
         wanted
     }
@@ -226,8 +230,11 @@
             return;
         };
         if let Some(record) = entry.record {
+            self.engine.follow_node_start(record.node_start);
             let (instance, born) = (&record.instance, record.born);
-            self.engine.local().recall(instance, born, record.state);
+            if let Some(state) = entry.announced {
+                self.engine.local().recall(instance, born, state);
+            }
         }
     }
 
