Send overdue idempotent requests to a second target; read only newest tables

Ruled out: slow targets (service times are even) and the pause between batches.

The newest table is read by key while versions follow each other.

--- a/crates/apricotfold-policy/src/budget.rs
+++ b/crates/apricotfold-policy/src/budget.rs
@@ -56,12 +56,19 @@
     /// Takes one retry out of the budget. Returns false when none is left.
     #[must_use]
     pub fn try_spend(&mut self, now: Instant) -> bool {
+        self.try_spend_within(1.0, now)
+    }
+
+    /// Takes one retry out of the budget if the retries, with it, stay within `part` of what is
+    /// allowed. The rest is kept for retries that are worth more.
+    #[must_use]
+    pub fn try_spend_within(&mut self, part: f64, now: Instant) -> bool {
         if self.share <= 0.0 {
             return false;
         }
         let minimum = self.minimum * BUDGET_WINDOW.as_secs_f64();
         let allowed = (self.share * self.first_attempts.value_at(now)).max(minimum);
-        if self.retries.value_at(now) + 1.0 > allowed {
+        if self.retries.value_at(now) + 1.0 > allowed * part {
             return false;
         }
         self.retries.add(1.0, now);
--- a/crates/apricotfold-policy/src/load_choice.rs
+++ b/crates/apricotfold-policy/src/load_choice.rs
@@ -116,9 +116,35 @@
     pub queueing: Duration,
     /// Part of it that the work itself takes there.
     pub service: Duration,
+    /// Share of the target's slots that is known to be taken.
+    pub use_of_slots: f64,
 }
 
+/// Multiple of the expected service time after which an answer counts as overdue. About one in
+/// twenty answers takes longer.
+const OVERDUE_FACTOR: f64 = 3.0;
+
+/// Shortest time after which an answer counts as overdue.
+const MIN_OVERDUE: Duration = Duration::from_millis(25);
+
+/// Part of the slots up to which a target may be used for second attempts. Above it, they would
+/// take the slots of requests that have none.
+const HEDGE_LOAD: f64 = 0.75;
+
 impl LoadPick {
+    /// Time after which an answer of the target is overdue.
+    #[must_use]
+    pub fn overdue_after(&self) -> Duration {
+        let beyond = self.expected.saturating_sub(self.service);
+        (self.service.mul_f64(OVERDUE_FACTOR) + beyond).max(MIN_OVERDUE)
+    }
+
+    /// Tells whether the target has slots to spare for a second attempt.
+    #[must_use]
+    pub fn may_hedge(&self) -> bool {
+        self.use_of_slots <= HEDGE_LOAD
+    }
+
     /// Tells whether the target is worth asking for a request that must be answered within `left`.
     /// A caller whose request would only be refused after a round trip is better told at once.
     #[must_use]
@@ -148,7 +174,7 @@
     Unreachable,
     /// The connection or the answer was lost, or came too late.
     Lost,
-    /// The caller left or another attempt was faster.
+    /// The caller left.
     Cancelled,
 }
 
@@ -369,6 +395,7 @@
             expected: Duration::from_secs_f64(expected),
             queueing: Duration::from_secs_f64(queueing),
             service: Duration::from_secs_f64(service),
+            use_of_slots: load / slots,
         };
         (cost, pick)
     }
@@ -454,6 +481,13 @@
         }
     }
 
+    /// Notes that an attempt, whose end was told as cancelled, was overtaken by a later one.
+    pub fn note_overtaken(&mut self, node: &NodeId) {
+        if let Some(target) = self.targets.get_mut(node) {
+            blend(&mut target.faults, 1.0);
+        }
+    }
+
     fn learn(&mut self, node: &NodeId, route: &RouteName, service: Duration, bytes: usize) {
         let Some(target) = self.targets.get_mut(node) else {
             return;
--- a/crates/apricotfold-policy/src/repeat_guide.rs
+++ b/crates/apricotfold-policy/src/repeat_guide.rs
@@ -71,6 +71,18 @@
         }
     }
 
+    /// Tells whether a second attempt may be sent beside one that is still under way.
+    #[must_use]
+    pub fn may_hedge(&self) -> bool {
+        self.repeat == RepeatRule::Idempotent && self.arrivals + 1 < self.max_attempts
+    }
+
+    /// Notes that an attempt was given up for another one. It may have run.
+    pub fn record_overtaken(&mut self) {
+        self.arrivals += 1;
+        self.may_have_run = true;
+    }
+
     /// Decides after a send that brought no usable answer.
     pub fn after(&mut self, end: SendEnd, reason: RefusalReason) -> NextStep {
         match end {
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -22,6 +22,7 @@
 use crate::crash_watch::CrashWatch;
 use crate::lifecycle::{Lifecycle, ProcessPhase};
 use crate::link_pool::{LinkPool, LinkRules};
+use crate::store_link::StoreLink;
 use crate::table_keeper::TableKeeper;
 
 /// Limits of the local target's queues. A request waits only while it is expected to be answered
@@ -92,6 +93,8 @@
     pub target_links: LinkPool,
     /// Connections to other proxies.
     pub peer_links: LinkPool,
+    /// Whether the store answers.
+    pub store_link: StoreLink,
     /// Phase and work in progress.
     pub lifecycle: Lifecycle,
     /// Changes whenever the entry of this node in the store must change.
@@ -105,7 +108,6 @@
     pace: Mutex<TargetPace>,
     target_down: AtomicBool,
     node_start: AtomicU64,
-    store_word: Mutex<Option<Instant>>,
     ready: AtomicBool,
 }
 
@@ -126,6 +128,7 @@
             admission: AdmissionDesk::with_rule(Box::new(CrestQueue::new(limits))),
             target_links: LinkPool::new(TARGET_LINKS),
             peer_links: LinkPool::new(PEER_LINKS),
+            store_link: StoreLink::new(),
             lifecycle: Lifecycle::new(),
             registration: watch::Sender::new(0),
             registry: Mutex::default(),
@@ -137,7 +140,6 @@
             pace: Mutex::default(),
             target_down: AtomicBool::new(false),
             node_start: AtomicU64::new(unix_millis()),
-            store_word: Mutex::new(None),
             ready: AtomicBool::new(false),
         }
     }
@@ -315,16 +317,6 @@
         age < COLD_TIME.min(Duration::from_millis(record.cold_ms))
     }
 
-    /// Notes that the store answered.
-    pub fn record_store_word(&self) {
-        *lock(&self.store_word) = Some(Instant::now());
-    }
-
-    /// Time since the store answered last; `None` if it never has.
-    pub fn store_age(&self) -> Option<Duration> {
-        lock(&self.store_word).map(|at| at.elapsed())
-    }
-
     /// Tells whether callers may come: the node knows routes, and it is not leaving.
     pub fn is_ready(&self) -> bool {
         let serving = self.lifecycle.phase() == ProcessPhase::Serving;
--- /dev/null
+++ b/crates/apricotfold-proxy/src/entry_follower.rs
@@ -0,0 +1,121 @@
+//! Follows the entries of all nodes in the store. See `docs/platform.md`, section 4.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Instant;
+
+use apricotfold_model::{InstanceRecord, log_event};
+use apricotfold_store::{ConfigStore, RangeAnswer, StoreEntry, StoreError, WatchBatch, WatchEvent};
+use futures_util::StreamExt;
+
+use crate::engine::Engine;
+use crate::measure;
+use crate::registration::{NODE_PREFIX, NodeEntry};
+use crate::store_link::{BatchPace, retry_pause};
+
+/// Follows the entries until the process ends.
+pub struct EntryFollower {
+    engine: Arc<Engine>,
+    store: Arc<dyn ConfigStore>,
+}
+
+impl EntryFollower {
+    /// Prepares the follower.
+    pub fn new(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) -> Self {
+        Self { engine, store }
+    }
+
+    /// Lists and watches again and again.
+    pub async fn run(self) {
+        let mut failures = 0;
+        loop {
+            let mut losses = self.engine.store_link.watch_losses();
+            tokio::select! {
+                Err(error) = self.follow(&mut failures) => {
+                    self.engine.store_link.record_failure(&error);
+                }
+                Ok(()) = losses.changed() => {}
+            }
+            failures += 1;
+            tokio::time::sleep(retry_pause(failures)).await;
+        }
+    }
+
+    async fn follow(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
+        let listing = self.store.list(NODE_PREFIX).await;
+        measure::count_store_call("list", listing.is_ok());
+        let listing = listing?;
+        self.engine.store_link.record_answer("list");
+        *failures = 0;
+        self.apply_listing(&listing);
+        let mut revision = listing.revision;
+        let mut pace = BatchPace::new();
+        loop {
+            let mut watch = self.store.watch(NODE_PREFIX, revision + 1).await?;
+            while let Some(batch) = watch.next().await {
+                measure::count_store_call("watch", batch.is_ok());
+                let batch = batch?;
+                self.engine.store_link.record_answer("watch");
+                revision = revision.max(batch.revision);
+                self.apply_batch(&batch);
+                if !batch.events.is_empty() {
+                    tokio::time::sleep(pace.next_pause()).await;
+                }
+            }
+        }
+    }
+
+    fn apply_listing(&self, listing: &RangeAnswer) {
+        let records: Vec<InstanceRecord> = listing
+            .entries
+            .iter()
+            .filter_map(|entry| self.read_entry(entry))
+            .collect();
+        let count = records.len();
+        let changed = self
+            .engine
+            .registry()
+            .apply_listing(records, Instant::now());
+        if changed {
+            log_event!(info, InstanceChanged, "{count} instances are listed");
+        }
+    }
+
+    fn apply_batch(&self, batch: &WatchBatch) {
+        for event in &batch.events {
+            match event {
+                WatchEvent::Put(entry) => {
+                    if let Some(record) = self.read_entry(entry) {
+                        self.apply_record(record);
+                    }
+                }
+                WatchEvent::Delete(key) => {
+                    if let Some(node) = key.strip_prefix(NODE_PREFIX) {
+                        let node = node.into();
+                        log_event!(info, InstanceChanged, "{node} has no entry any more");
+                        self.engine.registry().lapse_entry(&node, Instant::now());
+                    }
+                }
+            }
+        }
+    }
+
+    fn apply_record(&self, record: InstanceRecord) {
+        let text = format!("{} {} {}", record.node, record.instance, record.state);
+        if self.engine.registry().apply_entry(record, Instant::now()) {
+            log_event!(info, InstanceChanged, "{text}");
+        }
+    }
+
+    /// Reads a node's entry and takes over the crashes in it. An entry of another writer names no
+    /// instance.
+    fn read_entry(&self, entry: &StoreEntry) -> Option<InstanceRecord> {
+        let node = entry.key.strip_prefix(NODE_PREFIX)?;
+        let Ok(read) = serde_json::from_str::<NodeEntry>(&entry.value) else {
+            log_event!(warn, EntryIgnored, "{} cannot be read", entry.key);
+            return None;
+        };
+        self.engine.crashes.merge(&node.into(), &read.crashes);
+        read.record.filter(|record| record.node == node)
+    }
+}
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -28,9 +28,6 @@
 /// Idle time up to which a kept connection to a proxy is used. Proxies keep theirs open longer.
 const FRESH_LINK: Duration = Duration::from_secs(10);
 
-/// Extra time for the answer of the target's node, which ends the call at the deadline by itself.
-const ANSWER_MARGIN: Duration = Duration::from_millis(100);
-
 /// [`CallOrder`] as it is sent; short names, because it goes with each call.
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct WireOrder(
@@ -132,10 +129,9 @@
         return Err(refusal(CallOutcome::NotRun, RefusalReason::BadRequest));
     };
     headers.insert(CALL_HEADER, wire);
-    let deadline = order.deadline + ANSWER_MARGIN;
     let sent = engine
         .peer_links
-        .send(address, request.build(headers), FRESH_LINK, deadline)
+        .send(address, request.build(headers), FRESH_LINK, order.deadline)
         .await;
     let (answer, link) = sent.map_err(|failure| match failure {
         SendFailure::NotSent(cause) => {
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -57,7 +57,10 @@
 pub async fn run(engine: Arc<Engine>) {
     loop {
         tokio::time::sleep(EXCHANGE_INTERVAL).await;
-        let silent = engine.store_age().is_none_or(|age| age > STORE_SILENCE);
+        let silent = engine
+            .store_link
+            .age()
+            .is_none_or(|age| age > STORE_SILENCE);
         if !silent {
             continue;
         }
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -12,6 +12,7 @@
 use crate::crash_watch::CrashCounts;
 use crate::engine::Engine;
 use crate::measure;
+use crate::store_link::retry_pause;
 
 /// Prefix of the nodes' entries.
 pub const NODE_PREFIX: &str = "apricotfold/nodes/";
@@ -26,14 +27,6 @@
 /// Interval of renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Pauses after failures: the first is short, since a single call may be turned away, and they
-/// stay below the time within which entries must be back after the store's return.
-const RETRY_PAUSES: [Duration; 3] = [
-    Duration::from_millis(150),
-    Duration::from_millis(400),
-    Duration::from_millis(800),
-];
-
 /// A node's entry.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -94,12 +87,11 @@
                 RENEWAL_INTERVAL
             }
             Err(error) => {
-                let pause = RETRY_PAUSES[self.failures.min(RETRY_PAUSES.len() - 1)];
                 self.failures += 1;
                 if self.failures == 1 {
                     log_event!(warn, RegistrationLost, "{error}");
                 }
-                pause
+                retry_pause(self.failures)
             }
         }
     }
@@ -240,8 +232,9 @@
 
     fn note_call(&self, kind: &'static str, failure: Option<&StoreError>) {
         measure::count_store_call(kind, failure.is_none());
-        if failure.is_none() {
-            self.engine.record_store_word();
+        match failure {
+            None => self.engine.store_link.record_answer(kind),
+            Some(error) => self.engine.store_link.record_failure(error),
         }
     }
 }
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -12,6 +12,8 @@
 use crate::caller_server::{CallerHandler, serve_callers};
 use crate::connection::{RequestHandler, listen, serve};
 use crate::engine::Engine;
+use crate::entry_follower::EntryFollower;
+use crate::housekeeping::keep_house;
 use crate::lifecycle::ProcessPhase;
 use crate::measure;
 use crate::peer_exchange;
@@ -19,7 +21,7 @@
 use crate::registration::Registration;
 use crate::settings_file::{SettingsReader, follow};
 use crate::status_server::{MetricsHandler, ReadyHandler};
-use crate::store_session::{StoreSession, keep_house};
+use crate::table_follower::TableFollower;
 use crate::table_keeper::TableKeeper;
 
 /// Share of the grace period after which idle connections are closed. Until then callers learn
@@ -89,7 +91,8 @@
         config.caller_address,
         config.peer_address
     );
-    tokio::spawn(StoreSession::new(engine.clone(), borders.store.clone()).run());
+    tokio::spawn(TableFollower::new(engine.clone(), borders.store.clone()).run());
+    tokio::spawn(EntryFollower::new(engine.clone(), borders.store.clone()).run());
     tokio::spawn(Registration::new(engine.clone(), borders.store).run());
     tokio::spawn(peer_exchange::run(engine.clone()));
     tokio::spawn(keep_house(engine.clone()));
--- /dev/null
+++ b/crates/apricotfold-proxy/src/store_link.rs
@@ -0,0 +1,126 @@
+//! Whether the store answers, and how fast its changes are followed. See `docs/platform.md`,
+//! section 4.
+
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use apricotfold_model::log_event;
+use apricotfold_store::StoreError;
+use tokio::sync::watch;
+
+/// Pauses after failures: the first is short, since a single call may be turned away, and they
+/// stay below the time within which entries must be back after the store's return.
+const RETRY_PAUSES: [Duration; 3] = [
+    Duration::from_millis(120),
+    Duration::from_millis(300),
+    Duration::from_millis(700),
+];
+
+#[derive(Debug, Default)]
+struct LinkState {
+    available: bool,
+    answered: Option<Instant>,
+}
+
+/// What all tasks that call the store know about it.
+#[derive(Debug)]
+pub struct StoreLink {
+    state: Mutex<LinkState>,
+    /// Counts the times at which the store was lost.
+    losses: watch::Sender<u64>,
+}
+
+impl StoreLink {
+    /// Starts without a word from the store.
+    pub fn new() -> Self {
+        Self {
+            state: Mutex::default(),
+            losses: watch::Sender::new(0),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().expect("no panic while locked")
+    }
+
+    /// Notes an answer of the store, also one that refuses a condition.
+    pub fn record_answer(&self, step: &str) {
+        let mut state = self.lock();
+        state.answered = Some(Instant::now());
+        if !state.available {
+            state.available = true;
+            log_event!(info, StoreAvailable, "by {step}");
+        }
+    }
+
+    /// Notes a call without a usable answer.
+    pub fn record_failure(&self, error: &StoreError) {
+        let mut state = self.lock();
+        if state.available {
+            state.available = false;
+            let age = state.answered.map(|at| at.elapsed());
+            log_event!(warn, StoreUnavailable, "{error}, last answer {age:?} ago");
+            self.losses.send_modify(|losses| *losses += 1);
+        }
+    }
+
+    /// Follows the losses. A waiting watch may be on a connection that has gone silent, so it is
+    /// opened anew when any other call fails.
+    pub fn watch_losses(&self) -> watch::Receiver<u64> {
+        self.losses.subscribe()
+    }
+
+    /// Time since the store answered last; `None` if it never has.
+    pub fn age(&self) -> Option<Duration> {
+        self.lock().answered.map(|at| at.elapsed())
+    }
+}
+
+/// Pause before a call is tried again after so many failures in a row.
+pub fn retry_pause(failures: usize) -> Duration {
+    let last = RETRY_PAUSES.len() - 1;
+    RETRY_PAUSES[failures.saturating_sub(1).min(last)]
+}
+
+/// Pauses between batches of changes. Each change ends the waiting watches of every node, so the
+/// pause grows with each further batch, and changes arrive together.
+#[derive(Debug)]
+pub struct BatchPace {
+    pause: Duration,
+    changed: Option<Instant>,
+}
+
+/// Pause after a change that follows a calm time.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest pause; operators expect changes in force after seconds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Time without changes after which the pause is short again.
+const CALM_TIME: Duration = Duration::from_secs(3);
+
+impl BatchPace {
+    /// Starts with a short pause.
+    pub fn new() -> Self {
+        Self {
+            pause: FIRST_PAUSE,
+            changed: None,
+        }
+    }
+
+    /// Pause after a change that has just arrived.
+    pub fn next_pause(&mut self) -> Duration {
+        let calm = self
+            .changed
+            .is_none_or(|changed| changed.elapsed() > CALM_TIME);
+        let pause = if calm { FIRST_PAUSE } else { self.pause };
+        self.pause = (pause * 2).min(LONGEST_PAUSE);
+        self.changed = Some(Instant::now());
+        pause
+    }
+
+    /// Tells whether changes follow each other quickly at present.
+    pub fn is_busy(&self) -> bool {
+        self.pause > FIRST_PAUSE * 2
+    }
+}
--- /dev/null
+++ b/crates/apricotfold-proxy/src/table_follower.rs
@@ -0,0 +1,98 @@
+//! Follows the operators' route table in the store. See `docs/platform.md`, section 3.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricotfold_store::{ConfigStore, Revision, StoreError, WatchEvent};
+use futures_util::StreamExt;
+
+use crate::engine::Engine;
+use crate::measure;
+use crate::store_link::{BatchPace, retry_pause};
+
+/// Longest wait before a watch is opened anew although nothing shows that it is lost.
+const WATCH_LIMIT: Duration = Duration::from_mins(1);
+
+/// Follows the table until the process ends.
+pub struct TableFollower {
+    engine: Arc<Engine>,
+    store: Arc<dyn ConfigStore>,
+}
+
+impl TableFollower {
+    /// Prepares the follower.
+    pub fn new(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) -> Self {
+        Self { engine, store }
+    }
+
+    /// Reads and watches again and again.
+    pub async fn run(self) {
+        let mut failures = 0;
+        loop {
+            let mut losses = self.engine.store_link.watch_losses();
+            tokio::select! {
+                Err(error) = self.follow(&mut failures) => {
+                    self.engine.store_link.record_failure(&error);
+                }
+                Ok(()) = losses.changed() => {}
+            }
+            failures += 1;
+            tokio::time::sleep(retry_pause(failures)).await;
+        }
+    }
+
+    async fn follow(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
+        let mut revision = self.read_newest().await?;
+        *failures = 0;
+        let mut pace = BatchPace::new();
+        loop {
+            let key = self.engine.tables.key();
+            let mut watch = self.store.watch(key, revision + 1).await?;
+            while let Ok(Some(batch)) = tokio::time::timeout(WATCH_LIMIT, watch.next()).await {
+                measure::count_store_call("watch", batch.is_ok());
+                let batch = batch?;
+                self.engine.store_link.record_answer("watch");
+                revision = revision.max(batch.revision);
+                let Some(text) = newest_text(&batch.events, key) else {
+                    continue;
+                };
+                self.engine.tables.offer(text, "the store");
+                tokio::time::sleep(pace.next_pause()).await;
+                if pace.is_busy() {
+                    break;
+                }
+            }
+            // While versions follow each other, a watch would deliver each of them whole; the
+            // newest one is read instead until it stays the same.
+            while pace.is_busy() {
+                let known = self.engine.tables.version();
+                revision = self.read_newest().await?;
+                if self.engine.tables.version() == known {
+                    break;
+                }
+                tokio::time::sleep(pace.next_pause()).await;
+            }
+        }
+    }
+
+    /// Reads the newest table. Returns the store's revision.
+    async fn read_newest(&self) -> Result<Revision, StoreError> {
+        let key = self.engine.tables.key();
+        let answer = self.store.get(key).await;
+        measure::count_store_call("get", answer.is_ok());
+        let answer = answer?;
+        self.engine.store_link.record_answer("get");
+        if let Some(entry) = answer.entries.first() {
+            self.engine.tables.offer(&entry.value, "the store");
+        }
+        Ok(answer.revision)
+    }
+}
+
+fn newest_text<'a>(events: &'a [WatchEvent], key: &str) -> Option<&'a str> {
+    events.iter().rev().find_map(|event| match event {
+        WatchEvent::Put(entry) if entry.key == key => Some(entry.value.as_str()),
+        _ => None,
+    })
+}
