Log with time and node, and follow a request through logs

Change: each log line of the proxy starts with time, level and node; apricotfold trace ID FILE... prints a request's path over several nodes in time order.

--- a/crates/apricotfold-proxy/src/log_output.rs
+++ b/crates/apricotfold-proxy/src/log_output.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use apricotfold_model::{EventCode, event_message};
+use apricotfold_model::{EventCode, NodeId, event_message};
 use compact_str::CompactString;
 
 use crate::measure;
@@ -67,6 +67,26 @@
     }
 }
 
+/// Writes the process's log lines to `log`, each with its time and node in front, so that the lines
+/// of several nodes can be put in order.
+pub fn install(log: &BoundedLog, node: NodeId) {
+    let filter = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(filter)
+        .target(env_logger::Target::Pipe(Box::new(log.clone())))
+        .format(move |line, record| {
+            let time = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            let (seconds, millis) = (time.as_secs(), time.subsec_millis());
+            let (level, text) = (record.level(), record.args());
+            writeln!(
+                line,
+                "ts={seconds}.{millis:03} level={level} node={node} {text}"
+            )
+        })
+        .init();
+}
+
 impl SharedBuffer {
     fn lock(&self) -> MutexGuard<'_, BufferState> {
         self.state.lock().expect("no panic while locked")
@@ -114,7 +134,7 @@
         measure::count_dropped_lines(total);
         let code = EventCode::LogDropped;
         let message = event_message(code);
-        let line = format!("WARN {} {message}: {dropped:?}\n", code.as_ref());
+        let line = format!("level=WARN {} {message}: {dropped:?}\n", code.as_ref());
         self.waiting.extend_from_slice(line.as_bytes());
     }
 }
--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -42,6 +42,11 @@
     Status,
     /// Check files.
     Validate { files: Vec<CompactString> },
+    /// Follow one request through logs.
+    Trace {
+        id: CompactString,
+        files: Vec<CompactString>,
+    },
 }
 
 /// The command line, read.
@@ -242,6 +247,10 @@
             file: file.clone(),
         }),
         ("status", []) => Ok(Subcommand::Status),
+        ("trace", [id, files @ ..]) if !files.is_empty() => Ok(Subcommand::Trace {
+            id: id.clone(),
+            files: files.to_vec(),
+        }),
         ("validate", [_, ..]) => Ok(Subcommand::Validate {
             files: operands.to_vec(),
         }),
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -17,6 +17,7 @@
   diff PROFILE FILE   compare a head with a file, field by field
   status              show which node runs which version and which nodes lag
   validate FILE...    check profiles without contacting anything
+  trace ID FILE...    follow one request through the logs of several nodes
 
 Options:
   --store URL         address of the store; repeatable (environment: APRICOTFOLD_STORE,
@@ -104,6 +105,15 @@
 Exit codes: 0 all valid, 2 something is wrong.
 ";
 
+const TRACE: &str = "\
+Prints what the logs in FILE... say about the request ID and the calls that it caused, in the order
+of the nodes' clocks. Contacts nothing.
+
+Usage: apricotfold trace ID FILE... [--json]
+
+Exit codes: 0 done, 2 bad usage, a file that cannot be read, or no line about the request.
+";
+
 /// Help text of a subcommand; `None` when there is no such subcommand.
 pub fn of_subcommand(name: &str) -> Option<&'static str> {
     match name {
@@ -113,6 +123,7 @@
         "diff" => Some(DIFF),
         "status" => Some(STATUS),
         "validate" => Some(VALIDATE),
+        "trace" => Some(TRACE),
         _ => None,
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod publish;
 mod show;
 mod status;
+mod trace;
 mod validate;
 mod withdraw;
 
@@ -23,6 +24,7 @@
         Subcommand::Help(text) => Ok(help::result(text)),
         Subcommand::Version => Ok(help::version()),
         Subcommand::Validate { files } => Ok(validate::run(files)),
+        Subcommand::Trace { id, files } => trace::run(id, files),
         subcommand => on_runtime(invocation, subcommand),
     }
 }
@@ -39,7 +41,10 @@
             Subcommand::Show { profile } => show::run(invocation, profile.as_deref()).await,
             Subcommand::Diff { profile, file } => diff::run(invocation, profile, file).await,
             Subcommand::Status => status::run(invocation).await,
-            Subcommand::Help(_) | Subcommand::Version | Subcommand::Validate { .. } => {
+            Subcommand::Help(_)
+            | Subcommand::Version
+            | Subcommand::Validate { .. }
+            | Subcommand::Trace { .. } => {
                 unreachable!("handled without a runtime")
             }
         }
--- /dev/null
+++ b/src/cmd/trace.rs
@@ -0,0 +1,31 @@
+//! `apricotfold trace ID FILE...`
+
+use apricotfold::{CommandError, ExitKind, TraceLine, trace_request};
+use compact_str::CompactString;
+use serde_json::json;
+
+use super::output::{CommandResult, Findings, error_document};
+use super::read_file;
+
+/// Prints the path of a request in the order of the nodes' clocks, with the time since its first
+/// line.
+pub fn run(id: &CompactString, files: &[CompactString]) -> CommandResult {
+    let logs: Result<Vec<String>, CommandError> = files.iter().map(read_file).collect();
+    let lines = trace_request(&logs?, id);
+    let mut document = json!({"id": id, "lines": lines});
+    if lines.is_empty() {
+        let message = format!("no line about {id} in {} files", files.len());
+        document["error"] = error_document(&CommandError::bad_input(message.clone()));
+        return Ok(Findings::with_exit(ExitKind::BadInput, message, document));
+    }
+    let start = lines.iter().find_map(|line| line.time).unwrap_or_default();
+    let text: Vec<String> = lines.iter().map(|line| describe(line, start)).collect();
+    Ok(Findings::done(text.join("\n"), document))
+}
+
+fn describe(line: &TraceLine, start: f64) -> String {
+    let time = line
+        .time
+        .map_or("?".to_owned(), |time| format!("+{:.3}", time - start));
+    format!("{time} {} {}", line.node, line.text)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod publish;
 mod store_retry;
+mod trace;
 mod view;
 
 pub use differences::{Difference, content_differences};
@@ -20,4 +21,5 @@
     Publisher, RaceReport, RaceWinner, Standing, next_version, stale_floor, standing,
 };
 pub use store_retry::{StoreRetry, jitter_delay};
+pub use trace::{TraceLine, trace_request};
 pub use view::{HeadRecord, ProfileView, read_bundle, read_candidate, read_entry, read_view};
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -105,7 +105,9 @@
 fn help_texts() {
     let overview = Run::new(&["--help"]);
     assert_eq!(overview.code, 0);
-    for name in ["publish", "withdraw", "show", "diff", "status", "validate"] {
+    for name in [
+        "publish", "withdraw", "show", "diff", "status", "validate", "trace",
+    ] {
         assert!(overview.stdout.contains(&format!("\n  {name} ")), "{name}");
         let (text, document) = Run::both(&[name, "--help"]);
         assert_eq!((text.code, text.stderr.as_str()), (0, ""));
