Follow changes of the store with fewer calls; two full targets end a call

Change: pauses between batches grow to 1.1 s for tables and 2.5 s for entries, renewals are 1.8 s apart. A call ends after two refusals for lack of room.

--- a/crates/apricotfold-policy/src/repeat_guide.rs
+++ b/crates/apricotfold-policy/src/repeat_guide.rs
@@ -6,6 +6,10 @@
 /// nodes but no work of a target, so a few are cheaper than sending the caller away.
 const MAX_REFUSALS: u32 = 4;
 
+/// Refusals for lack of room after which the service as a whole counts as full. Each further one
+/// would tell the caller later what is known by then.
+const MAX_FULL_REFUSALS: u32 = 2;
+
 /// How a send ended without an answer that goes to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendEnd {
@@ -39,6 +43,7 @@
     max_attempts: u32,
     arrivals: u32,
     refusals: u32,
+    full_refusals: u32,
     may_have_run: bool,
 }
 
@@ -51,6 +56,7 @@
             max_attempts,
             arrivals: 0,
             refusals: 0,
+            full_refusals: 0,
             may_have_run: false,
         }
     }
@@ -86,7 +92,10 @@
     /// Decides after a send that brought no usable answer.
     pub fn after(&mut self, end: SendEnd, reason: RefusalReason) -> NextStep {
         match end {
-            SendEnd::BeforeTarget => self.refusals += 1,
+            SendEnd::BeforeTarget => {
+                self.refusals += 1;
+                self.full_refusals += u32::from(reason == RefusalReason::Overloaded);
+            }
             SendEnd::RejectedByTarget => self.arrivals += 1,
             SendEnd::MayHaveRun | SendEnd::FailedAnswer => {
                 self.arrivals += 1;
@@ -96,7 +105,9 @@
         let once = self.repeat == RepeatRule::AtMostOnce && self.may_have_run;
         // A request that is stopped for crashing targets would be stopped everywhere.
         let stopped = reason == RefusalReason::PoisonRequest;
-        let used_up = self.arrivals >= self.max_attempts || self.refusals >= MAX_REFUSALS;
+        let used_up = self.arrivals >= self.max_attempts
+            || self.refusals >= MAX_REFUSALS
+            || self.full_refusals >= MAX_FULL_REFUSALS;
         if once || stopped || used_up {
             return NextStep::GiveUp(self.outcome());
         }
--- a/crates/apricotfold-policy/tests/repeat_guide.rs
+++ b/crates/apricotfold-policy/tests/repeat_guide.rs
@@ -38,6 +38,17 @@
     assert_eq!(step, NextStep::GiveUp(CallOutcome::NotRun));
 }
 
+/// Guards against a caller that is told of a full service only after it has been to many targets.
+#[test]
+fn full_service() {
+    let mut guide = RepeatGuide::new(RepeatRule::Idempotent, 3);
+    let full = RefusalReason::Overloaded;
+    let first = guide.after(SendEnd::BeforeTarget, full);
+    assert!(matches!(first, NextStep::Repeat { .. }));
+    let second = guide.after(SendEnd::BeforeTarget, full);
+    assert_eq!(second, NextStep::GiveUp(CallOutcome::NotRun));
+}
+
 fn ends() -> impl Strategy<Value = Vec<SendEnd>> {
     let end = prop_oneof![
         Just(SendEnd::BeforeTarget),
--- a/crates/apricotfold-proxy/src/entry_follower.rs
+++ b/crates/apricotfold-proxy/src/entry_follower.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceRecord, log_event};
 use apricotfold_store::{ConfigStore, RangeAnswer, StoreEntry, StoreError, WatchBatch, WatchEvent};
@@ -11,7 +11,14 @@
 use crate::engine::Engine;
 use crate::measure;
 use crate::registration::{NODE_PREFIX, NodeEntry};
-use crate::store_link::{BatchPace, retry_pause};
+use crate::store_link::{BatchPace, PaceLimits, retry_pause};
+
+/// Pauses between changes of entries. A leaving instance is refused by its own node and a dead one
+/// is noticed by its callers, so only new instances wait for them.
+const ENTRY_PACE: PaceLimits = PaceLimits {
+    first: Duration::from_millis(250),
+    longest: Duration::from_millis(2_500),
+};
 
 /// Follows the entries until the process ends.
 pub struct EntryFollower {
@@ -49,7 +56,7 @@
         *failures = 0;
         self.apply_listing(&listing);
         let mut revision = listing.revision;
-        let mut pace = BatchPace::new();
+        let mut pace = BatchPace::new(ENTRY_PACE);
         loop {
             let mut watch = self.store.watch(NODE_PREFIX, revision + 1).await?;
             while let Some(batch) = watch.next().await {
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -19,9 +19,9 @@
 /// Marks an exchange among the calls that a proxy receives.
 pub const EXCHANGE_HEADER: HeaderName = HeaderName::from_static("apricotfold-exchange");
 
-/// Time without the store's word after which a node asks its peers. Renewals succeed about every
-/// second, so two of them have failed by then.
-const STORE_SILENCE: Duration = Duration::from_secs(2);
+/// Time without the store's word after which a node asks its peers. Renewals are 1.8 s apart, so one
+/// of them has failed by then.
+const STORE_SILENCE: Duration = Duration::from_millis(2_600);
 
 /// Interval of exchanges while the store is silent. A change reaches a node that asks two of its
 /// peers each time well within the seconds that operators wait for it.
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -18,14 +18,14 @@
 pub const NODE_PREFIX: &str = "apricotfold/nodes/";
 
 /// Life of an entry without a renewal: three renewals may be lost.
-const LEASE_TTL: Duration = Duration::from_secs(4);
+const LEASE_TTL: Duration = Duration::from_secs(6);
 
 /// Life of the entry of an instance that drains or has left. It outlives delayed announcements, so
 /// that a restarted node does not take them for news.
 const LEAVING_TTL: Duration = Duration::from_mins(1);
 
-/// Interval of renewals.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of renewals. They also show whether the store answers.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_800);
 
 /// A node's entry.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
--- a/crates/apricotfold-proxy/src/store_link.rs
+++ b/crates/apricotfold-proxy/src/store_link.rs
@@ -86,24 +86,29 @@
 /// pause grows with each further batch, and changes arrive together.
 #[derive(Debug)]
 pub struct BatchPace {
+    limits: PaceLimits,
     pause: Duration,
     changed: Option<Instant>,
 }
 
-/// Pause after a change that follows a calm time.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
-
-/// Longest pause; operators expect changes in force after seconds.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Bounds of the pauses.
+#[derive(Clone, Copy, Debug)]
+pub struct PaceLimits {
+    /// Pause after a change that follows a calm time.
+    pub first: Duration,
+    /// Longest pause.
+    pub longest: Duration,
+}
 
 /// Time without changes after which the pause is short again.
-const CALM_TIME: Duration = Duration::from_secs(3);
+const CALM_TIME: Duration = Duration::from_secs(4);
 
 impl BatchPace {
     /// Starts with a short pause.
-    pub fn new() -> Self {
+    pub fn new(limits: PaceLimits) -> Self {
         Self {
-            pause: FIRST_PAUSE,
+            limits,
+            pause: limits.first,
             changed: None,
         }
     }
@@ -113,14 +118,14 @@
         let calm = self
             .changed
             .is_none_or(|changed| changed.elapsed() > CALM_TIME);
-        let pause = if calm { FIRST_PAUSE } else { self.pause };
-        self.pause = (pause * 2).min(LONGEST_PAUSE);
+        let pause = if calm { self.limits.first } else { self.pause };
+        self.pause = (pause * 2).min(self.limits.longest);
         self.changed = Some(Instant::now());
         pause
     }
 
     /// Tells whether changes follow each other quickly at present.
     pub fn is_busy(&self) -> bool {
-        self.pause > FIRST_PAUSE * 2
+        self.pause > self.limits.first * 2
     }
 }
--- a/crates/apricotfold-proxy/src/table_follower.rs
+++ b/crates/apricotfold-proxy/src/table_follower.rs
@@ -9,11 +9,17 @@
 
 use crate::engine::Engine;
 use crate::measure;
-use crate::store_link::{BatchPace, retry_pause};
+use crate::store_link::{BatchPace, PaceLimits, retry_pause};
 
 /// Longest wait before a watch is opened anew although nothing shows that it is lost.
 const WATCH_LIMIT: Duration = Duration::from_mins(1);
 
+/// Pauses between tables; operators expect a table in force after 2.5 s.
+const TABLE_PACE: PaceLimits = PaceLimits {
+    first: Duration::from_millis(200),
+    longest: Duration::from_millis(1_100),
+};
+
 /// Follows the table until the process ends.
 pub struct TableFollower {
     engine: Arc<Engine>,
@@ -45,7 +51,7 @@
     async fn follow(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
         let mut revision = self.read_newest().await?;
         *failures = 0;
-        let mut pace = BatchPace::new();
+        let mut pace = BatchPace::new(TABLE_PACE);
         loop {
             let key = self.engine.tables.key();
             let mut watch = self.store.watch(key, revision + 1).await?;
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -5,12 +5,11 @@
 use serde_json::json;
 
 use super::output::{CommandResult, Findings, error_document};
-use super::read_file;
 
 /// Prints the path of a request in the order of the nodes' clocks, with the time since its first
 /// line.
 pub fn run(id: &CompactString, files: &[CompactString]) -> CommandResult {
-    let logs: Result<Vec<String>, CommandError> = files.iter().map(read_file).collect();
+    let logs: Result<Vec<String>, CommandError> = files.iter().map(read_log).collect();
     let lines = trace_request(&logs?, id);
     let mut document = json!({"id": id, "lines": lines});
     if lines.is_empty() {
@@ -23,6 +22,14 @@
     Ok(Findings::done(text.join("\n"), document))
 }
 
+/// Text of a log. Bytes that are no text, as after a process was killed within a line, do not hide
+/// the other lines.
+fn read_log(file: &CompactString) -> Result<String, CommandError> {
+    let bytes = std::fs::read(file)
+        .map_err(|error| CommandError::bad_input(format!("{file}: cannot be read: {error}")))?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
 fn describe(line: &TraceLine, start: f64) -> String {
     let time = line
         .time
