Let two nodes of a large data centre follow the store for the others

Change: in a data centre with more than four ready instances, two nodes chosen by rank follow the store; the others ask them in turn, and follow the store themselves when they get no fresh word.

--- a/crates/apricotfold-model/src/instance.rs
+++ b/crates/apricotfold-model/src/instance.rs
@@ -24,6 +24,7 @@
     Eq,
     PartialOrd,
     Ord,
+    Hash,
     Display,
     EnumString,
     IntoStaticStr,
--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -2,6 +2,7 @@
 //! `docs/platform.md`, section 4.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceRecord, InstanceState, NodeId};
@@ -186,6 +187,25 @@
         })
     }
 
+    /// Records that the store has at present.
+    pub fn confirmed(&self) -> impl Iterator<Item = &InstanceRecord> {
+        let known = self.known.values();
+        known
+            .filter(|known| known.lapsed.is_none())
+            .map(|known| &known.record)
+    }
+
+    /// Digest of the confirmed records, by which two nodes learn whether they know the same.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        // The sum does not depend on the order of the map.
+        self.confirmed().fold(0, |sum: u64, record| {
+            let mut hasher = DefaultHasher::new();
+            (&record.node, record.order()).hash(&mut hasher);
+            sum.wrapping_add(hasher.finish())
+        })
+    }
+
     /// All records, to be told to another node.
     pub fn records(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.known.values().map(|known| &known.record)
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -33,6 +33,7 @@
 mod local_instance;
 mod picker;
 mod plan;
+mod relay_choice;
 mod repeat_guide;
 mod return_time;
 mod target;
@@ -61,6 +62,7 @@
 pub use local_instance::{AnnouncementEffect, LocalInstance};
 pub use picker::{ChoiceReason, PickCandidate, TargetPicker};
 pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
+pub use relay_choice::{FollowRole, RelayNodes, choose_role};
 pub use repeat_guide::{NextStep, RepeatGuide, SendEnd};
 pub use return_time::{ReturnDetector, advise_return};
 pub use traffic_split::TrafficSplit;
--- /dev/null
+++ b/crates/apricotfold-policy/tests/relay_choice.rs
@@ -0,0 +1,82 @@
+//! Which nodes follow the store for their data centre.
+
+use std::collections::BTreeSet;
+
+use apricotfold_model::{InstanceRecord, InstanceState, NodeId};
+use apricotfold_policy::{FollowRole, choose_role};
+
+fn record(index: usize, data_centre: &str, state: InstanceState) -> InstanceRecord {
+    InstanceRecord {
+        node: format!("{data_centre}-{index}").into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        node_start: 1,
+        data_centre: data_centre.into(),
+        instance: format!("i-{index}").into(),
+        born: 1,
+        number: 1,
+        service: "precios".into(),
+        slots: 8,
+        state,
+        cold_ms: 0,
+    }
+}
+
+fn records(count: usize, data_centre: &str) -> Vec<InstanceRecord> {
+    (0..count)
+        .map(|index| record(index, data_centre, InstanceState::Ready))
+        .collect()
+}
+
+fn role(records: &[InstanceRecord], own: &str) -> FollowRole {
+    let data_centre = "stgo-norte".into();
+    choose_role(&NodeId::from(own), &data_centre, records.iter())
+}
+
+/// Guards against a data centre in which nobody, or everybody, follows the store.
+#[test]
+fn two_relays() {
+    for count in [5, 10, 40] {
+        let mut records = records(count, "stgo-norte");
+        records.extend(self::records(30, "valpo-puerto"));
+        let mut relays = BTreeSet::new();
+        let mut direct = 0;
+        for index in 0..count {
+            match role(&records, &format!("stgo-norte-{index}")) {
+                FollowRole::Direct => direct += 1,
+                FollowRole::Through(nodes) => {
+                    assert!(nodes.iter().all(|node| node.starts_with("stgo-norte")));
+                    relays.insert(nodes);
+                }
+            }
+        }
+        assert_eq!(direct, 2, "{count}");
+        assert_eq!(relays.len(), 1, "{count}");
+    }
+}
+
+/// Guards against relays that are leaving, and against few nodes that depend on one another.
+#[test]
+fn few_nodes() {
+    let mut records = records(4, "stgo-norte");
+    assert_eq!(role(&records, "stgo-norte-0"), FollowRole::Direct);
+    for index in 4..8 {
+        records.push(record(index, "stgo-norte", InstanceState::Draining));
+    }
+    assert_eq!(role(&records, "stgo-norte-0"), FollowRole::Direct);
+}
+
+/// Guards against a choice that changes for everybody when one node that is no relay comes or goes.
+#[test]
+fn stable_choice() {
+    let all = records(20, "stgo-norte");
+    let FollowRole::Through(relays) = role(&all, "elsewhere") else {
+        panic!("twenty nodes have relays");
+    };
+    let other = all.iter().find(|record| !relays.contains(&record.node));
+    let other = other.expect("more nodes than relays").node.clone();
+    let rest: Vec<_> = all
+        .into_iter()
+        .filter(|record| record.node != other)
+        .collect();
+    assert_eq!(role(&rest, "elsewhere"), FollowRole::Through(relays));
+}
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -99,6 +99,8 @@
     pub lifecycle: Lifecycle,
     /// Changes whenever the entry of this node in the store must change.
     pub registration: watch::Sender<u64>,
+    /// Whether this node follows the store itself.
+    following: watch::Sender<bool>,
     registry: Mutex<InstanceRegistry>,
     chooser: Mutex<LoadChooser>,
     split: Mutex<TrafficSplit>,
@@ -131,6 +133,7 @@
             store_link: StoreLink::new(),
             lifecycle: Lifecycle::new(),
             registration: watch::Sender::new(0),
+            following: watch::Sender::new(true),
             registry: Mutex::default(),
             chooser: Mutex::new(LoadChooser::new(LINK_COSTS, seed)),
             split: Mutex::default(),
@@ -149,6 +152,25 @@
         self.config.load().node.clone()
     }
 
+    /// Lets this node follow the store itself, or relays.
+    pub fn follow_store(&self, following: bool) {
+        self.following.send_if_modified(|known| {
+            let changed = *known != following;
+            *known = following;
+            changed
+        });
+    }
+
+    /// Tells whether this node follows the store itself.
+    pub fn follows_store(&self) -> bool {
+        *self.following.borrow()
+    }
+
+    /// Follows changes of [`follows_store`](Self::follows_store).
+    pub fn watch_following(&self) -> watch::Receiver<bool> {
+        self.following.subscribe()
+    }
+
     /// Known instances.
     pub fn registry(&self) -> MutexGuard<'_, InstanceRegistry> {
         lock(&self.registry)
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -30,6 +30,7 @@
 mod peer_exchange;
 mod peer_server;
 mod registration;
+mod relay_follower;
 pub mod request_codec;
 mod run;
 mod settings_file;
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -39,6 +39,8 @@
 struct ExchangeRequest {
     node: NodeId,
     table_version: TableVersion,
+    /// Digest of the instances that the node knows.
+    digest: u64,
     record: Option<InstanceRecord>,
     crashes: CrashCounts,
 }
@@ -46,10 +48,15 @@
 /// What the peer tells in return.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
-struct ExchangeAnswer {
+pub struct ExchangeAnswer {
+    /// Whether the peer follows the store itself.
+    pub follows_store: bool,
+    /// Time in milliseconds since the store answered the peer; `None` if it never has.
+    pub store_age_ms: Option<u64>,
     /// Text of the route table where it is newer.
     table: Option<String>,
-    records: Vec<InstanceRecord>,
+    /// Instances that the store has, by the peer's knowledge, where it differs.
+    records: Option<Vec<InstanceRecord>>,
     crashes: BTreeMap<NodeId, CrashCounts>,
 }
 
@@ -66,8 +73,7 @@
         }
         let peers = choose_peers(&engine);
         for address in peers {
-            let asked = ask(&engine, address);
-            if let Err(cause) = asked.await {
+            if let Err(cause) = ask(&engine, address).await {
                 log_event!(debug, ExchangeFailed, "{address}: {cause}");
             }
         }
@@ -84,10 +90,16 @@
         .sample(chooser.random(), PEERS_ASKED)
 }
 
-async fn ask(engine: &Arc<Engine>, address: SocketAddr) -> eyre::Result<()> {
+/// Exchanges state with a peer and takes over what it tells.
+///
+/// # Errors
+///
+/// Returns why the peer gave no usable answer.
+pub async fn ask(engine: &Arc<Engine>, address: SocketAddr) -> eyre::Result<ExchangeAnswer> {
     let message = ExchangeRequest {
         node: engine.node(),
         table_version: engine.tables.version(),
+        digest: engine.registry().digest(),
         record: engine.local_record(),
         crashes: engine.crashes.told(),
     };
@@ -109,8 +121,8 @@
     let body = AnswerBody::passing(answer.into_body(), lease);
     let body = tokio::time::timeout_at(deadline.into(), body.collect()).await??;
     let answer: ExchangeAnswer = serde_json::from_slice(&body.to_bytes())?;
-    learn(engine, answer, address);
-    Ok(())
+    learn(engine, &answer, address);
+    Ok(answer)
 }
 
 fn exchange_headers(address: SocketAddr) -> eyre::Result<HeaderMap> {
@@ -120,25 +132,44 @@
     Ok(headers)
 }
 
-fn learn(engine: &Engine, answer: ExchangeAnswer, address: SocketAddr) {
-    if let Some(text) = answer.table
-        && engine.tables.offer(&text, "a peer")
+fn learn(engine: &Engine, answer: &ExchangeAnswer, address: SocketAddr) {
+    if let Some(text) = &answer.table
+        && engine.tables.offer(text, "a peer")
     {
         let version = engine.tables.version();
         log_event!(info, PeerLearned, "route table {version} from {address}");
     }
-    let own = engine.node();
+    if let Some(records) = &answer.records {
+        learn_instances(engine, records, answer.follows_store, address);
+    }
+    for (node, counts) in &answer.crashes {
+        engine.crashes.merge(node, counts);
+    }
+}
+
+/// Takes over instances. The listing of a peer that follows the store counts like the store's own
+/// for a node that does not follow the store; otherwise it only adds to what is known.
+fn learn_instances(
+    engine: &Engine,
+    records: &[InstanceRecord],
+    follows_store: bool,
+    address: SocketAddr,
+) {
     let now = Instant::now();
     let mut registry = engine.registry();
-    for record in answer.records {
-        let (node, instance) = (record.node.clone(), record.instance.clone());
-        if node != own && registry.apply_told(record, now) {
-            log_event!(info, PeerLearned, "{node} {instance} from {address}");
+    if follows_store && !engine.follows_store() {
+        if registry.apply_listing(records.to_vec(), now) {
+            let count = records.len();
+            log_event!(info, PeerLearned, "{count} instances from {address}");
         }
+        return;
     }
-    drop(registry);
-    for (node, counts) in &answer.crashes {
-        engine.crashes.merge(node, counts);
+    let own = engine.node();
+    for record in records {
+        if record.node != own && registry.apply_told(record.clone(), now) {
+            let (node, instance) = (&record.node, &record.instance);
+            log_event!(info, PeerLearned, "{node} {instance} from {address}");
+        }
     }
 }
 
@@ -160,9 +191,17 @@
     let kept = engine.tables.current();
     let newer = kept.table.version > asked.table_version;
     let own_crashes = BTreeMap::from([(engine.node(), engine.crashes.told())]);
+    let records = {
+        let registry = engine.registry();
+        let differs = registry.digest() != asked.digest;
+        differs.then(|| registry.confirmed().cloned().collect())
+    };
+    let store_age = engine.store_link.age();
     let answer = ExchangeAnswer {
+        follows_store: engine.follows_store(),
+        store_age_ms: store_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         table: newer.then(|| kept.text.clone()),
-        records: engine.registry().records().cloned().collect(),
+        records,
         crashes: own_crashes,
     };
     match serde_json::to_vec(&answer) {
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -19,6 +19,7 @@
 use crate::peer_exchange;
 use crate::peer_server::PeerHandler;
 use crate::registration::Registration;
+use crate::relay_follower::RelayFollower;
 use crate::settings_file::{SettingsReader, follow};
 use crate::status_server::{MetricsHandler, ReadyHandler};
 use crate::table_follower::TableFollower;
@@ -95,6 +96,7 @@
     tokio::spawn(EntryFollower::new(engine.clone(), borders.store.clone()).run());
     tokio::spawn(Registration::new(engine.clone(), borders.store).run());
     tokio::spawn(peer_exchange::run(engine.clone()));
+    tokio::spawn(RelayFollower::new(engine.clone()).run());
     tokio::spawn(keep_house(engine.clone()));
     if let Some((reader, text)) = settings {
         tokio::spawn(follow(engine.clone(), reader, text));
--- a/crates/apricotfold-proxy/src/table_follower.rs
+++ b/crates/apricotfold-proxy/src/table_follower.rs
@@ -36,12 +36,16 @@
     pub async fn run(self) {
         let mut failures = 0;
         loop {
+            let mut following = self.engine.watch_following();
+            // The sender lives as long as the engine, so waiting cannot fail.
+            let _ = following.wait_for(|following| *following).await;
             let mut losses = self.engine.store_link.watch_losses();
             tokio::select! {
                 Err(error) = self.follow(&mut failures) => {
                     self.engine.store_link.record_failure(&error);
                 }
                 Ok(()) = losses.changed() => {}
+                Ok(_) = following.wait_for(|following| !*following) => continue,
             }
             failures += 1;
             tokio::time::sleep(retry_pause(failures)).await;
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -130,7 +130,16 @@
     F: Fn() -> R,
     R: Future<Output = bool>,
 {
-    let end = tokio::time::Instant::now() + PATIENCE;
+    wait_within(PATIENCE, what, condition).await;
+}
+
+/// Waits until a condition holds, and fails the test when it does not within `patience`.
+pub async fn wait_within<F, R>(patience: Duration, what: &str, condition: F)
+where
+    F: Fn() -> R,
+    R: Future<Output = bool>,
+{
+    let end = tokio::time::Instant::now() + patience;
     while !condition().await {
         assert!(tokio::time::Instant::now() < end, "{what}: not in time");
         tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/apricotfold-proxy/tests/support/store.rs
+++ b/crates/apricotfold-proxy/tests/support/store.rs
@@ -74,14 +74,23 @@
 pub struct MemoryStore {
     state: Arc<Mutex<StoreState>>,
     away: Arc<AtomicBool>,
+    /// Watches of this client that are open.
+    watches: Arc<()>,
 }
 
 impl MemoryStore {
+    /// Watches that this client has open.
+    pub fn watches(&self) -> usize {
+        // Each watch holds a copy of this view.
+        Arc::strong_count(&self.watches) - 1
+    }
+
     /// Another client's view of the same store.
     pub fn other_client(&self) -> Arc<Self> {
         Arc::new(Self {
             state: self.state.clone(),
             away: Arc::default(),
+            watches: Arc::default(),
         })
     }
 
