Tell peers compressed tables, and of instances only what matters

Ruled out: the relays' own delay (they had the table).

Change: tables are compressed once per version; digests leave numbers out.

--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -91,7 +91,7 @@
         if lapsed.is_none() {
             known.lapsed = None;
         }
-        if known.record == record {
+        if known.record.says_same(&record) {
             return false;
         }
         if known.record.instance != record.instance {
@@ -201,7 +201,9 @@
         // The sum does not depend on the order of the map.
         self.confirmed().fold(0, |sum: u64, record| {
             let mut hasher = DefaultHasher::new();
-            (&record.node, record.order()).hash(&mut hasher);
+            let (state, slots) = (record.state, record.slots);
+            let life = (&record.instance, record.born, record.node_start);
+            (&record.node, life, &record.service, state, slots).hash(&mut hasher);
             sum.wrapping_add(hasher.finish())
         })
     }
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -15,6 +15,7 @@
 use crate::call_body::{AnswerBody, LinkLease};
 use crate::crash_watch::CrashCounts;
 use crate::engine::Engine;
+use crate::table_keeper::unpack_text;
 
 /// Marks an exchange among the calls that a proxy receives.
 pub const EXCHANGE_HEADER: HeaderName = HeaderName::from_static("apricotfold-exchange");
@@ -53,7 +54,7 @@
     pub follows_store: bool,
     /// Time in milliseconds since the store answered the peer; `None` if it never has.
     pub store_age_ms: Option<u64>,
-    /// Text of the route table where it is newer.
+    /// Compressed text of the route table where it is newer.
     table: Option<String>,
     /// Instances that the store has, by the peer's knowledge, where it differs.
     records: Option<Vec<InstanceRecord>>,
@@ -133,11 +134,16 @@
 }
 
 fn learn(engine: &Engine, answer: &ExchangeAnswer, address: SocketAddr) {
-    if let Some(text) = &answer.table
-        && engine.tables.offer(text, "a peer")
-    {
-        let version = engine.tables.version();
-        log_event!(info, PeerLearned, "route table {version} from {address}");
+    match answer.table.as_deref().map(unpack_text) {
+        None => {}
+        Some(Err(cause)) => {
+            log_event!(warn, ExchangeFailed, "{address}: table: {cause}");
+        }
+        Some(Ok(text)) if engine.tables.offer(&text, "a peer") => {
+            let version = engine.tables.version();
+            log_event!(info, PeerLearned, "route table {version} from {address}");
+        }
+        Some(Ok(_)) => {}
     }
     if let Some(records) = &answer.records {
         learn_instances(engine, records, answer.follows_store, address);
@@ -200,7 +206,7 @@
     let answer = ExchangeAnswer {
         follows_store: engine.follows_store(),
         store_age_ms: store_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        table: newer.then(|| kept.text.clone()),
+        table: newer.then(|| kept.packed().to_owned()),
         records,
         crashes: own_crashes,
     };
--- a/crates/apricotfold-proxy/src/table_keeper.rs
+++ b/crates/apricotfold-proxy/src/table_keeper.rs
@@ -1,12 +1,21 @@
 //! The route table in force.
 
-use std::sync::Arc;
+use std::io::{Read, Write};
+use std::sync::{Arc, OnceLock};
 
 use apricotfold_model::{RouteTable, TableVersion, log_event};
 use arc_swap::ArcSwap;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
 
 use crate::borders::TableSource;
 
+/// Largest table: the store's values are smaller.
+const MAX_TABLE_BYTES: u64 = 4 * 1024 * 1024;
+
 /// A table with the text that it was read from, for peers that cannot reach the store.
 #[derive(Debug, Default)]
 pub struct KeptTable {
@@ -14,6 +23,37 @@
     pub table: Arc<RouteTable>,
     /// Its text.
     pub text: String,
+    packed: OnceLock<String>,
+}
+
+impl KeptTable {
+    /// The text for peers, compressed once for all of them: a relay with a narrow link serves many.
+    pub fn packed(&self) -> &str {
+        self.packed.get_or_init(|| pack_text(&self.text))
+    }
+}
+
+/// Compresses a text.
+fn pack_text(text: &str) -> String {
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::default());
+    let packed = encoder
+        .write_all(text.as_bytes())
+        .and_then(|()| encoder.finish());
+    STANDARD.encode(packed.expect("memory takes any number of bytes"))
+}
+
+/// Reads a text that [`KeptTable::packed`] wrote.
+///
+/// # Errors
+///
+/// Returns an error when it is damaged or larger than any table.
+pub fn unpack_text(packed: &str) -> eyre::Result<String> {
+    let bytes = STANDARD.decode(packed)?;
+    let mut text = String::new();
+    ZlibDecoder::new(bytes.as_slice())
+        .take(MAX_TABLE_BYTES)
+        .read_to_string(&mut text)?;
+    Ok(text)
 }
 
 /// Keeps the newest table and never goes back to an older one.
@@ -80,6 +120,7 @@
         self.kept.store(Arc::new(KeptTable {
             table: Arc::new(table),
             text: text.to_owned(),
+            packed: OnceLock::new(),
         }));
         log_event!(
             info,
