--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -134,16 +134,8 @@
 }
 
 fn learn(engine: &Engine, answer: &ExchangeAnswer, address: SocketAddr) {
-    match answer.table.as_deref().map(unpack_text) {
-        None => {}
-        Some(Err(cause)) => {
-            log_event!(warn, ExchangeFailed, "{address}: table: {cause}");
-        }
-        Some(Ok(text)) if engine.tables.offer(&text, "a peer") => {
-            let version = engine.tables.version();
-            log_event!(info, PeerLearned, "route table {version} from {address}");
-        }
-        Some(Ok(_)) => {}
+    if let Some(packed) = &answer.table {
+        learn_table(engine, packed, address);
     }
     if let Some(records) = &answer.records {
         learn_instances(engine, records, answer.follows_store, address);
@@ -153,6 +145,20 @@
     }
 }
 
+fn learn_table(engine: &Engine, packed: &str, address: SocketAddr) {
+    let text = match unpack_text(packed) {
+        Ok(text) => text,
+        Err(cause) => {
+            log_event!(warn, ExchangeFailed, "{address}: table: {cause}");
+            return;
+        }
+    };
+    if engine.tables.offer(&text, "a peer") {
+        let version = engine.tables.version();
+        log_event!(info, PeerLearned, "route table {version} from {address}");
+    }
+}
+
 /// Takes over instances. The listing of a peer that follows the store counts like the store's own
 /// for a node that does not follow the store; otherwise it only adds to what is known.
 fn learn_instances(
