--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -37,6 +37,7 @@
 mod repeat_guide;
 mod return_time;
 mod target;
+mod target_load;
 mod traffic_split;
 mod waiting;
 
--- a/crates/apricotfold-policy/src/load_choice.rs
+++ b/crates/apricotfold-policy/src/load_choice.rs
@@ -9,12 +9,9 @@
 use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
 
-use crate::decay::remaining_share;
+use crate::target_load::{SeenReport, TargetLoad, seconds, stuck_time};
 use crate::{LocalityTier, rank};
 
-/// Time constant with which reported load of other nodes loses its meaning: about one service time.
-const REPORT_WINDOW: Duration = Duration::from_millis(700);
-
 /// Weight of a new sample in moving estimates of service times and speeds; they follow a change
 /// within about ten answers.
 const ESTIMATE_WEIGHT: f64 = 0.1;
@@ -25,12 +22,6 @@
 /// Bounds of a target's learned speed, so that one odd sample does not exclude it.
 const SLOWNESS_RANGE: (f64, f64) = (0.2, 8.0);
 
-/// Length of the first exclusion of an unreachable target; each further one doubles it.
-const FIRST_EXCLUSION: Duration = Duration::from_millis(300);
-
-/// Longest exclusion, so that a target that returns is found within about two seconds.
-const MAX_EXCLUSION: Duration = Duration::from_secs(2);
-
 /// Lost or late answers in a row after which a target counts as unreachable. A single one may be
 /// the fault of the request.
 const FAILURES_TO_EXCLUDE: u32 = 3;
@@ -46,9 +37,6 @@
 /// them costs three times as much, because a second target must be asked, within the budget.
 const FAULT_COST: f64 = 4.0;
 
-/// Time constant with which the faults of an unused target are forgotten, so that it is tried again.
-const FAULT_WINDOW: Duration = Duration::from_secs(3);
-
 /// Part of the time that a request can spare up to which a wait is worth asking the target. It is
 /// above the part that targets admit, because the estimate is a little old.
 const ASK_SHARE: f64 = 0.6;
@@ -205,99 +193,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct SeenReport {
-    report: InstanceReport,
-    /// Reported requests that are not this node's own.
-    others: f64,
-    /// Own requests in flight when it arrived.
-    own: u32,
-    received: Instant,
-}
-
-#[derive(Clone, Debug)]
-struct TargetLoad {
-    in_flight: u32,
-    waiting_since: Option<Instant>,
-    slowness: f64,
-    /// Share of requests that the target rejects or fails at.
-    faults: f64,
-    report: Option<SeenReport>,
-    failures: u32,
-    exclusions: u32,
-    excluded_until: Option<Instant>,
-    full_until: Option<Instant>,
-    used: Instant,
-}
-
-impl TargetLoad {
-    fn new(now: Instant) -> Self {
-        Self {
-            in_flight: 0,
-            waiting_since: None,
-            slowness: 1.0,
-            faults: 0.0,
-            report: None,
-            failures: 0,
-            exclusions: 0,
-            excluded_until: None,
-            full_until: None,
-            used: now,
-        }
-    }
-
-    fn others(&self, now: Instant) -> f64 {
-        self.report.map_or(0.0, |seen| {
-            let age = now.saturating_duration_since(seen.received);
-            seen.others * remaining_share(age, REPORT_WINDOW)
-        })
-    }
-
-    /// Momentary slowness of the machine, which fades to the usual as the report ages.
-    fn pace(&self, now: Instant) -> f64 {
-        self.report.map_or(1.0, |seen| {
-            let age = now.saturating_duration_since(seen.received);
-            let reported = f64::from(seen.report.pace.max(1)) / 100.0;
-            1.0 + (reported - 1.0) * remaining_share(age, REPORT_WINDOW)
-        })
-    }
-
-    /// Wait that the target's node reported for a priority, which fades as the report ages.
-    fn told_wait(&self, priority: CallPriority, now: Instant) -> Option<f64> {
-        let seen = self.report?;
-        let age = now.saturating_duration_since(seen.received);
-        let wait = seconds(seen.report.waits[rank(priority)]);
-        Some(wait * remaining_share(age, REPORT_WINDOW))
-    }
-
-    /// Own requests that were sent after the report was made and are not part of it.
-    fn sent_since_report(&self) -> f64 {
-        let known = self.report.map_or(0, |seen| seen.own);
-        f64::from(self.in_flight.saturating_sub(known))
-    }
-
-    /// Share of rejected and failed requests to expect.
-    fn expected_faults(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.used);
-        self.faults * remaining_share(age, FAULT_WINDOW)
-    }
-
-    fn is_excluded(&self, now: Instant) -> bool {
-        self.excluded_until.is_some_and(|until| until > now)
-    }
-
-    fn is_full(&self, now: Instant) -> bool {
-        self.full_until.is_some_and(|until| until > now)
-    }
-
-    fn exclude(&mut self, now: Instant) {
-        let factor = 1_u32.checked_shl(self.exclusions).unwrap_or(u32::MAX);
-        let time = FIRST_EXCLUSION.saturating_mul(factor).min(MAX_EXCLUSION);
-        self.exclusions += 1;
-        self.excluded_until = Some(now + time);
-    }
-}
-
 /// Chooses the target with the shortest expected time until the answer.
 ///
 /// For each target the estimate adds up the service time of the route's work at the target's
@@ -546,18 +441,6 @@
     turn * (use_of_slots.powi(6) * 2.0 + waiting)
 }
 
-/// Time for which a target has answered nothing beyond what its work takes.
-fn stuck_time(target: &TargetLoad, service: f64, now: Instant) -> f64 {
-    let silent = target.waiting_since.map_or(0.0, |since| {
-        now.saturating_duration_since(since).as_secs_f64()
-    });
-    (silent - 2.0 * service).max(0.0)
-}
-
-fn seconds(millis: u32) -> f64 {
-    f64::from(millis) / 1000.0
-}
-
 fn blend(estimate: &mut f64, sample: f64) {
     *estimate += ESTIMATE_WEIGHT * (sample - *estimate);
 }
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -1,6 +1,5 @@
 //! Guides a caller's request to a target and its answer back.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -35,30 +34,27 @@
 /// often that of a call which the target made, and the repeat makes all of its calls again.
 const FAILURE_BUDGET_PART: f64 = 0.4;
 
-/// Part of the retry budget that second attempts of overdue requests may use.
-const HEDGE_BUDGET_PART: f64 = 0.8;
-
 /// Expected time until a slot is free when no target could be asked.
 const UNKNOWN_ROOM: Duration = Duration::from_millis(100);
 
 /// One caller's request on its way.
 pub struct EntryCall<'a> {
-    engine: &'a Arc<Engine>,
-    routed: RoutedCall,
-    request: CallRequest,
-    guide: RepeatGuide,
-    tried: SmallVec<[NodeId; 4]>,
+    pub(crate) engine: &'a Arc<Engine>,
+    pub(crate) routed: RoutedCall,
+    pub(crate) request: CallRequest,
+    pub(crate) guide: RepeatGuide,
+    pub(crate) tried: SmallVec<[NodeId; 4]>,
     returned: bool,
 }
 
 /// A target that was chosen, with what the choice was based on.
-struct ChosenTarget {
-    record: InstanceRecord,
-    pick: LoadPick,
+pub(crate) struct ChosenTarget {
+    pub(crate) record: InstanceRecord,
+    pub(crate) pick: LoadPick,
 }
 
 /// Why no target is asked, and when one is expected to have room.
-type NoTarget = (RefusalReason, Option<Duration>);
+pub(crate) type NoTarget = (RefusalReason, Option<Duration>);
 
 /// Tells the chooser about an attempt, also when the caller leaves and the attempt is dropped.
 struct AttemptGuard<'a> {
@@ -165,7 +161,7 @@
     }
 
     /// Finds the best target that has not been tried.
-    fn find_target(&self, service: &ServiceName) -> Result<ChosenTarget, NoTarget> {
+    pub(crate) fn find_target(&self, service: &ServiceName) -> Result<ChosenTarget, NoTarget> {
         let engine = self.engine;
         let now = Instant::now();
         let own_node = engine.node();
@@ -198,74 +194,8 @@
         Ok(ChosenTarget { record, pick })
     }
 
-    /// Sends the request to a target, and to a second one when the answer is overdue and the
-    /// request may run twice. Returns the result that counts, with its target.
-    async fn send_hedged(
-        &mut self,
-        chosen: ChosenTarget,
-        service: &ServiceName,
-    ) -> (Result<TargetAnswer, TargetRefusal>, ChosenTarget) {
-        let overdue = chosen.pick.overdue_after();
-        let ended = {
-            let mut first = std::pin::pin!(self.send(&chosen));
-            match tokio::time::timeout(overdue, first.as_mut()).await {
-                Ok(result) => SendResult::Alone(Box::new(result)),
-                Err(_) => match self.choose_hedge(service) {
-                    None => SendResult::Alone(Box::new(first.await)),
-                    Some(second) => {
-                        let winner = first_answer(first, self.send(&second)).await;
-                        SendResult::Hedged(Box::new((winner, second)))
-                    }
-                },
-            }
-        };
-        let (winner, second) = match ended {
-            SendResult::Alone(result) => return (*result, chosen),
-            SendResult::Hedged(both) => *both,
-        };
-        self.tried.push(second.record.node.clone());
-        self.guide.record_overtaken();
-        match winner {
-            HedgeWinner::First(result) => (result, chosen),
-            HedgeWinner::Second(result) => {
-                let node = &chosen.record.node;
-                self.engine.chooser().note_overtaken(node);
-                (result, second)
-            }
-        }
-    }
-
-    /// Chooses the target of a second attempt, if one may be sent.
-    fn choose_hedge(&self, service: &ServiceName) -> Option<ChosenTarget> {
-        if !self.guide.may_hedge() {
-            return None;
-        }
-        let second = self.find_target(service).ok()?;
-        let left = self.routed.left();
-        let in_time = second.pick.expected < left;
-        if !in_time || !second.pick.may_hedge() {
-            return None;
-        }
-        if !self.may_spend_within(service, HEDGE_BUDGET_PART) {
-            return None;
-        }
-        measure::count_repeat("overdue");
-        log_event!(
-            info,
-            CallHedged,
-            "id={} tried {:?}, now {}, {left:?} left",
-            self.request.log_id(),
-            self.tried,
-            second.record.node
-        );
-        self.engine
-            .chooser()
-            .start(&second.record.node, Instant::now());
-        Some(second)
-    }
-
     /// Sends the request to a target and holds small answers until they are whole.
-    async fn send(&self, chosen: &ChosenTarget) -> Result<TargetAnswer, TargetRefusal> {
+    pub(crate) async fn send(&self, chosen: &ChosenTarget) -> Result<TargetAnswer, TargetRefusal> {
         let engine = self.engine;
         let guard = AttemptGuard {
             call: self,
@@ -367,7 +297,7 @@
         self.may_spend_within(service, 1.0)
     }
 
-    fn may_spend_within(&self, service: &ServiceName, part: f64) -> bool {
+    pub(crate) fn may_spend_within(&self, service: &ServiceName, part: f64) -> bool {
         let now = Instant::now();
         self.engine
             .with_budget(service, |budget| budget.try_spend_within(part, now))
@@ -474,46 +404,6 @@
     }
 }
 
-/// How a send with a possible second attempt ended.
-enum SendResult {
-    Alone(Box<Result<TargetAnswer, TargetRefusal>>),
-    Hedged(Box<(HedgeWinner, ChosenTarget)>),
-}
-
-/// Which of two attempts brought the result that counts.
-enum HedgeWinner {
-    First(Result<TargetAnswer, TargetRefusal>),
-    Second(Result<TargetAnswer, TargetRefusal>),
-}
-
-/// Waits for the first usable answer of two attempts, or for the last failure. The other attempt
-/// is dropped, which cancels its work.
-async fn first_answer(
-    mut first: Pin<&mut impl Future<Output = Result<TargetAnswer, TargetRefusal>>>,
-    second: impl Future<Output = Result<TargetAnswer, TargetRefusal>>,
-) -> HedgeWinner {
-    let mut second = std::pin::pin!(second);
-    let usable = |result: &Result<TargetAnswer, TargetRefusal>| {
-        result
-            .as_ref()
-            .is_ok_and(|answer| !answer.status.is_server_error())
-    };
-    tokio::select! {
-        result = first.as_mut() => {
-            if usable(&result) {
-                return HedgeWinner::First(result);
-            }
-            HedgeWinner::Second(second.await)
-        }
-        result = second.as_mut() => {
-            if usable(&result) {
-                return HedgeWinner::Second(result);
-            }
-            HedgeWinner::First(first.await)
-        }
-    }
-}
-
 fn send_end(refusal: &TargetRefusal) -> SendEnd {
     match (refusal.outcome, refusal.arrived) {
         (CallOutcome::NotRun, false) => SendEnd::BeforeTarget,
--- a/crates/apricotfold-proxy/src/entry_follower.rs
+++ b/crates/apricotfold-proxy/src/entry_follower.rs
@@ -6,12 +6,13 @@
 
 use apricotfold_model::{InstanceRecord, log_event};
 use apricotfold_store::{ConfigStore, RangeAnswer, StoreEntry, StoreError, WatchBatch, WatchEvent};
-use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::{FutureExt, StreamExt};
 
 use crate::engine::Engine;
 use crate::measure;
 use crate::registration::{NODE_PREFIX, NodeEntry};
-use crate::store_link::{BatchPace, PaceLimits, retry_pause};
+use crate::store_link::{BatchPace, KeyFollower, PaceLimits};
 
 /// Pauses between changes of entries. A leaving instance is refused by its own node and a dead one
 /// is noticed by its callers, so only new instances wait for them.
@@ -26,33 +27,22 @@
     store: Arc<dyn ConfigStore>,
 }
 
+impl KeyFollower for EntryFollower {
+    fn follow<'a>(
+        &'a self,
+        failures: &'a mut usize,
+    ) -> BoxFuture<'a, Result<Infallible, StoreError>> {
+        self.follow_changes(failures).boxed()
+    }
+}
+
 impl EntryFollower {
     /// Prepares the follower.
     pub fn new(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) -> Self {
         Self { engine, store }
     }
 
-    /// Lists and watches again and again.
-    pub async fn run(self) {
-        let mut failures = 0;
-        loop {
-            let mut following = self.engine.watch_following();
-            // The sender lives as long as the engine, so waiting cannot fail.
-            let _ = following.wait_for(|following| *following).await;
-            let mut losses = self.engine.store_link.watch_losses();
-            tokio::select! {
-                Err(error) = self.follow(&mut failures) => {
-                    self.engine.store_link.record_failure(&error);
-                }
-                Ok(()) = losses.changed() => {}
-                Ok(_) = following.wait_for(|following| !*following) => continue,
-            }
-            failures += 1;
-            tokio::time::sleep(retry_pause(failures)).await;
-        }
-    }
-
-    async fn follow(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
+    async fn follow_changes(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
         let listing = self.store.list(NODE_PREFIX).await;
         measure::count_store_call("list", listing.is_ok());
         let listing = listing?;
--- /dev/null
+++ b/crates/apricotfold-proxy/src/hedge.rs
@@ -0,0 +1,122 @@
+//! Second attempts of idempotent requests whose answers are overdue. See `docs/platform.md`,
+//! section 5.
+
+use std::pin::Pin;
+use std::time::Instant;
+
+use apricotfold_model::{ServiceName, log_event};
+
+use crate::entry_call::{ChosenTarget, EntryCall};
+use crate::measure;
+use crate::target_call::{TargetAnswer, TargetRefusal};
+
+/// Part of the retry budget that second attempts of overdue requests may use.
+const HEDGE_BUDGET_PART: f64 = 0.8;
+
+impl EntryCall<'_> {
+    /// Sends the request to a target, and to a second one when the answer is overdue and the
+    /// request may run twice. Returns the result that counts, with its target.
+    pub(crate) async fn send_hedged(
+        &mut self,
+        chosen: ChosenTarget,
+        service: &ServiceName,
+    ) -> (Result<TargetAnswer, TargetRefusal>, ChosenTarget) {
+        let overdue = chosen.pick.overdue_after();
+        let ended = {
+            let mut first = std::pin::pin!(self.send(&chosen));
+            match tokio::time::timeout(overdue, first.as_mut()).await {
+                Ok(result) => SendResult::Alone(Box::new(result)),
+                Err(_) => match self.choose_hedge(service) {
+                    None => SendResult::Alone(Box::new(first.await)),
+                    Some(second) => {
+                        let winner = first_answer(first, self.send(&second)).await;
+                        SendResult::Hedged(Box::new((winner, second)))
+                    }
+                },
+            }
+        };
+        let (winner, second) = match ended {
+            SendResult::Alone(result) => return (*result, chosen),
+            SendResult::Hedged(both) => *both,
+        };
+        self.tried.push(second.record.node.clone());
+        self.guide.record_overtaken();
+        match winner {
+            HedgeWinner::First(result) => (result, chosen),
+            HedgeWinner::Second(result) => {
+                let node = &chosen.record.node;
+                self.engine.chooser().note_overtaken(node);
+                (result, second)
+            }
+        }
+    }
+
+    /// Chooses the target of a second attempt, if one may be sent.
+    fn choose_hedge(&self, service: &ServiceName) -> Option<ChosenTarget> {
+        if !self.guide.may_hedge() {
+            return None;
+        }
+        let second = self.find_target(service).ok()?;
+        let left = self.routed.left();
+        let in_time = second.pick.expected < left;
+        if !in_time || !second.pick.may_hedge() {
+            return None;
+        }
+        if !self.may_spend_within(service, HEDGE_BUDGET_PART) {
+            return None;
+        }
+        measure::count_repeat("overdue");
+        log_event!(
+            info,
+            CallHedged,
+            "id={} tried {:?}, now {}, {left:?} left",
+            self.request.log_id(),
+            self.tried,
+            second.record.node
+        );
+        self.engine
+            .chooser()
+            .start(&second.record.node, Instant::now());
+        Some(second)
+    }
+}
+
+/// How a send with a possible second attempt ended.
+enum SendResult {
+    Alone(Box<Result<TargetAnswer, TargetRefusal>>),
+    Hedged(Box<(HedgeWinner, ChosenTarget)>),
+}
+
+/// Which of two attempts brought the result that counts.
+enum HedgeWinner {
+    First(Result<TargetAnswer, TargetRefusal>),
+    Second(Result<TargetAnswer, TargetRefusal>),
+}
+
+/// Waits for the first usable answer of two attempts, or for the last failure. The other attempt
+/// is dropped, which cancels its work.
+async fn first_answer(
+    mut first: Pin<&mut impl Future<Output = Result<TargetAnswer, TargetRefusal>>>,
+    second: impl Future<Output = Result<TargetAnswer, TargetRefusal>>,
+) -> HedgeWinner {
+    let mut second = std::pin::pin!(second);
+    let usable = |result: &Result<TargetAnswer, TargetRefusal>| {
+        result
+            .as_ref()
+            .is_ok_and(|answer| !answer.status.is_server_error())
+    };
+    tokio::select! {
+        result = first.as_mut() => {
+            if usable(&result) {
+                return HedgeWinner::First(result);
+            }
+            HedgeWinner::Second(second.await)
+        }
+        result = second.as_mut() => {
+            if usable(&result) {
+                return HedgeWinner::Second(result);
+            }
+            HedgeWinner::First(first.await)
+        }
+    }
+}
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -21,6 +21,7 @@
 mod fingerprint;
 mod head;
 mod health_check;
+mod hedge;
 mod housekeeping;
 mod lifecycle;
 mod link_pool;
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -22,6 +22,7 @@
 use crate::relay_follower::RelayFollower;
 use crate::settings_file::{SettingsReader, follow};
 use crate::status_server::{MetricsHandler, ReadyHandler};
+use crate::store_link::follow_keys;
 use crate::table_follower::TableFollower;
 use crate::table_keeper::TableKeeper;
 
@@ -92,8 +93,10 @@
         config.caller_address,
         config.peer_address
     );
-    tokio::spawn(TableFollower::new(engine.clone(), borders.store.clone()).run());
-    tokio::spawn(EntryFollower::new(engine.clone(), borders.store.clone()).run());
+    let tables = TableFollower::new(engine.clone(), borders.store.clone());
+    tokio::spawn(follow_keys(engine.clone(), tables));
+    let entries = EntryFollower::new(engine.clone(), borders.store.clone());
+    tokio::spawn(follow_keys(engine.clone(), entries));
     tokio::spawn(Registration::new(engine.clone(), borders.store).run());
     tokio::spawn(peer_exchange::run(engine.clone()));
     tokio::spawn(RelayFollower::new(engine.clone()).run());
--- a/crates/apricotfold-proxy/src/store_link.rs
+++ b/crates/apricotfold-proxy/src/store_link.rs
@@ -1,13 +1,17 @@
 //! Whether the store answers, and how fast its changes are followed. See `docs/platform.md`,
 //! section 4.
 
-use std::sync::{Mutex, MutexGuard};
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use apricotfold_model::log_event;
 use apricotfold_store::StoreError;
+use futures_util::future::BoxFuture;
 use tokio::sync::watch;
 
+use crate::engine::Engine;
+
 /// Pauses after failures: the first is short, since a single call may be turned away, and they
 /// stay below the time within which entries must be back after the store's return.
 const RETRY_PAUSES: [Duration; 3] = [
@@ -76,6 +80,35 @@
     }
 }
 
+/// Follows a part of the store's keys.
+pub trait KeyFollower: Send + Sync {
+    /// Reads and watches until a call fails. Resets `failures` when the store has answered.
+    fn follow<'a>(
+        &'a self,
+        failures: &'a mut usize,
+    ) -> BoxFuture<'a, Result<Infallible, StoreError>>;
+}
+
+/// Follows keys again and again, while this node follows the store itself.
+pub async fn follow_keys(engine: Arc<Engine>, follower: impl KeyFollower) {
+    let mut failures = 0;
+    loop {
+        let mut following = engine.watch_following();
+        // The sender lives as long as the engine, so waiting cannot fail.
+        let _ = following.wait_for(|following| *following).await;
+        let mut losses = engine.store_link.watch_losses();
+        tokio::select! {
+            Err(error) = follower.follow(&mut failures) => {
+                engine.store_link.record_failure(&error);
+            }
+            Ok(()) = losses.changed() => {}
+            Ok(_) = following.wait_for(|following| !*following) => continue,
+        }
+        failures += 1;
+        tokio::time::sleep(retry_pause(failures)).await;
+    }
+}
+
 /// Pause before a call is tried again after so many failures in a row.
 pub fn retry_pause(failures: usize) -> Duration {
     let last = RETRY_PAUSES.len() - 1;
--- a/crates/apricotfold-proxy/src/table_follower.rs
+++ b/crates/apricotfold-proxy/src/table_follower.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use apricotfold_store::{ConfigStore, Revision, StoreError, WatchEvent};
-use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::{FutureExt, StreamExt};
 
 use crate::engine::Engine;
 use crate::measure;
-use crate::store_link::{BatchPace, PaceLimits, retry_pause};
+use crate::store_link::{BatchPace, KeyFollower, PaceLimits};
 
 /// Longest wait before a watch is opened anew although nothing shows that it is lost.
 const WATCH_LIMIT: Duration = Duration::from_mins(1);
@@ -26,33 +27,22 @@
     store: Arc<dyn ConfigStore>,
 }
 
+impl KeyFollower for TableFollower {
+    fn follow<'a>(
+        &'a self,
+        failures: &'a mut usize,
+    ) -> BoxFuture<'a, Result<Infallible, StoreError>> {
+        self.follow_changes(failures).boxed()
+    }
+}
+
 impl TableFollower {
     /// Prepares the follower.
     pub fn new(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) -> Self {
         Self { engine, store }
     }
 
-    /// Reads and watches again and again.
-    pub async fn run(self) {
-        let mut failures = 0;
-        loop {
-            let mut following = self.engine.watch_following();
-            // The sender lives as long as the engine, so waiting cannot fail.
-            let _ = following.wait_for(|following| *following).await;
-            let mut losses = self.engine.store_link.watch_losses();
-            tokio::select! {
-                Err(error) = self.follow(&mut failures) => {
-                    self.engine.store_link.record_failure(&error);
-                }
-                Ok(()) = losses.changed() => {}
-                Ok(_) = following.wait_for(|following| !*following) => continue,
-            }
-            failures += 1;
-            tokio::time::sleep(retry_pause(failures)).await;
-        }
-    }
-
-    async fn follow(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
+    async fn follow_changes(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
         let mut revision = self.read_newest().await?;
         *failures = 0;
         let mut pace = BatchPace::new(TABLE_PACE);
