--- a/crates/apricotfold-policy/tests/retry_budget.rs
+++ b/crates/apricotfold-policy/tests/retry_budget.rs
@@ -95,3 +95,22 @@
         assert!((1.05..bound).contains(&share), "{share} attempts per call");
     }
 }
+
+/// Guards against repeats of little worth that use up the budget of those that are worth more, and
+/// against nodes whose minimums add up to more than the limit that they share.
+#[test]
+fn parts_of_the_budget() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(10).with_minimum(0.0);
+    for _ in 0..1_000 {
+        budget.record_first(now);
+    }
+    let small = (0..1_000)
+        .filter(|_| budget.try_spend_within(0.4, now))
+        .count();
+    assert_eq!(small, 40);
+    let rest = (0..1_000).filter(|_| budget.try_spend(now)).count();
+    assert_eq!(rest, 60);
+    let mut idle = RetryBudget::new(10).with_minimum(0.0);
+    assert!(!idle.try_spend(now));
+}
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -159,6 +159,7 @@
     async fn write(&mut self, entry: NodeEntry) -> Result<(), StoreError> {
         let ready = is_ready(&entry);
         let ttl = if ready { LEASE_TTL } else { LEAVING_TTL };
+        let ttl = ttl.max(self.engine.config.load().lease_min);
         let lease = match self.lease {
             Some((lease, known)) if known == ttl => lease,
             _ => {
