--- a/crates/apricotfold-proxy/src/entry_route.rs
+++ b/crates/apricotfold-proxy/src/entry_route.rs
@@ -16,10 +16,10 @@
 /// Time before the end of a caller's patience at which it is told that there is no answer. Without
 /// it the caller closes the connection at the same moment, and with it go the pipelined requests
 /// behind. It covers the way to the caller.
-const FAREWELL: Duration = Duration::from_millis(30);
+const EARLY_ANSWER: Duration = Duration::from_millis(30);
 
-/// Largest part of a caller's patience that [`FAREWELL`] may take.
-const FAREWELL_SHARE: u32 = 8;
+/// Largest part of a caller's patience that [`EARLY_ANSWER`] may take.
+const EARLY_ANSWER_SHARE: u32 = 8;
 
 /// A caller's request with its route and times.
 #[derive(Clone, Debug)]
@@ -59,7 +59,7 @@
             .ok_or(RefusalReason::NoRoute)?;
         let patience = match head.time_left {
             Some(left) => left
-                .saturating_sub(FAREWELL.min(left / FAREWELL_SHARE))
+                .saturating_sub(EARLY_ANSWER.min(left / EARLY_ANSWER_SHARE))
                 .min(route.timeout),
             None => route.timeout,
         };
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -19,7 +19,7 @@
 const UNUSED_AGE: Duration = Duration::from_mins(2);
 
 /// Runs until the process ends.
-pub async fn keep_house(engine: Arc<Engine>) {
+pub async fn run_housekeeping(engine: Arc<Engine>) {
     loop {
         tokio::time::sleep(INTERVAL).await;
         let now = Instant::now();
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -13,7 +13,7 @@
 use crate::connection::{RequestHandler, listen, serve};
 use crate::engine::Engine;
 use crate::entry_follower::EntryFollower;
-use crate::housekeeping::keep_house;
+use crate::housekeeping::run_housekeeping;
 use crate::lifecycle::ProcessPhase;
 use crate::measure;
 use crate::peer_exchange;
@@ -100,7 +100,7 @@
     tokio::spawn(Registration::new(engine.clone(), borders.store).run());
     tokio::spawn(peer_exchange::run(engine.clone()));
     tokio::spawn(RelayFollower::new(engine.clone()).run());
-    tokio::spawn(keep_house(engine.clone()));
+    tokio::spawn(run_housekeeping(engine.clone()));
     if let Some((reader, text)) = settings {
         tokio::spawn(follow(engine.clone(), reader, text));
     }
