Remove what the proxy's code holds twice or does not use

One whole_millis for seven copies, one way to hold a link for four, one start of a pair of nodes for two tests. The mean service time is worked out once for a choice and not for each candidate, and a listing is compared through a set. Gone: an unused method of LoadChooser and a struct around one number. Two comments said what is not so (queue lengths have no part in CrestQueue; routes are not pruned), and an entry that could not be written as JSON would have been stored as empty text.

Tests: the checks stay; start_pair waits for both targets where broken_answers only tried.

--- a/crates/apricotfold-model/src/lib.rs
+++ b/crates/apricotfold-model/src/lib.rs
@@ -11,6 +11,7 @@
 mod field;
 mod ids;
 mod instance;
+mod millis;
 mod outcome;
 mod profile;
 mod proxy_config;
@@ -33,6 +34,7 @@
 pub use instance::{
     AnnouncementNumber, BornMillis, InstanceAnnouncement, InstanceId, InstanceRecord, InstanceState,
 };
+pub use millis::whole_millis;
 pub use outcome::{CallOutcome, RefusalReason, headers};
 pub use profile::{
     CallPriority, ClusterRef, DrainRule, LimitRule, MeshProfile, RetryRule, RouteRule, WorkClass,
--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -1,7 +1,7 @@
 //! Instances of all services, as the store, peers and answers describe them. See
 //! `docs/platform.md`, section 4.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
@@ -119,7 +119,7 @@
 
     /// Takes over a whole listing of the store: entries that are not in it have lapsed.
     pub fn apply_listing(&mut self, records: Vec<InstanceRecord>, now: Instant) -> bool {
-        let listed: Vec<NodeId> = records.iter().map(|record| record.node.clone()).collect();
+        let listed: HashSet<NodeId> = records.iter().map(|record| record.node.clone()).collect();
         let mut changed = false;
         for record in records {
             changed |= self.apply_entry(record, now);
@@ -127,7 +127,7 @@
         let missing: Vec<NodeId> = self
             .known
             .keys()
-            .filter(|node| !listed.contains(node))
+            .filter(|node| !listed.contains(*node))
             .cloned()
             .collect();
         for node in missing {
--- a/crates/apricotfold-policy/src/load_choice.rs
+++ b/crates/apricotfold-policy/src/load_choice.rs
@@ -7,7 +7,6 @@
 use apricotfold_model::{CallPriority, NodeId, RouteName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smallvec::SmallVec;
 
 use crate::target_load::{SeenReport, TargetLoad, seconds, stuck_time};
 use crate::{LocalityTier, rank};
@@ -193,6 +192,16 @@
     }
 }
 
+/// What a choice knows about the request, for all candidates alike.
+#[derive(Clone, Copy, Debug)]
+struct ChoiceNeed {
+    work: WorkEstimate,
+    /// Mean service time of all routes in seconds, which is what the requests ahead in a queue take.
+    mean_service: f64,
+    priority: CallPriority,
+    now: Instant,
+}
+
 /// Chooses the target with the shortest expected time until the answer.
 ///
 /// For each target the estimate adds up the service time of the route's work at the target's
@@ -228,7 +237,12 @@
         excluded: &[NodeId],
         now: Instant,
     ) -> Option<LoadPick> {
-        let work = self.works.get(route).copied().unwrap_or_default();
+        let need = ChoiceNeed {
+            work: self.works.get(route).copied().unwrap_or_default(),
+            mean_service: self.mean_service(),
+            priority,
+            now,
+        };
         let mut best: Option<(bool, f64, LoadPick)> = None;
         for (index, candidate) in candidates.iter().enumerate() {
             if excluded.contains(candidate.node) {
@@ -239,7 +253,7 @@
                 continue;
             }
             let out = target.is_some_and(|target| target.is_excluded(now));
-            let (cost, pick) = self.estimate(work, priority, index, candidate, now);
+            let (cost, pick) = self.estimate(&need, index, candidate);
             let noise = 1.0 + COST_NOISE * self.random.random::<f64>();
             let cost = cost * noise;
             let better = best
@@ -254,12 +268,16 @@
 
     fn estimate(
         &self,
-        work: WorkEstimate,
-        priority: CallPriority,
+        need: &ChoiceNeed,
         index: usize,
         candidate: &ChoiceCandidate<'_>,
-        now: Instant,
     ) -> (f64, LoadPick) {
+        let ChoiceNeed {
+            work,
+            priority,
+            now,
+            ..
+        } = *need;
         let slots = f64::from(candidate.slots.max(1));
         let known = self.targets.get(candidate.node);
         let own = known.map_or(0.0, |target| f64::from(target.in_flight));
@@ -270,7 +288,7 @@
         let cold = if candidate.cold { COLD_FACTOR } else { 1.0 };
         let pace = known.map_or(1.0, |target| target.slowness * target.pace(now)) * cold;
         let service = work.service * pace;
-        let mean_service = self.mean_service() * pace;
+        let mean_service = need.mean_service * pace;
         let told = match candidate.own {
             Some(report) => Some(seconds(report.waits[rank(priority)])),
             None => known.and_then(|target| target.told_wait(priority, now)),
@@ -295,7 +313,6 @@
         (cost, pick)
     }
 
-    /// Mean over all routes, which is what the requests ahead in a queue take.
     fn mean_service(&self) -> f64 {
         if self.works.is_empty() {
             return FIRST_SERVICE.as_secs_f64();
@@ -403,7 +420,7 @@
         blend(&mut work.answer_bytes, to_float(bytes));
     }
 
-    /// Drops routes that are gone and targets that have not been used for `age`.
+    /// Drops targets that have not been used for `age`.
     pub fn prune(&mut self, age: Duration, now: Instant) {
         self.targets.retain(|_, target| {
             target.in_flight > 0 || now.saturating_duration_since(target.used) < age
@@ -421,15 +438,6 @@
     pub fn random(&mut self) -> &mut StdRng {
         &mut self.random
     }
-
-    /// Own requests in flight at each target, for the metrics.
-    #[must_use]
-    pub fn in_flight(&self) -> SmallVec<[(&NodeId, u32); 16]> {
-        self.targets
-            .iter()
-            .map(|(node, target)| (node, target.in_flight))
-            .collect()
-    }
 }
 
 /// Expected wait for a slot. Below saturation it grows steeply as the last slots fill, since the
--- a/crates/apricotfold-proxy/src/call_body.rs
+++ b/crates/apricotfold-proxy/src/call_body.rs
@@ -27,14 +27,28 @@
 /// What an answer that is passed on holds until its last byte.
 pub struct LinkLease {
     /// Pool to which the connection returns.
-    pub pool: LinkPool,
-    /// The connection.
-    pub link: Option<OpenLink>,
+    pool: LinkPool,
+    link: Option<OpenLink>,
     /// Slot of the local target.
-    pub slot: Option<SlotGuard>,
+    slot: Option<SlotGuard>,
 }
 
 impl LinkLease {
+    /// Holds a connection of a pool.
+    pub fn new(pool: &LinkPool, link: OpenLink) -> Self {
+        Self {
+            pool: pool.clone(),
+            link: Some(link),
+            slot: None,
+        }
+    }
+
+    /// Holds a slot of the local target, too.
+    pub fn with_slot(mut self, slot: SlotGuard) -> Self {
+        self.slot = Some(slot);
+        self
+    }
+
     /// Returns connection and slot after the last byte. When the lease is dropped instead, the
     /// connection is closed, which cancels the work at the other end.
     fn finish(&mut self) {
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -2,13 +2,13 @@
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use apricotfold_model::{
     DataCentreName, InstanceAnnouncement, InstanceRecord, InstanceState, LimitRule, NodeId,
-    ProxyConfig, ServiceName, log_event,
+    ProxyConfig, ServiceName, log_event, whole_millis,
 };
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, CrestQueue, InstanceRegistry, InstanceReport, LinkCosts,
@@ -25,8 +25,8 @@
 use crate::store_link::StoreLink;
 use crate::table_keeper::TableKeeper;
 
-/// Limits of the local target's queues. A request waits only while it is expected to be answered
-/// in time, so the lengths merely bound memory.
+/// Limits of the local target. [`CrestQueue`] heeds the slots and the share of long work; it bounds
+/// waits by the time that requests can spare, so lengths and the longest wait have no part in it.
 const TARGET_LIMITS: LimitRule = LimitRule {
     slots: None,
     long_percent: 75,
@@ -71,12 +71,6 @@
 /// Reported pace of a target that reports none.
 const USUAL_PACE: u32 = 100;
 
-/// The local target as its last answer described it.
-#[derive(Clone, Copy, Debug, Default)]
-struct TargetPace {
-    pace: Option<u32>,
-}
-
 /// Shared state of one proxy.
 pub struct Engine {
     /// Checked settings; replaced when the file changes.
@@ -107,7 +101,8 @@
     returns: Mutex<ReturnDetector>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     local: Mutex<LocalInstance>,
-    pace: Mutex<TargetPace>,
+    /// Pace that the local target reported last, in percent.
+    pace: AtomicU32,
     target_down: AtomicBool,
     node_start: AtomicU64,
     ready: AtomicBool,
@@ -140,7 +135,7 @@
             returns: Mutex::default(),
             budgets: Mutex::default(),
             local: Mutex::default(),
-            pace: Mutex::default(),
+            pace: AtomicU32::new(USUAL_PACE),
             target_down: AtomicBool::new(false),
             node_start: AtomicU64::new(unix_millis()),
             ready: AtomicBool::new(false),
@@ -277,7 +272,7 @@
             service: target.service.clone(),
             slots: target.slots,
             state,
-            cold_ms: u64::try_from(target.cold.as_millis()).unwrap_or(u64::MAX),
+            cold_ms: whole_millis(target.cold),
         })
     }
 
@@ -302,14 +297,14 @@
             running,
             waiting: load.in_flight.saturating_sub(running),
             slots: load.slots,
-            pace: lock(&self.pace).pace.unwrap_or(USUAL_PACE),
+            pace: self.pace.load(Ordering::Relaxed),
             waits: self.admission.waits().map(to_millis),
         }
     }
 
     /// Takes over the speed that the local target reported.
     pub fn record_pace(&self, pace: u32) {
-        lock(&self.pace).pace = Some(pace);
+        self.pace.store(pace, Ordering::Relaxed);
     }
 
     /// Tells whether the local target refuses connections.
@@ -368,7 +363,7 @@
     let age = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    whole_millis(age)
 }
 
 /// Differs from node to node and from start to start: instances may start at the same moment and
--- a/crates/apricotfold-proxy/src/health_check.rs
+++ b/crates/apricotfold-proxy/src/health_check.rs
@@ -44,11 +44,7 @@
                 .read_answer(answer.status(), answer.headers());
             let other = head.instance.is_some_and(|other| other != news.instance);
             let leaving = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
-            let lease = LinkLease {
-                pool: links.clone(),
-                link: Some(link),
-                slot: None,
-            };
+            let lease = LinkLease::new(links, link);
             drop(AnswerBody::passing(answer.into_body(), lease));
             other || leaving
         }
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -6,6 +6,7 @@
 
 use apricotfold_model::{
     CallOutcome, CallPriority, InstanceId, RefusalReason, RepeatRule, ServiceName, WorkClass,
+    whole_millis,
 };
 use apricotfold_policy::InstanceReport;
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -44,7 +45,7 @@
 impl WireOrder {
     /// Writes an order with times relative to `now`.
     pub fn new(order: &CallOrder, now: Instant) -> Self {
-        let left = |until: Instant| millis(until.saturating_duration_since(now));
+        let left = |until: Instant| whole_millis(until.saturating_duration_since(now));
         Self(
             left(order.deadline),
             left(order.useful_until),
@@ -84,7 +85,7 @@
             report.waiting,
             report.slots,
             report.pace,
-            millis(service),
+            whole_millis(service),
             report.waits,
         )
     }
@@ -147,11 +148,7 @@
     let (mut parts, incoming) = answer.into_parts();
     let report: Option<WireReport> = read_header(&parts.headers, &REPORT_HEADER);
     let refused: Option<WireRefusal> = read_header(&parts.headers, &REFUSAL_HEADER);
-    let lease = LinkLease {
-        pool: engine.peer_links.clone(),
-        link: Some(link),
-        slot: None,
-    };
+    let lease = LinkLease::new(&engine.peer_links, link);
     let body = AnswerBody::passing(incoming, lease);
     if let Some(WireRefusal(outcome, reason, arrived)) = refused {
         return Err(TargetRefusal {
@@ -187,7 +184,3 @@
         report: None,
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{InstanceRecord, NodeId, TableVersion, log_event};
+use apricotfold_model::{InstanceRecord, NodeId, TableVersion, log_event, whole_millis};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -114,11 +114,7 @@
         .await
         .map_err(|failure| eyre::eyre!("{failure:?}"))?;
     let (answer, link) = sent;
-    let lease = LinkLease {
-        pool: engine.peer_links.clone(),
-        link: Some(link),
-        slot: None,
-    };
+    let lease = LinkLease::new(&engine.peer_links, link);
     let body = AnswerBody::passing(answer.into_body(), lease);
     let body = tokio::time::timeout_at(deadline.into(), body.collect()).await??;
     let answer: ExchangeAnswer = serde_json::from_slice(&body.to_bytes())?;
@@ -211,7 +207,7 @@
     let store_age = engine.store_link.age();
     let answer = ExchangeAnswer {
         follows_store: engine.follows_store(),
-        store_age_ms: store_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        store_age_ms: store_age.map(whole_millis),
         table: newer.then(|| kept.packed().to_owned()),
         records,
         crashes: own_crashes,
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -171,7 +171,7 @@
             }
         };
         let key = node_key(&self.engine.node());
-        let value = serde_json::to_string(&entry).unwrap_or_default();
+        let value = serde_json::to_string(&entry).expect("an entry always has a JSON form");
         let compare = Compare::ModRevision {
             key: key.clone(),
             revision: self.revision,
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -248,11 +248,7 @@
             .idle_limit
             .map(|limit| limit.saturating_sub(IDLE_MARGIN));
         measure::record_target_time(self.order.class, service);
-        let lease = LinkLease {
-            pool: engine.target_links.clone(),
-            link: Some(link),
-            slot: Some(slot),
-        };
+        let lease = LinkLease::new(&engine.target_links, link).with_slot(slot);
         let body = AnswerBody::passing(incoming, lease);
         if head.not_run {
             let mut refusal = self.refuse(RefusalReason::Overloaded);
--- a/crates/apricotfold-proxy/tests/broken_answers.rs
+++ b/crates/apricotfold-proxy/tests/broken_answers.rs
@@ -3,26 +3,7 @@
 mod support;
 
 use support::caller::{CallerConnection, request};
-use support::store::MemoryStore;
-use support::{TestNode, rand_id, table};
-
-async fn two_nodes() -> (TestNode, TestNode) {
-    let store = MemoryStore::default().other_client();
-    store.publish(&table(1));
-    let first = TestNode::start("a", &store).await;
-    let second = TestNode::start("b", &store.other_client()).await;
-    first.wait_serving().await;
-    second.wait_serving().await;
-    // Each node knows both instances once it has used both.
-    for _ in 0..100 {
-        first.call("GET", "/pages/both", "1000").await;
-        if !first.target.calls("both").is_empty() && !second.target.calls("both").is_empty() {
-            break;
-        }
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-    }
-    (first, second)
-}
+use support::{TestNode, rand_id};
 
 fn arrivals(nodes: [&TestNode; 2], word: &str) -> usize {
     nodes.iter().map(|node| node.target.calls(word).len()).sum()
@@ -32,7 +13,7 @@
 /// first answer was spoilt.
 #[tokio::test(flavor = "multi_thread")]
 async fn pages_are_repeated() {
-    let (first, second) = two_nodes().await;
+    let (first, second) = TestNode::start_pair().await;
     for word in ["cut", "drop", "foreign", "reset", "shed", "fail"] {
         let path = format!("/pages/{word}-first/{:x}", rand_id());
         let answer = first.call("GET", &path, "1500").await;
@@ -47,7 +28,7 @@
 /// says it has not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_are_not() {
-    let (first, second) = two_nodes().await;
+    let (first, second) = TestNode::start_pair().await;
     for word in ["cut", "drop", "foreign", "reset", "busy"] {
         let path = format!("/orders/{word}/1");
         let answer = first.call("POST", &path, "1500").await;
@@ -62,7 +43,7 @@
 /// against a target's own failure that is replaced.
 #[tokio::test(flavor = "multi_thread")]
 async fn rejected_orders() {
-    let (first, second) = two_nodes().await;
+    let (first, second) = TestNode::start_pair().await;
     let answer = first.call("POST", "/orders/shed-first/1", "1500").await;
     assert_eq!(answer.status, 200, "{answer:?}");
     assert_eq!(arrivals([&first, &second], "shed-first"), 2);
@@ -75,7 +56,7 @@
 /// changed on its way.
 #[tokio::test(flavor = "multi_thread")]
 async fn forged_headers() {
-    let (first, second) = two_nodes().await;
+    let (first, second) = TestNode::start_pair().await;
     let headers = [
         ("request-id", "r-forged"),
         ("patience-ms", "1000"),
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -50,6 +50,23 @@
         node
     }
 
+    /// Starts two proxies with their targets and waits until the first one uses both targets.
+    pub async fn start_pair() -> (Self, Self) {
+        let store = MemoryStore::default().other_client();
+        store.publish(&table(1));
+        let first = Self::start("a", &store).await;
+        let second = Self::start("b", &store.other_client()).await;
+        first.wait_serving().await;
+        second.wait_serving().await;
+        first
+            .wait_for(|| async {
+                first.call("GET", "/pages/both", "1000").await;
+                !first.target.calls("both").is_empty() && !second.target.calls("both").is_empty()
+            })
+            .await;
+        (first, second)
+    }
+
     /// Starts a proxy whose target announces nothing yet.
     pub async fn start_silent(name: &str, store: &Arc<MemoryStore>) -> Self {
         let target = ScriptedTarget::start(&format!("i-{name}")).await;
