Start long work that has waited for half of its time before short work

Cause: graceful_stop::{target_stops,node_stops,both_stop} failed with "download-3 does not start". With the outcome of each call in the message, the download turns out to be refused as overloaded after queue_wait (1.5 s): steady short work takes each slot that becomes free, because long work needs a second free slot as soon as one long request runs. Ruled out: the stop itself (nothing has been stopped then), the load of the machine (the refusal follows from the queue alone, see the new test). Change: a long request that has waited for half of the longest wait may take the last free slot and goes before short work of the same priority.

--- a/crates/apricotfold-policy/src/admission.rs
+++ b/crates/apricotfold-policy/src/admission.rs
@@ -282,7 +282,7 @@
         if deadline <= now {
             return (Admission::Refuse(RefusalReason::DeadlineTooClose), events);
         }
-        if self.queue(class).waiting.is_empty() && self.may_run(class) {
+        if self.queue(class).waiting.is_empty() && self.may_run(class, now) {
             self.run(id, class, now);
             return (Admission::Run, events);
         }
@@ -417,14 +417,22 @@
         Some(ended)
     }
 
+    /// Tells whether the oldest long request has waited for so long that it goes before short work.
+    /// Steady short work would keep it waiting until it is refused.
+    fn is_long_overdue(&self, now: Instant) -> bool {
+        let expiry = self.long.waiting.next_expiry();
+        expiry.is_some_and(|expiry| expiry <= now + self.limits.queue_wait / 2)
+    }
+
     /// Tells whether the slots allow one more request of a class. Long work leaves one slot free,
-    /// unless no long work runs at all: otherwise steady short work would keep it waiting forever.
-    fn may_run(&self, class: WorkClass) -> bool {
+    /// unless no long work runs at all or a long request is overdue.
+    fn may_run(&self, class: WorkClass, now: Instant) -> bool {
         let free = self.limits.slots.saturating_sub(self.running());
         match class {
             WorkClass::Short => free > 0,
             WorkClass::Long => {
-                let enough = free > 1 || (free == 1 && self.long_running == 0);
+                let last = self.long_running == 0 || self.is_long_overdue(now);
+                let enough = free > 1 || (free == 1 && last);
                 enough && self.long_running < self.limits.long_slots()
             }
         }
@@ -471,17 +479,22 @@
     }
 
     /// Takes the waiting request that runs next. The class with the higher waiting priority goes
-    /// first; at equal priority short work does, unless no long work runs.
+    /// first; at equal priority short work does, unless no long work runs or a long request is
+    /// overdue.
     fn take_next(&mut self, now: Instant) -> Option<(AdmissionId, WorkClass)> {
         let top = |class| {
             let priority = self.queue(class).waiting.top_priority();
-            priority.filter(|_| self.may_run(class))
+            priority.filter(|_| self.may_run(class, now))
         };
         let class = match (top(WorkClass::Short), top(WorkClass::Long)) {
             (None, None) => return None,
             (None, Some(_)) => WorkClass::Long,
             (Some(short), Some(long)) if long > short => WorkClass::Long,
-            (Some(short), Some(long)) if long == short && self.long_running == 0 => WorkClass::Long,
+            (Some(short), Some(long))
+                if long == short && (self.long_running == 0 || self.is_long_overdue(now)) =>
+            {
+                WorkClass::Long
+            }
             (Some(_), _) => WorkClass::Short,
         };
         let queue = self.queue_mut(class);
--- a/crates/apricotfold-policy/tests/work_queues.rs
+++ b/crates/apricotfold-policy/tests/work_queues.rs
@@ -73,6 +73,25 @@
     assert_eq!(queue.release(3, now), start(11));
 }
 
+/// Guards against downloads that wait for a spare slot until they are refused, because steady short
+/// work takes each slot that becomes free.
+#[test]
+fn overdue_long_work_goes_first() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::new(limits(4));
+    assert_eq!(offer(&mut queue, 0, LONG, now), Admission::Run);
+    for id in 1..4 {
+        assert_eq!(offer(&mut queue, id, SHORT, now), Admission::Run);
+    }
+    assert_eq!(offer(&mut queue, 10, LONG, now), Admission::Wait);
+    let soon = now + ms(10);
+    assert_eq!(offer(&mut queue, 11, SHORT, soon), Admission::Wait);
+    assert_eq!(queue.release(1, soon)[..], [AdmissionEvent::Start(11)]);
+    let late = now + ms(25);
+    assert_eq!(offer(&mut queue, 12, SHORT, late), Admission::Wait);
+    assert_eq!(queue.release(2, late)[..], [AdmissionEvent::Start(10)]);
+}
+
 /// Guards against important calls that are refused while unimportant ones wait.
 #[test]
 fn higher_priority_displaces_the_lowest() {
--- a/tests/testsuite/graceful_stop.rs
+++ b/tests/testsuite/graceful_stop.rs
@@ -51,12 +51,30 @@
     }
     for number in 0..CALLS {
         for kind in ["download", "order", "short"] {
-            mesh.wait_started(&format!("{kind}-{number}")).await?;
+            let id = format!("{kind}-{number}");
+            if let Err(error) = mesh.wait_started(&id).await {
+                return Err(error.wrap_err(describe_calls(mesh, calls).await));
+            }
         }
     }
     Ok(calls)
 }
 
+/// Lists what became of the calls, with the log of their entry node.
+async fn describe_calls(mesh: &CallMesh, calls: Vec<JoinHandle<CallRecord>>) -> String {
+    let mut lines = Vec::new();
+    for call in calls {
+        let Ok(record) = call.await else {
+            continue;
+        };
+        let told = record.reply.as_ref();
+        let told = told.map(|reply| (reply.status, &reply.outcome, &reply.reason));
+        lines.push(format!("{} {told:?} after {:?}", record.id, record.elapsed));
+    }
+    lines.push(mesh.nodes[0].process.log_text());
+    lines.join("\n")
+}
+
 /// Checks that every call in flight got its whole answer.
 async fn check_work(calls: Vec<JoinHandle<CallRecord>>) -> eyre::Result<()> {
     for call in calls {
