Serve calls of running requests first, and admit fewer that find no room

Calls were admitted like first tries, by their own short target latency. Ruled out: the targets' slots of the outer service (no page was rejected by one). Change: LocalRuns recognises calls by the id of the run that made them. Such calls go before first tries of their priority, inherit the run's priority, and may wait for 70 % of what their deadline leaves. ParentThrottle admits a smaller share of a route while its requests' calls find no room. Calls of repeated runs count against the budget of the service that they go to.

--- a/crates/apricotfold-node/src/mesh.rs
+++ b/crates/apricotfold-node/src/mesh.rs
@@ -12,7 +12,7 @@
 use crate::orders::OrderDesk;
 use crate::state::NodeState;
 use crate::target_call::TargetCall;
-use apricotfold_policy::WorkOffer;
+use apricotfold_policy::{CallStanding, WorkOffer};
 use apricotfold_proxy::SlotGuard;
 
 /// Deadline of a request that names none, which only a broken peer sends.
@@ -87,7 +87,7 @@
         let offer = WorkOffer {
             class,
             priority,
-            returned: false,
+            standing: CallStanding::New,
             useful_until: deadline,
             deadline,
         };
--- a/crates/apricotfold-policy/src/admission.rs
+++ b/crates/apricotfold-policy/src/admission.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::waiting::{WaitingQueue, WaitingRequest};
-use crate::{LoadReport, PriorityWaits};
+use crate::{ExpectedWaits, LoadReport};
 
 /// Identifies a request at this node. The daemon never uses a number twice.
 pub type AdmissionId = u64;
@@ -95,6 +95,32 @@
     Refuse(AdmissionId, RefusalReason),
 }
 
+/// What refusing a request would waste; more is worth more.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallStanding {
+    /// A caller's first try.
+    #[default]
+    New,
+    /// The caller was refused before and came back when it was told to. Refused again, it has no
+    /// time left.
+    Returned,
+    /// A running request made this call and fails without its answer, with all the work done so
+    /// far.
+    Nested,
+}
+
 /// A request that is offered to a target.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkOffer {
@@ -102,8 +128,8 @@
     pub class: WorkClass,
     /// Importance under overload.
     pub priority: CallPriority,
-    /// The caller was refused before and came back when it was told to.
-    pub returned: bool,
+    /// What a refusal would waste.
+    pub standing: CallStanding,
     /// Time until which an answer is worth waiting for a slot.
     pub useful_until: Instant,
     /// End of the caller's patience.
@@ -144,9 +170,9 @@
     /// Number of requests that run.
     fn running(&self) -> u32;
 
-    /// Expected waits of new requests by priority; zero where they are not estimated.
-    fn waits(&self, _now: Instant) -> PriorityWaits {
-        PriorityWaits::default()
+    /// Expected waits of requests that arrive now; zero where they are not estimated.
+    fn waits(&self, _now: Instant) -> ExpectedWaits {
+        ExpectedWaits::default()
     }
 }
 
--- a/crates/apricotfold-policy/src/budget.rs
+++ b/crates/apricotfold-policy/src/budget.rs
@@ -53,6 +53,11 @@
         self.first_attempts.add(1.0, now);
     }
 
+    /// Counts a repeat that was not asked for here: a call that a repeated request makes again.
+    pub fn record_repeat(&mut self, now: Instant) {
+        self.retries.add(1.0, now);
+    }
+
     /// Takes one retry out of the budget. Returns false when none is left.
     #[must_use]
     pub fn try_spend(&mut self, now: Instant) -> bool {
--- a/crates/apricotfold-policy/src/crest_queue.rs
+++ b/crates/apricotfold-policy/src/crest_queue.rs
@@ -9,7 +9,7 @@
 use crate::decay::DecayingSum;
 use crate::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionRule,
-    LoadReport, WorkOffer,
+    CallStanding, LoadReport, WorkOffer,
 };
 
 /// Part of the time that a request can spare which it may spend waiting. A queue that is never
@@ -21,6 +21,10 @@
 /// an answer.
 const RETURNED_WAIT_SHARE: f64 = 0.9;
 
+/// The same for a call that a running request made. Its whole patience may be used, except for a
+/// margin, because its refusal wastes the work of the request that made it.
+const NESTED_WAIT_SHARE: f64 = 0.7;
+
 /// Part of the usual service time below which starting a request is a waste of its slot.
 const LEAST_SERVICE_SHARE: f64 = 0.5;
 
@@ -37,8 +41,14 @@
 /// Number of priorities.
 const PRIORITIES: usize = 3;
 
-/// Expected waits by priority, the least urgent first.
-pub type PriorityWaits = [Duration; PRIORITIES];
+/// Expected waits of requests that arrive now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExpectedWaits {
+    /// Of first tries by priority, the least urgent first.
+    pub new: [Duration; PRIORITIES],
+    /// Of calls that running requests make, likewise.
+    pub nested: [Duration; PRIORITIES],
+}
 
 #[derive(Clone, Copy, Debug)]
 struct RunningWork {
@@ -51,23 +61,22 @@
     id: AdmissionId,
     class: WorkClass,
     priority: CallPriority,
-    returned: bool,
+    standing: CallStanding,
     /// Latest start with which it is still answered in time.
     start_by: Instant,
 }
 
 impl WaitingWork {
     /// What goes first, the highest first.
-    fn order(&self) -> (CallPriority, bool) {
-        (self.priority, self.returned)
+    fn order(&self) -> (CallPriority, CallStanding) {
+        (self.priority, self.standing)
     }
 }
 
 /// Admits what will be answered in time and refuses the rest on arrival.
 ///
-/// Requests wait in one queue: the most urgent first, among equals those whose callers were refused
-/// before, then the oldest. A request
-/// waits only if its expected wait, with more urgent work that will overtake it, is a part of the
+/// Requests wait in one queue: the most urgent first, among equals those whose refusal would waste
+/// most, then the oldest. A request waits only if its expected wait, with more urgent work that will overtake it, is a part of the
 /// time that it can spare. What is refused is refused at once, so that its caller can come back or
 /// go elsewhere.
 #[derive(Debug)]
@@ -136,11 +145,16 @@
     }
 
     /// Expected wait of a request that arrives now.
-    fn expected_wait(&self, priority: CallPriority, returned: bool, now: Instant) -> Duration {
+    fn expected_wait(
+        &self,
+        priority: CallPriority,
+        standing: CallStanding,
+        now: Instant,
+    ) -> Duration {
         let ahead = self
             .waiting
             .iter()
-            .filter(|known| known.order() >= (priority, returned))
+            .filter(|known| known.order() >= (priority, standing))
             .count();
         if ahead == 0 && self.free_slots() > 0 {
             return Duration::ZERO;
@@ -192,13 +206,19 @@
 
     /// Expected waits, to be told to those who choose targets.
     #[must_use]
-    pub fn waits(&self, now: Instant) -> PriorityWaits {
-        [
-            CallPriority::Sheddable,
-            CallPriority::Normal,
-            CallPriority::Critical,
-        ]
-        .map(|priority| self.expected_wait(priority, false, now))
+    pub fn waits(&self, now: Instant) -> ExpectedWaits {
+        let by_priority = |standing| {
+            [
+                CallPriority::Sheddable,
+                CallPriority::Normal,
+                CallPriority::Critical,
+            ]
+            .map(|priority| self.expected_wait(priority, standing, now))
+        };
+        ExpectedWaits {
+            new: by_priority(CallStanding::New),
+            nested: by_priority(CallStanding::Nested),
+        }
     }
 }
 
@@ -218,7 +238,7 @@
             return (Admission::Refuse(RefusalReason::DeadlineTooClose), events);
         }
         let overtakes = !self.waiting.iter().any(|known| {
-            known.order() >= (offer.priority, offer.returned) && self.may_run(known.class)
+            known.order() >= (offer.priority, offer.standing) && self.may_run(known.class)
         });
         if overtakes && self.may_run(offer.class) {
             self.start(id, offer.class, offer.priority, now);
@@ -226,11 +246,11 @@
         }
         let useful = offer.useful_until.min(offer.deadline);
         let spare = useful.saturating_duration_since(now + service);
-        let wait = self.expected_wait(offer.priority, offer.returned, now);
-        let allowed = if offer.returned {
-            RETURNED_WAIT_SHARE
-        } else {
-            WAIT_SHARE
+        let wait = self.expected_wait(offer.priority, offer.standing, now);
+        let allowed = match offer.standing {
+            CallStanding::New => WAIT_SHARE,
+            CallStanding::Returned => RETURNED_WAIT_SHARE,
+            CallStanding::Nested => NESTED_WAIT_SHARE,
         };
         if wait > spare.mul_f64(allowed) {
             return (Admission::Refuse(RefusalReason::Overloaded), events);
@@ -239,7 +259,7 @@
             id,
             class: offer.class,
             priority: offer.priority,
-            returned: offer.returned,
+            standing: offer.standing,
             start_by: now + spare,
         });
         events.extend(self.expire(now));
@@ -306,7 +326,7 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
-    fn waits(&self, now: Instant) -> PriorityWaits {
+    fn waits(&self, now: Instant) -> ExpectedWaits {
         Self::waits(self, now)
     }
 }
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -31,6 +31,8 @@
 mod ledger;
 mod load_choice;
 mod local_instance;
+mod local_runs;
+mod parent_throttle;
 mod picker;
 mod plan;
 mod relay_choice;
@@ -43,7 +45,7 @@
 
 pub use admission::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue,
-    AdmissionRule, WorkOffer,
+    AdmissionRule, CallStanding, WorkOffer,
 };
 pub use attempt::{AttemptResult, LoadReport};
 pub use balancer::{
@@ -53,7 +55,7 @@
 pub use budget::{CallBudgets, RetryBudget};
 pub use claims::{ClaimBatch, ClaimRequest, ClaimTicket};
 pub use crash::{CrashGuard, RequestFingerprint};
-pub use crest_queue::{CrestQueue, PriorityWaits, rank};
+pub use crest_queue::{CrestQueue, ExpectedWaits, rank};
 pub use hedge::HedgeTimer;
 pub use instance_registry::{ChangedNodes, InstanceRegistry};
 pub use ledger::{ClaimId, OrderKey, OrderLedger, OrderOutcome, StoredAnswer};
@@ -61,6 +63,8 @@
     AttemptEnd, ChoiceCandidate, InstanceReport, LinkCosts, LoadChooser, LoadPick,
 };
 pub use local_instance::{AnnouncementEffect, LocalInstance};
+pub use local_runs::{CallsMet, LocalRuns, RunId, RunSummary};
+pub use parent_throttle::ParentThrottle;
 pub use picker::{ChoiceReason, PickCandidate, TargetPicker};
 pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
 pub use relay_choice::{FollowRole, RelayNodes, choose_role};
--- a/crates/apricotfold-policy/src/load_choice.rs
+++ b/crates/apricotfold-policy/src/load_choice.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::target_load::{SeenReport, TargetLoad, seconds, stuck_time};
-use crate::{LocalityTier, rank};
+use crate::{CallStanding, LocalityTier, rank};
 
 /// Weight of a new sample in moving estimates of service times and speeds; they follow a change
 /// within about ten answers.
@@ -73,8 +73,21 @@
     pub slots: u32,
     /// How long work takes on the target's machine at present, in percent of the usual time.
     pub pace: u32,
-    /// Expected waits by priority, the least urgent first, in milliseconds.
+    /// Expected waits of first tries by priority, the least urgent first, in milliseconds.
     pub waits: [u32; 3],
+    /// Expected waits of calls that running requests make, likewise.
+    pub nested_waits: [u32; 3],
+}
+
+impl InstanceReport {
+    /// Expected wait of a request that arrives now.
+    pub(crate) fn wait(&self, priority: CallPriority, standing: CallStanding) -> f64 {
+        let waits = match standing {
+            CallStanding::New | CallStanding::Returned => &self.waits,
+            CallStanding::Nested => &self.nested_waits,
+        };
+        seconds(waits[rank(priority)])
+    }
 }
 
 /// A target that may be chosen.
@@ -199,6 +212,7 @@
     /// Mean service time of all routes in seconds, which is what the requests ahead in a queue take.
     mean_service: f64,
     priority: CallPriority,
+    standing: CallStanding,
     now: Instant,
 }
 
@@ -232,7 +246,7 @@
     pub fn pick(
         &mut self,
         route: &RouteName,
-        priority: CallPriority,
+        (priority, standing): (CallPriority, CallStanding),
         candidates: &[ChoiceCandidate<'_>],
         excluded: &[NodeId],
         now: Instant,
@@ -241,6 +255,7 @@
             work: self.works.get(route).copied().unwrap_or_default(),
             mean_service: self.mean_service(),
             priority,
+            standing,
             now,
         };
         let mut best: Option<(bool, f64, LoadPick)> = None;
@@ -275,6 +290,7 @@
         let ChoiceNeed {
             work,
             priority,
+            standing,
             now,
             ..
         } = *need;
@@ -290,8 +306,8 @@
         let service = work.service * pace;
         let mean_service = need.mean_service * pace;
         let told = match candidate.own {
-            Some(report) => Some(seconds(report.waits[rank(priority)])),
-            None => known.and_then(|target| target.told_wait(priority, now)),
+            Some(report) => Some(report.wait(priority, standing)),
+            None => known.and_then(|target| target.told_wait(priority, standing, now)),
         };
         let sent = known.map_or(0.0, TargetLoad::sent_since_report);
         let queueing = match told.filter(|wait| *wait > 0.0) {
--- /dev/null
+++ b/crates/apricotfold-policy/src/local_runs.rs
@@ -0,0 +1,102 @@
+//! Load pattern: a service whose requests call another service. A call that is refused wastes the
+//! whole run of the request that made it. See `docs/platform.md`, section 6.
+
+use std::collections::HashMap;
+
+use apricotfold_model::CallPriority;
+use compact_str::CompactString;
+
+/// Id of a request, as its caller chose it.
+pub type RunId = CompactString;
+
+/// A request that runs at the local target.
+#[derive(Clone, Copy, Debug)]
+struct LocalRun {
+    priority: CallPriority,
+    repeat: bool,
+    /// Processes of the same request that run at once: repeats may overlap.
+    count: u32,
+    calls: CallsMet,
+}
+
+/// What the calls of a run met, the worst last.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallsMet {
+    /// Room, or it made none.
+    #[default]
+    Room,
+    /// Targets with a queue.
+    Queue,
+    /// A refusal for lack of room.
+    Refusal,
+}
+
+/// What is known about the run that made a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunSummary {
+    /// Its priority.
+    pub priority: CallPriority,
+    /// It is a further run of its request, so that its calls count as repeats, too.
+    pub repeat: bool,
+}
+
+/// Requests that run at the local target, by which the calls that they make are recognised.
+#[derive(Clone, Debug, Default)]
+pub struct LocalRuns {
+    runs: HashMap<RunId, LocalRun>,
+}
+
+impl LocalRuns {
+    /// Notes that a request is handed to the target.
+    pub fn begin(&mut self, id: &RunId, summary: RunSummary) {
+        let run = self.runs.entry(id.clone()).or_insert(LocalRun {
+            priority: summary.priority,
+            repeat: false,
+            count: 0,
+            calls: CallsMet::Room,
+        });
+        run.count += 1;
+        run.repeat |= summary.repeat;
+    }
+
+    /// Notes the end of a run. Returns what its calls met.
+    pub fn end(&mut self, id: &RunId) -> CallsMet {
+        let Some(run) = self.runs.get_mut(id) else {
+            return CallsMet::Room;
+        };
+        let calls = run.calls;
+        run.count -= 1;
+        if run.count == 0 {
+            self.runs.remove(id);
+        }
+        calls
+    }
+
+    /// Finds the run that made a call.
+    #[must_use]
+    pub fn find(&self, parent: &str) -> Option<RunSummary> {
+        self.runs.get(parent).map(|run| RunSummary {
+            priority: run.priority,
+            repeat: run.repeat,
+        })
+    }
+
+    /// Notes what a call of a run met.
+    pub fn note_call(&mut self, parent: &str, met: CallsMet) {
+        if let Some(run) = self.runs.get_mut(parent) {
+            run.calls = run.calls.max(met);
+        }
+    }
+}
--- a/crates/apricotfold-policy/src/target_load.rs
+++ b/crates/apricotfold-policy/src/target_load.rs
@@ -5,7 +5,7 @@
 use apricotfold_model::CallPriority;
 
 use crate::decay::remaining_share;
-use crate::{InstanceReport, rank};
+use crate::{CallStanding, InstanceReport};
 
 /// Time constant with which reported load of other nodes loses its meaning: about one service time.
 const REPORT_WINDOW: Duration = Duration::from_millis(700);
@@ -78,10 +78,15 @@
     }
 
     /// Wait that the target's node reported for a priority, which fades as the report ages.
-    pub(crate) fn told_wait(&self, priority: CallPriority, now: Instant) -> Option<f64> {
+    pub(crate) fn told_wait(
+        &self,
+        priority: CallPriority,
+        standing: CallStanding,
+        now: Instant,
+    ) -> Option<f64> {
         let seen = self.report?;
         let age = now.saturating_duration_since(seen.received);
-        let wait = seconds(seen.report.waits[rank(priority)]);
+        let wait = seen.report.wait(priority, standing);
         Some(wait * remaining_share(age, REPORT_WINDOW))
     }
 
--- a/crates/apricotfold-policy/tests/crest_queue.rs
+++ b/crates/apricotfold-policy/tests/crest_queue.rs
@@ -5,7 +5,8 @@
 
 use apricotfold_model::{CallPriority, LimitRule, RefusalReason, WorkClass};
 use apricotfold_policy::{
-    Admission, AdmissionEvent, AdmissionId, AdmissionLimits, AdmissionRule, CrestQueue, WorkOffer,
+    Admission, AdmissionEvent, AdmissionId, AdmissionLimits, AdmissionRule, CallStanding,
+    CrestQueue, WorkOffer,
 };
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -32,7 +33,7 @@
     WorkOffer {
         class: WorkClass::Short,
         priority,
-        returned: false,
+        standing: CallStanding::New,
         useful_until: now + WANTED,
         deadline: now + PATIENCE,
     }
@@ -54,6 +55,29 @@
     }
 }
 
+/// Guards against calls of running requests that are refused for first tries: the work done for the
+/// requests that made them would be lost.
+#[test]
+fn nested_first() {
+    let now = Instant::now();
+    let mut queue = queue();
+    fill(&mut queue, now);
+    let now = now + SERVICE;
+    let mut id = 200;
+    while queue.offer(id, &offer(CallPriority::Sheddable, now), now).0 == Admission::Wait {
+        id += 1;
+    }
+    let nested = WorkOffer {
+        standing: CallStanding::Nested,
+        ..offer(CallPriority::Sheddable, now)
+    };
+    let waits = queue.waits(now);
+    assert!(waits.nested[0] < waits.new[0], "{waits:?}");
+    assert_eq!(queue.offer(900, &nested, now).0, Admission::Wait);
+    let events = queue.release(100, now + SERVICE / 2);
+    assert!(events.contains(&AdmissionEvent::Start(900)), "{events:?}");
+}
+
 /// Guards against a queue that grows until everything in it is late: what cannot be answered in
 /// time is refused on arrival, not after a wait.
 #[test]
@@ -107,7 +131,7 @@
         id += 1;
     }
     let returned = WorkOffer {
-        returned: true,
+        standing: CallStanding::Returned,
         ..offer(CallPriority::Sheddable, now)
     };
     let (admission, _) = queue.offer(900, &returned, now);
@@ -238,23 +262,17 @@
 /// One step of a random history.
 #[derive(Clone, Debug)]
 enum QueueStep {
-    Offer(u8, bool, bool, u64, u64),
+    Offer(u8, bool, usize, u64, u64),
     Release(usize),
     Cancel(usize),
     Wait(u64),
 }
 
 fn steps() -> impl Strategy<Value = Vec<QueueStep>> {
-    let offer = (
-        0..3_u8,
-        any::<bool>(),
-        any::<bool>(),
-        0..600_u64,
-        0..1_200_u64,
-    );
+    let offer = (0..3_u8, any::<bool>(), 0..3_usize, 0..600_u64, 0..1_200_u64);
     let step = prop_oneof![
-        offer.prop_map(|(priority, long, returned, useful, deadline)| {
-            QueueStep::Offer(priority, long, returned, useful, deadline)
+        offer.prop_map(|(priority, long, standing, useful, deadline)| {
+            QueueStep::Offer(priority, long, standing, useful, deadline)
         }),
         (0..64_usize).prop_map(QueueStep::Release),
         (0..64_usize).prop_map(QueueStep::Cancel),
@@ -277,12 +295,12 @@
         let mut next_id = 0;
         for step in steps {
             let events = match step {
-                QueueStep::Offer(priority, long, returned, useful, deadline) => {
+                QueueStep::Offer(priority, long, standing, useful, deadline) => {
                     next_id += 1;
                     let offer = WorkOffer {
                         class: if long { WorkClass::Long } else { WorkClass::Short },
                         priority: [CallPriority::Sheddable, CallPriority::Normal, CallPriority::Critical][usize::from(priority)],
-                        returned,
+                        standing: [CallStanding::New, CallStanding::Returned, CallStanding::Nested][standing],
                         useful_until: now + Duration::from_millis(useful),
                         deadline: now + Duration::from_millis(deadline),
                     };
--- a/crates/apricotfold-policy/tests/load_choice.rs
+++ b/crates/apricotfold-policy/tests/load_choice.rs
@@ -4,9 +4,10 @@
 
 use apricotfold_model::{CallPriority, NodeId, RouteName};
 use apricotfold_policy::{
-    AttemptEnd, ChoiceCandidate, InstanceReport, LinkCosts, LoadChooser, LocalityTier,
+    AttemptEnd, CallStanding, ChoiceCandidate, InstanceReport, LinkCosts, LoadChooser, LocalityTier,
 };
 
+const RANK: (CallPriority, CallStanding) = (CallPriority::Normal, CallStanding::New);
 const ROUTE: RouteName = RouteName::const_new("almanac");
 const SLOTS: u32 = 10;
 
@@ -42,6 +43,7 @@
         slots: SLOTS,
         pace,
         waits: [wait_ms; 3],
+        nested_waits: [wait_ms; 3],
     }
 }
 
@@ -65,9 +67,7 @@
 
     fn pick(&mut self) -> usize {
         let candidates = [0, 1].map(|index| candidate(&self.nodes[index], self.tiers[index]));
-        let pick = self
-            .chooser
-            .pick(&ROUTE, CallPriority::Normal, &candidates, &[], self.now);
+        let pick = self.chooser.pick(&ROUTE, RANK, &candidates, &[], self.now);
         pick.expect("a target").index
     }
 
@@ -199,7 +199,7 @@
     let candidates = [0, 1].map(|index| candidate(&targets.nodes[index], targets.tiers[index]));
     let pick = targets
         .chooser
-        .pick(&ROUTE, CallPriority::Normal, &candidates, &[], targets.now);
+        .pick(&ROUTE, RANK, &candidates, &[], targets.now);
     let pick = pick.expect("a target");
     assert!(!pick.is_worth_asking(ms(400)));
     assert!(pick.is_worth_asking(ms(1_000)));
--- /dev/null
+++ b/crates/apricotfold-policy/tests/local_runs.rs
@@ -0,0 +1,50 @@
+//! Calls that running requests make are recognised by the ids of the runs.
+
+use apricotfold_model::CallPriority;
+use apricotfold_policy::{CallsMet, LocalRuns, RunId, RunSummary};
+
+const PAGE: RunId = RunId::const_new("page-1");
+
+fn summary(repeat: bool) -> RunSummary {
+    RunSummary {
+        priority: CallPriority::Normal,
+        repeat,
+    }
+}
+
+/// Guards against a call that is refused like a first try although a running request needs it.
+#[test]
+fn finds_parent() {
+    let mut runs = LocalRuns::default();
+    assert_eq!(runs.find(&PAGE), None);
+    runs.begin(&PAGE, summary(true));
+    assert_eq!(runs.find(&PAGE), Some(summary(true)));
+    assert_eq!(runs.find("page-2"), None);
+    runs.end(&PAGE);
+    assert_eq!(runs.find(&PAGE), None);
+}
+
+/// Guards against a refused call that is forgotten because a later call of the same run met room.
+#[test]
+fn keeps_worst() {
+    let mut runs = LocalRuns::default();
+    runs.begin(&PAGE, summary(false));
+    runs.note_call(&PAGE, CallsMet::Refusal);
+    runs.note_call(&PAGE, CallsMet::Queue);
+    runs.note_call("page-2", CallsMet::Refusal);
+    assert_eq!(runs.end(&PAGE), CallsMet::Refusal);
+    assert_eq!(runs.end(&PAGE), CallsMet::Room);
+}
+
+/// Guards against a repeat that ends while the first run goes on: its calls belong to a running
+/// request still.
+#[test]
+fn overlapping_repeats() {
+    let mut runs = LocalRuns::default();
+    runs.begin(&PAGE, summary(false));
+    runs.begin(&PAGE, summary(true));
+    runs.end(&PAGE);
+    assert_eq!(runs.find(&PAGE), Some(summary(true)));
+    runs.end(&PAGE);
+    assert_eq!(runs.find(&PAGE), None);
+}
--- a/crates/apricotfold-proxy/src/admission.rs
+++ b/crates/apricotfold-proxy/src/admission.rs
@@ -8,7 +8,7 @@
 use apricotfold_model::{LimitRule, RefusalReason};
 use apricotfold_policy::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue,
-    AdmissionRule, LoadReport, PriorityWaits, WorkOffer,
+    AdmissionRule, ExpectedWaits, LoadReport, WorkOffer,
 };
 use tokio::sync::oneshot;
 
@@ -143,9 +143,9 @@
         self.lock().queue.running()
     }
 
-    /// Expected waits of new requests by priority.
+    /// Expected waits of requests that arrive now.
     #[must_use]
-    pub fn waits(&self) -> PriorityWaits {
+    pub fn waits(&self) -> ExpectedWaits {
         self.lock().queue.waits(Instant::now())
     }
 
--- a/crates/apricotfold-proxy/src/borders.rs
+++ b/crates/apricotfold-proxy/src/borders.rs
@@ -75,6 +75,9 @@
     /// Reads what the caller's request says about itself.
     fn read_call(&self, headers: &HeaderMap) -> CallHead;
 
+    /// Id of the request whose run made the call with this id, where ids tell it.
+    fn parent_id<'a>(&self, id: &'a str) -> Option<&'a str>;
+
     /// Replaces the headers that the mesh sets for the target, whatever the caller sent in them.
     fn prepare_call(&self, headers: &mut HeaderMap, head: &TargetHead<'_>);
 
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -12,7 +12,8 @@
 };
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, CrestQueue, InstanceRegistry, InstanceReport, LinkCosts,
-    LoadChooser, LocalInstance, LocalityTier, RetryBudget, ReturnDetector, TrafficSplit,
+    LoadChooser, LocalInstance, LocalRuns, LocalityTier, ParentThrottle, RetryBudget,
+    ReturnDetector, TrafficSplit,
 };
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
@@ -99,6 +100,8 @@
     chooser: Mutex<LoadChooser>,
     split: Mutex<TrafficSplit>,
     returns: Mutex<ReturnDetector>,
+    runs: Mutex<LocalRuns>,
+    throttle: Mutex<ParentThrottle>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     local: Mutex<LocalInstance>,
     /// Pace that the local target reported last, in percent.
@@ -133,6 +136,8 @@
             chooser: Mutex::new(LoadChooser::new(LINK_COSTS, seed)),
             split: Mutex::default(),
             returns: Mutex::default(),
+            runs: Mutex::default(),
+            throttle: Mutex::default(),
             budgets: Mutex::default(),
             local: Mutex::default(),
             pace: AtomicU32::new(USUAL_PACE),
@@ -186,6 +191,16 @@
         lock(&self.returns)
     }
 
+    /// Requests that run at the local target.
+    pub fn runs(&self) -> MutexGuard<'_, LocalRuns> {
+        lock(&self.runs)
+    }
+
+    /// Admission of requests whose own calls may find no room.
+    pub fn throttle(&self) -> MutexGuard<'_, ParentThrottle> {
+        lock(&self.throttle)
+    }
+
     /// The target beside this node.
     pub fn local(&self) -> MutexGuard<'_, LocalInstance> {
         lock(&self.local)
@@ -293,12 +308,14 @@
     pub fn report(&self) -> InstanceReport {
         let load = self.admission.load();
         let running = self.admission.running();
+        let waits = self.admission.waits();
         InstanceReport {
             running,
             waiting: load.in_flight.saturating_sub(running),
             slots: load.slots,
             pace: self.pace.load(Ordering::Relaxed),
-            waits: self.admission.waits().map(to_millis),
+            waits: waits.new.map(to_millis),
+            nested_waits: waits.nested.map(to_millis),
         }
     }
 
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -4,15 +4,17 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{
-    CallOutcome, InstanceRecord, NodeId, RefusalReason, RepeatRule, ServiceName, log_event,
+    CallOutcome, CallPriority, InstanceRecord, NodeId, RefusalReason, RepeatRule, ServiceName,
+    log_event,
 };
 use apricotfold_policy::{
-    AttemptEnd, ChoiceCandidate, LoadPick, NextStep, RepeatGuide, SendEnd, advise_return,
+    AttemptEnd, CallStanding, CallsMet, ChoiceCandidate, LoadPick, NextStep, RepeatGuide,
+    RunSummary, SendEnd, advise_return,
 };
 use http::{Response, header};
 use smallvec::SmallVec;
 
-use crate::borders::CallRefusal;
+use crate::borders::{CallRefusal, RequestId};
 use crate::call_body::AnswerBody;
 use crate::caller_server::write_refusal;
 use crate::connection::CallerGone;
@@ -37,6 +39,10 @@
 /// Expected time until a slot is free when no target could be asked.
 const UNKNOWN_ROOM: Duration = Duration::from_millis(100);
 
+/// Expected time until there is room for a request whose own calls find none. Shares of admitted
+/// requests change within about a second.
+const THROTTLED_ROOM: Duration = Duration::from_millis(250);
+
 /// One caller's request on its way.
 pub struct EntryCall<'a> {
     pub(crate) engine: &'a Arc<Engine>,
@@ -44,7 +50,14 @@
     pub(crate) request: CallRequest,
     pub(crate) guide: RepeatGuide,
     pub(crate) tried: SmallVec<[NodeId; 4]>,
-    returned: bool,
+    standing: CallStanding,
+    parent: Option<ParentRun>,
+}
+
+/// The run at the local target that made a call.
+struct ParentRun {
+    id: RequestId,
+    summary: RunSummary,
 }
 
 /// A target that was chosen, with what the choice was based on.
@@ -95,14 +108,21 @@
     pub fn new(engine: &'a Arc<Engine>, routed: RoutedCall, request: CallRequest) -> Self {
         let route = &routed.route;
         let guide = RepeatGuide::new(route.repeat, route.max_attempts);
+        let parent = find_parent(engine, request.id.as_deref());
         let returned = engine.returns().is_return(&route.name, routed.patience);
+        let standing = match &parent {
+            Some(_) => CallStanding::Nested,
+            None if returned => CallStanding::Returned,
+            None => CallStanding::New,
+        };
         Self {
             engine,
             routed,
             request,
             guide,
             tried: SmallVec::new(),
-            returned,
+            standing,
+            parent,
         }
     }
 
@@ -111,6 +131,11 @@
         let Some(service) = self.choose_service() else {
             return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::NoTarget, None));
         };
+        let route = &self.routed.route.name;
+        if !self.engine.throttle().admits(route, self.standing) {
+            let room = Some(THROTTLED_ROOM);
+            return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::Overloaded, room));
+        }
         loop {
             let chosen = match self.choose_target(&service) {
                 Ok(chosen) => chosen,
@@ -122,8 +147,13 @@
             self.tried.push(chosen.record.node.clone());
             if self.guide.arrivals() == 0 && self.tried.len() == 1 {
                 let now = Instant::now();
-                self.engine
-                    .with_budget(&service, |budget| budget.record_first(now));
+                let repeat = self.parent.as_ref().is_some_and(|run| run.summary.repeat);
+                self.engine.with_budget(&service, |budget| {
+                    budget.record_first(now);
+                    if repeat {
+                        budget.record_repeat(now);
+                    }
+                });
             }
             let (result, chosen) = self.send_hedged(chosen, &service).await;
             let (end, reason) = match result {
@@ -155,6 +185,11 @@
 
     fn choose_target(&self, service: &ServiceName) -> Result<ChosenTarget, NoTarget> {
         let chosen = self.find_target(service)?;
+        if let Some(run) = &self.parent
+            && chosen.pick.queueing > chosen.pick.service
+        {
+            self.engine.runs().note_call(&run.id, CallsMet::Queue);
+        }
         let mut chooser = self.engine.chooser();
         chooser.start(&chosen.record.node, Instant::now());
         Ok(chosen)
@@ -184,9 +219,9 @@
         let mut chooser = engine.chooser();
         let route = &self.routed.route;
         let pick = chooser
-            .pick(&route.name, route.priority, &candidates, &self.tried, now)
+            .pick(&route.name, self.rank(), &candidates, &self.tried, now)
             .ok_or((RefusalReason::Overloaded, None))?;
-        let useful = self.routed.useful_until(pick.service);
+        let useful = self.useful_until(pick.service);
         if !pick.is_worth_asking(useful.saturating_duration_since(now)) {
             return Err((RefusalReason::Overloaded, Some(pick.queueing / 2)));
         }
@@ -195,14 +230,19 @@
     }
 
     /// Sends the request to a target and holds small answers until they are whole.
-    pub(crate) async fn send(&self, chosen: &ChosenTarget) -> Result<TargetAnswer, TargetRefusal> {
+    /// `hedge` tells that another attempt is under way.
+    pub(crate) async fn send(
+        &self,
+        chosen: &ChosenTarget,
+        hedge: bool,
+    ) -> Result<TargetAnswer, TargetRefusal> {
         let engine = self.engine;
         let guard = AttemptGuard {
             call: self,
             node: chosen.record.node.clone(),
             open: true,
         };
-        let order = self.order(chosen);
+        let order = self.order(chosen, hedge);
         let sent = async {
             let answer = if chosen.record.node == engine.node() {
                 target_call::run(engine, &order, &self.request).await?
@@ -252,18 +292,38 @@
         result
     }
 
-    fn order(&self, chosen: &ChosenTarget) -> CallOrder {
+    /// Importance of the request. A call is as important as the request that made it.
+    fn rank(&self) -> (CallPriority, CallStanding) {
+        let own = self.routed.route.priority;
+        let parent = self.parent.as_ref().map(|run| run.summary.priority);
+        (
+            parent.map_or(own, |priority| priority.max(own)),
+            self.standing,
+        )
+    }
+
+    /// Time until which the request should wait for a slot. The request that made a call waits for
+    /// it as long as it can.
+    fn useful_until(&self, service: Duration) -> Instant {
+        match self.standing {
+            CallStanding::Nested => self.routed.deadline,
+            CallStanding::New | CallStanding::Returned => self.routed.useful_until(service),
+        }
+    }
+
+    fn order(&self, chosen: &ChosenTarget, hedge: bool) -> CallOrder {
         let route = &self.routed.route;
         let service = self.engine.chooser().usual_service(&route.name);
         CallOrder {
             instance: chosen.record.instance.clone(),
             caller_service: self.engine.config.load().service.clone(),
             deadline: self.routed.deadline,
-            useful_until: self.routed.useful_until(service),
+            useful_until: self.useful_until(service),
             class: route.class,
-            priority: route.priority,
+            priority: self.rank().0,
             repeat: route.repeat,
-            returned: self.returned,
+            standing: self.standing,
+            again: self.guide.arrivals() > 0 || hedge,
         }
     }
 
@@ -287,6 +347,7 @@
     fn is_final(&self, answer: &TargetAnswer, service: &ServiceName) -> bool {
         let route = &self.routed.route;
         let retriable = answer.status.is_server_error()
+            && answer.calls != CallsMet::Refusal
             && route.repeat == RepeatRule::Idempotent
             && self.guide.arrivals() + 1 < route.max_attempts
             && self.routed.left() > self.engine.chooser().usual_service(&route.name);
@@ -341,6 +402,10 @@
     fn finish(&self, answer: TargetAnswer, chosen: &ChosenTarget) -> Response<AnswerBody> {
         let route = &self.routed.route;
         let elapsed = self.routed.arrived.elapsed();
+        let now = Instant::now();
+        self.engine
+            .throttle()
+            .record(&route.name, answer.calls, now);
         if self.engine.dialect.promises_not_run(answer.status) {
             // The target gave this status without stating that it did not run the request.
             return self.refuse(CallOutcome::MayHaveRun, RefusalReason::ConnectionLost, None);
@@ -379,6 +444,13 @@
         let route = &self.routed.route;
         let elapsed = self.routed.arrived.elapsed();
         let left = self.routed.left();
+        let full = matches!(
+            reason,
+            RefusalReason::Overloaded | RefusalReason::QueueFull | RefusalReason::DeadlineTooClose
+        );
+        if let Some(run) = self.parent.as_ref().filter(|_| full) {
+            self.engine.runs().note_call(&run.id, CallsMet::Refusal);
+        }
         let return_in = (outcome == CallOutcome::NotRun)
             .then(|| {
                 let room = room.unwrap_or(UNKNOWN_ROOM);
@@ -404,6 +476,15 @@
     }
 }
 
+fn find_parent(engine: &Engine, id: Option<&str>) -> Option<ParentRun> {
+    let parent = engine.dialect.parent_id(id?)?;
+    let summary = engine.runs().find(parent)?;
+    Some(ParentRun {
+        id: parent.into(),
+        summary,
+    })
+}
+
 fn send_end(refusal: &TargetRefusal) -> SendEnd {
     match (refusal.outcome, refusal.arrived) {
         (CallOutcome::NotRun, false) => SendEnd::BeforeTarget,
--- a/crates/apricotfold-proxy/src/hedge.rs
+++ b/crates/apricotfold-proxy/src/hedge.rs
@@ -23,13 +23,13 @@
     ) -> (Result<TargetAnswer, TargetRefusal>, ChosenTarget) {
         let overdue = chosen.pick.overdue_after();
         let ended = {
-            let mut first = std::pin::pin!(self.send(&chosen));
+            let mut first = std::pin::pin!(self.send(&chosen, false));
             match tokio::time::timeout(overdue, first.as_mut()).await {
                 Ok(result) => SendResult::Alone(Box::new(result)),
                 Err(_) => match self.choose_hedge(service) {
                     None => SendResult::Alone(Box::new(first.await)),
                     Some(second) => {
-                        let winner = first_answer(first, self.send(&second)).await;
+                        let winner = first_answer(first, self.send(&second, true)).await;
                         SendResult::Hedged(Box::new((winner, second)))
                     }
                 },
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -8,7 +8,7 @@
     CallOutcome, CallPriority, InstanceId, RefusalReason, RepeatRule, ServiceName, WorkClass,
     whole_millis,
 };
-use apricotfold_policy::InstanceReport;
+use apricotfold_policy::{CallStanding, CallsMet, InstanceReport};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -39,6 +39,7 @@
     WorkClass,
     CallPriority,
     RepeatRule,
+    CallStanding,
     bool,
 );
 
@@ -54,7 +55,8 @@
             order.class,
             order.priority,
             order.repeat,
-            order.returned,
+            order.standing,
+            order.again,
         )
     }
 
@@ -68,18 +70,20 @@
             class: self.4,
             priority: self.5,
             repeat: self.6,
-            returned: self.7,
+            standing: self.7,
+            again: self.8,
         }
     }
 }
 
-/// Load of the target, and the time in milliseconds that it took for this call.
+/// Load of the target, the time in milliseconds that it took for this call, its expected waits, and
+/// what the calls met that the request made.
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct WireReport(u32, u32, u32, u32, u64, [u32; 3]);
+pub struct WireReport(u32, u32, u32, u32, u64, [u32; 3], [u32; 3], CallsMet);
 
 impl WireReport {
     /// Writes a report.
-    pub fn new(report: InstanceReport, service: Duration) -> Self {
+    pub fn new(report: InstanceReport, service: Duration, calls: CallsMet) -> Self {
         Self(
             report.running,
             report.waiting,
@@ -87,6 +91,8 @@
             report.pace,
             whole_millis(service),
             report.waits,
+            report.nested_waits,
+            calls,
         )
     }
 
@@ -97,6 +103,7 @@
             slots: self.2,
             pace: self.3,
             waits: self.5,
+            nested_waits: self.6,
         }
     }
 }
@@ -172,6 +179,7 @@
         headers: parts.headers,
         body,
         service: Duration::from_millis(report.4),
+        calls: report.7,
         report: report.report(),
     })
 }
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{CallOutcome, RefusalReason, log_event};
-use apricotfold_policy::InstanceReport;
+use apricotfold_policy::CallsMet;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -79,7 +79,8 @@
                 let mut response = Response::new(answer.body);
                 *response.status_mut() = answer.status;
                 *response.headers_mut() = answer.headers;
-                add_report(response.headers_mut(), answer.report, answer.service);
+                let report = WireReport::new(answer.report, answer.service, answer.calls);
+                add_report(response.headers_mut(), &report);
                 response
             }
             Err(TargetRefusal {
@@ -116,13 +117,14 @@
         if let Some(value) = write_header(&WireRefusal(outcome, reason, arrived)) {
             headers.insert(REFUSAL_HEADER, value);
         }
-        add_report(headers, self.engine.report(), Duration::ZERO);
+        let report = WireReport::new(self.engine.report(), Duration::ZERO, CallsMet::Room);
+        add_report(headers, &report);
         response
     }
 }
 
-fn add_report(headers: &mut HeaderMap, report: InstanceReport, service: Duration) {
-    if let Some(value) = write_header(&WireReport::new(report, service)) {
+fn add_report(headers: &mut HeaderMap, report: &WireReport) {
+    if let Some(value) = write_header(report) {
         headers.insert(REPORT_HEADER, value);
     }
 }
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -7,7 +7,9 @@
     CallOutcome, CallPriority, InstanceId, InstanceState, RefusalReason, RepeatRule, ServiceName,
     WorkClass, log_event,
 };
-use apricotfold_policy::{InstanceReport, RequestFingerprint, WorkOffer};
+use apricotfold_policy::{
+    CallStanding, CallsMet, InstanceReport, RequestFingerprint, RunSummary, WorkOffer,
+};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -84,8 +86,10 @@
     pub priority: CallPriority,
     /// Whether the request may run again.
     pub repeat: RepeatRule,
-    /// The caller was refused before and came back when it was told to.
-    pub returned: bool,
+    /// What a refusal would waste.
+    pub standing: CallStanding,
+    /// The request may have reached another target before.
+    pub again: bool,
 }
 
 /// A target's answer.
@@ -100,6 +104,8 @@
     pub service: Duration,
     /// The target's load.
     pub report: InstanceReport,
+    /// What the calls met that the request made.
+    pub calls: CallsMet,
 }
 
 /// Why the target's node has no answer.
@@ -147,11 +153,14 @@
         let slot = self.admit().await?;
         self.check_target()?;
         let started = Instant::now();
+        let run = LocalRunGuard::new(self);
         let sent = self.send().await;
+        let calls = run.finish();
         match sent {
             Ok((answer, link)) => {
                 let service = started.elapsed();
-                self.read_answer(answer, link, slot, service, &fingerprint)
+                let answer = self.read_answer(answer, link, slot, service, &fingerprint)?;
+                Ok(TargetAnswer { calls, ..answer })
             }
             Err(SendFailure::NotSent(cause)) => {
                 log::debug!("local target not reached: {cause}");
@@ -194,7 +203,7 @@
         let offer = WorkOffer {
             class: order.class,
             priority: order.priority,
-            returned: order.returned,
+            standing: order.standing,
             useful_until: order.useful_until,
             deadline: order.deadline,
         };
@@ -262,6 +271,7 @@
             body,
             service,
             report: engine.report(),
+            calls: CallsMet::Room,
         })
     }
 
@@ -306,6 +316,43 @@
     }
 }
 
+/// Lets the calls that a request makes be recognised while it runs.
+struct LocalRunGuard<'a> {
+    engine: &'a Engine,
+    id: Option<&'a RequestId>,
+}
+
+impl<'a> LocalRunGuard<'a> {
+    fn new(call: &TargetCall<'a>) -> Self {
+        let id = call.request.id.as_ref();
+        let summary = RunSummary {
+            priority: call.order.priority,
+            repeat: call.order.again,
+        };
+        if let Some(id) = id {
+            call.engine.runs().begin(id, summary);
+        }
+        Self {
+            engine: call.engine,
+            id,
+        }
+    }
+
+    /// Ends the run. Returns what its calls met.
+    fn finish(mut self) -> CallsMet {
+        let id = self.id.take();
+        id.map_or(CallsMet::Room, |id| self.engine.runs().end(id))
+    }
+}
+
+impl Drop for LocalRunGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.engine.runs().end(id);
+        }
+    }
+}
+
 /// Marks the target as down and tries until it accepts connections again or announces itself.
 fn watch_down_target(engine: &Arc<Engine>) {
     if !engine.set_target_down(true) {
--- a/crates/apricotfold-proxy/tests/support/dialect.rs
+++ b/crates/apricotfold-proxy/tests/support/dialect.rs
@@ -33,6 +33,10 @@
         }
     }
 
+    fn parent_id<'a>(&self, id: &'a str) -> Option<&'a str> {
+        id.rsplit_once('/').map(|(parent, _)| parent)
+    }
+
     fn prepare_call(&self, headers: &mut HeaderMap, head: &TargetHead<'_>) {
         let left = u64::try_from(head.time_left.as_millis()).expect("small");
         headers.insert("patience-ms", HeaderValue::from(left));
