Pace bulk answers to the link of the target's instance

Downloads filled the links' queues, so that connections, small answers and exchanges waited behind them, and each download held one of the target's slots until its last byte had left. Ruled out: the targets' slots (2 of 8 were free of downloads, but they ran short work in 27 ms), processor time (0.024 of a core at most). Change: the settings name the link's rate. LinkGauge refuses bulk that would wait too long for the link before it runs, and paces what is sent to 85 % of the rate; the target's node takes bulk over as a whole first, which frees the target's slot. Nodes report wait and rate of their links to those who choose. Tests: link_gauge.

--- a/crates/apricotfold-model/src/proxy_config.rs
+++ b/crates/apricotfold-model/src/proxy_config.rs
@@ -16,6 +16,8 @@
 const DEFAULT_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Window of the retry budget when the settings name none.
 const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Bytes per second in one megabit per second.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Longest lease minimum that the proxy can work with; its leases last this long.
 const MAX_LEASE_MIN_MS: u32 = 10_000;
 
@@ -65,6 +67,8 @@
     pub grace: Duration,
     /// Limit on repeats.
     pub retry_limit: SharedRetryLimit,
+    /// Rate of the instance's own link in bytes per second, where it is known.
+    pub link_rate: Option<f64>,
     /// Seed of random decisions; 0 takes one from the system.
     pub seed: u64,
 }
@@ -92,6 +96,7 @@
             ),
             ("store_address", self.store_address != other.store_address),
             ("service", self.service != other.service),
+            ("link_mbps", self.link_rate != other.link_rate),
         ];
         fields
             .into_iter()
@@ -121,6 +126,10 @@
         errors.check((0.0..=1.0).contains(&share), || {
             FieldError::new("retry_share", share, "a number from 0 to 1")
         });
+        errors.check(settings.link_mbps >= 0.0, || {
+            FieldError::new("link_mbps", settings.link_mbps, "a number, or 0")
+        });
+        let link_rate = settings.link_mbps * BYTES_PER_MEGABIT;
         let metrics_address = match settings.metrics_address.as_str() {
             "" => None,
             text => Some(read_address(&mut errors, "metrics_address", text)),
@@ -155,6 +164,7 @@
                 slack: settings.retry_slack,
                 window: millis(settings.retry_window_ms, DEFAULT_RETRY_WINDOW),
             },
+            link_rate: (link_rate > 0.0).then_some(link_rate),
             seed: settings.seed,
         };
         errors.finish(config)
--- a/crates/apricotfold-policy/src/admission.rs
+++ b/crates/apricotfold-policy/src/admission.rs
@@ -170,6 +170,11 @@
     /// Number of requests that run.
     fn running(&self) -> u32;
 
+    /// Time that work of a class takes; zero where it is not estimated.
+    fn usual_service(&self, _class: WorkClass) -> Duration {
+        Duration::ZERO
+    }
+
     /// Expected waits of requests that arrive now; zero where they are not estimated.
     fn waits(&self, _now: Instant) -> ExpectedWaits {
         ExpectedWaits::default()
--- a/crates/apricotfold-policy/src/crest_queue.rs
+++ b/crates/apricotfold-policy/src/crest_queue.rs
@@ -38,6 +38,18 @@
 /// Largest share that more urgent work is assumed to take, so that an estimate stays finite.
 const MAX_URGENT_SHARE: f64 = 0.9;
 
+impl CallStanding {
+    /// Part of the time that a request can spare which it may spend waiting.
+    #[must_use]
+    pub fn wait_share(self) -> f64 {
+        match self {
+            Self::New => WAIT_SHARE,
+            Self::Returned => RETURNED_WAIT_SHARE,
+            Self::Nested => NESTED_WAIT_SHARE,
+        }
+    }
+}
+
 /// Number of priorities.
 const PRIORITIES: usize = 3;
 
@@ -247,12 +259,7 @@
         let useful = offer.useful_until.min(offer.deadline);
         let spare = useful.saturating_duration_since(now + service);
         let wait = self.expected_wait(offer.priority, offer.standing, now);
-        let allowed = match offer.standing {
-            CallStanding::New => WAIT_SHARE,
-            CallStanding::Returned => RETURNED_WAIT_SHARE,
-            CallStanding::Nested => NESTED_WAIT_SHARE,
-        };
-        if wait > spare.mul_f64(allowed) {
+        if wait > spare.mul_f64(offer.standing.wait_share()) {
             return (Admission::Refuse(RefusalReason::Overloaded), events);
         }
         self.waiting.push(WaitingWork {
@@ -326,6 +333,10 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    fn usual_service(&self, class: WorkClass) -> Duration {
+        self.service(class)
+    }
+
     fn waits(&self, now: Instant) -> ExpectedWaits {
         Self::waits(self, now)
     }
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod hedge;
 mod instance_registry;
 mod ledger;
+mod link_gauge;
 mod load_choice;
 mod local_instance;
 mod local_runs;
@@ -59,6 +60,7 @@
 pub use hedge::HedgeTimer;
 pub use instance_registry::{ChangedNodes, InstanceRegistry};
 pub use ledger::{ClaimId, OrderKey, OrderLedger, OrderOutcome, StoredAnswer};
+pub use link_gauge::{BULK_BYTES, LinkGauge};
 pub use load_choice::{
     AttemptEnd, ChoiceCandidate, InstanceReport, LinkCosts, LoadChooser, LoadPick,
 };
--- a/crates/apricotfold-policy/src/load_choice.rs
+++ b/crates/apricotfold-policy/src/load_choice.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::target_load::{SeenReport, TargetLoad, seconds, stuck_time};
-use crate::{CallStanding, LocalityTier, rank};
+use crate::{BULK_BYTES, CallStanding, LocalityTier, rank};
 
 /// Weight of a new sample in moving estimates of service times and speeds; they follow a change
 /// within about ten answers.
@@ -40,6 +40,9 @@
 /// above the part that targets admit, because the estimate is a little old.
 const ASK_SHARE: f64 = 0.6;
 
+/// Bytes for which [`InstanceReport::link_time`] is given.
+const LINK_TIME_BYTES: f64 = 100.0 * 1024.0;
+
 /// Slowness of a target that has just started.
 const COLD_FACTOR: f64 = 1.6;
 
@@ -77,6 +80,10 @@
     pub waits: [u32; 3],
     /// Expected waits of calls that running requests make, likewise.
     pub nested_waits: [u32; 3],
+    /// Expected wait of bulk for the link of the target's machine, in milliseconds.
+    pub link_wait: u32,
+    /// Time that 100 KB occupy that link, in milliseconds; 0 where it is not known.
+    pub link_time: u32,
 }
 
 impl InstanceReport {
@@ -314,6 +321,14 @@
             Some(wait) => wait + sent * mean_service / slots,
             None => queue_time(load, slots, mean_service),
         };
+        let report = candidate.own.or(known.and_then(TargetLoad::latest_report));
+        let (transfer, link_wait) = link_times(report, work.answer_bytes, sent);
+        let link_wait = match candidate.own {
+            Some(_) => link_wait,
+            None => known.map_or(0.0, |target| link_wait * target.report_weight(now)),
+        };
+        let service = service + transfer;
+        let queueing = queueing.max(link_wait);
         let stuck = known.map_or(0.0, |target| stuck_time(target, service, now));
         let link = self.costs.of(candidate.tier, work.answer_bytes);
         let expected = service + queueing + stuck + link;
@@ -443,6 +458,19 @@
         });
     }
 
+    /// Bytes that an answer of a route is expected to have.
+    #[must_use]
+    pub fn usual_bytes(&self, route: &RouteName) -> u32 {
+        let work = self.works.get(route).copied().unwrap_or_default();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a size is not negative, and one beyond 4 GB is as good as 4 GB"
+        )]
+        let bytes = work.answer_bytes as u32;
+        bytes
+    }
+
     /// Time that a route's work is expected to take on a target of usual speed.
     #[must_use]
     pub fn usual_service(&self, route: &RouteName) -> Duration {
@@ -465,6 +493,17 @@
     turn * (use_of_slots.powi(6) * 2.0 + waiting)
 }
 
+/// Time that an answer occupies the link of the target's machine, and its wait for it, in seconds.
+/// `sent` requests of this node are not part of the report yet.
+fn link_times(report: Option<InstanceReport>, answer_bytes: f64, sent: f64) -> (f64, f64) {
+    let bulk = answer_bytes >= to_float(BULK_BYTES);
+    let Some(report) = report.filter(|_| bulk) else {
+        return (0.0, 0.0);
+    };
+    let transfer = seconds(report.link_time) * answer_bytes / LINK_TIME_BYTES;
+    (transfer, seconds(report.link_wait) + sent * transfer)
+}
+
 fn blend(estimate: &mut f64, sample: f64) {
     *estimate += ESTIMATE_WEIGHT * (sample - *estimate);
 }
--- a/crates/apricotfold-policy/src/target_load.rs
+++ b/crates/apricotfold-policy/src/target_load.rs
@@ -90,6 +90,19 @@
         Some(wait * remaining_share(age, REPORT_WINDOW))
     }
 
+    /// What the target's node reported last.
+    pub(crate) fn latest_report(&self) -> Option<InstanceReport> {
+        self.report.map(|seen| seen.report)
+    }
+
+    /// Weight of what the target's node reported last, which falls as the report ages.
+    pub(crate) fn report_weight(&self, now: Instant) -> f64 {
+        self.report.map_or(0.0, |seen| {
+            let age = now.saturating_duration_since(seen.received);
+            remaining_share(age, REPORT_WINDOW)
+        })
+    }
+
     /// Own requests that were sent after the report was made and are not part of it.
     pub(crate) fn sent_since_report(&self) -> f64 {
         let known = self.report.map_or(0, |seen| seen.own);
--- a/crates/apricotfold-policy/tests/load_choice.rs
+++ b/crates/apricotfold-policy/tests/load_choice.rs
@@ -44,6 +44,8 @@
         pace,
         waits: [wait_ms; 3],
         nested_waits: [wait_ms; 3],
+        link_wait: 0,
+        link_time: 0,
     }
 }
 
--- a/crates/apricotfold-proxy/src/admission.rs
+++ b/crates/apricotfold-proxy/src/admission.rs
@@ -3,9 +3,9 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use apricotfold_model::{LimitRule, RefusalReason};
+use apricotfold_model::{LimitRule, RefusalReason, WorkClass};
 use apricotfold_policy::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue,
     AdmissionRule, ExpectedWaits, LoadReport, WorkOffer,
@@ -97,7 +97,7 @@
     ) -> Result<SlotGuard, RefusalReason> {
         loop {
             let expiry = self.lock().queue.next_expiry();
-            let due = expiry.unwrap_or_else(|| Instant::now() + std::time::Duration::from_secs(1));
+            let due = expiry.unwrap_or_else(|| Instant::now() + Duration::from_secs(1));
             tokio::select! {
                 decided = &mut answer => {
                     return match decided {
@@ -143,6 +143,12 @@
         self.lock().queue.running()
     }
 
+    /// Time that work of a class takes here.
+    #[must_use]
+    pub fn usual_service(&self, class: WorkClass) -> Duration {
+        self.lock().queue.usual_service(class)
+    }
+
     /// Expected waits of requests that arrive now.
     #[must_use]
     pub fn waits(&self) -> ExpectedWaits {
--- a/crates/apricotfold-proxy/src/call_body.rs
+++ b/crates/apricotfold-proxy/src/call_body.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use apricotfold_policy::BULK_BYTES;
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
@@ -10,6 +11,7 @@
 
 use crate::admission::SlotGuard;
 use crate::lifecycle::InFlightGuard;
+use crate::link_meter::{LinkMeter, PacedBytes};
 use crate::link_pool::{LinkPool, OpenLink};
 
 /// Why a body ended early.
@@ -91,6 +93,8 @@
 pub enum AnswerBody {
     /// In memory.
     Whole(Option<Bytes>),
+    /// In memory, sent at the pace of the link.
+    Paced(PacedBytes),
     /// Passed on as it arrives.
     Passing {
         /// Bytes that were held back before.
@@ -150,12 +154,23 @@
                 bytes.extend_from_slice(&data);
             }
         }
-        match &mut self {
-            Self::Whole(whole) => *whole = Some(bytes.freeze()),
-            Self::Passing { held, .. } => *held = Some(bytes.freeze()),
+        if let Self::Passing { held, .. } = &mut self {
+            *held = Some(bytes.freeze());
+        } else {
+            self = Self::whole(bytes.freeze());
         }
         Ok(self)
     }
+
+    /// Lets a whole bulk answer be sent at the pace of the link.
+    pub fn pace(self, meter: &LinkMeter) -> Self {
+        match self {
+            Self::Whole(Some(bytes)) if bytes.len() >= BULK_BYTES => {
+                Self::Paced(PacedBytes::new(bytes, meter))
+            }
+            other => other,
+        }
+    }
 }
 
 impl Body for AnswerBody {
@@ -168,6 +183,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Paced(paced) => {
+                let chunk = std::task::ready!(paced.poll_chunk(context));
+                Poll::Ready(chunk.map(|bytes| Ok(Frame::data(bytes))))
+            }
             Self::Passing {
                 held,
                 incoming,
@@ -188,6 +207,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Paced(paced) => paced.len() == 0,
             Self::Passing { held, incoming, .. } => held.is_none() && incoming.is_end_stream(),
         }
     }
@@ -195,6 +215,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Paced(paced) => SizeHint::with_exact(paced.len() as u64),
             Self::Passing { held, incoming, .. } => add_held(incoming.size_hint(), held.as_ref()),
         }
     }
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -22,6 +22,7 @@
 use crate::borders::CallDialect;
 use crate::crash_watch::CrashWatch;
 use crate::lifecycle::{Lifecycle, ProcessPhase};
+use crate::link_meter::LinkMeter;
 use crate::link_pool::{LinkPool, LinkRules};
 use crate::store_link::StoreLink;
 use crate::table_keeper::TableKeeper;
@@ -88,6 +89,8 @@
     pub target_links: LinkPool,
     /// Connections to other proxies.
     pub peer_links: LinkPool,
+    /// Use of this instance's own link by answers.
+    pub link: LinkMeter,
     /// Whether the store answers.
     pub store_link: StoreLink,
     /// Phase and work in progress.
@@ -120,6 +123,7 @@
             config.seed
         };
         let limits = AdmissionLimits::new(&TARGET_LIMITS, 0);
+        let link = LinkMeter::new(config.link_rate);
         Self {
             crashes: CrashWatch::new(config.node.clone()),
             config: ArcSwap::from_pointee(config),
@@ -128,6 +132,7 @@
             admission: AdmissionDesk::with_rule(Box::new(CrestQueue::new(limits))),
             target_links: LinkPool::new(TARGET_LINKS),
             peer_links: LinkPool::new(PEER_LINKS),
+            link,
             store_link: StoreLink::new(),
             lifecycle: Lifecycle::new(),
             registration: watch::Sender::new(0),
@@ -309,6 +314,7 @@
         let load = self.admission.load();
         let running = self.admission.running();
         let waits = self.admission.waits();
+        let gauge = self.link.gauge();
         InstanceReport {
             running,
             waiting: load.in_flight.saturating_sub(running),
@@ -316,6 +322,8 @@
             pace: self.pace.load(Ordering::Relaxed),
             waits: waits.new.map(to_millis),
             nested_waits: waits.nested.map(to_millis),
+            link_wait: to_millis(gauge.expected_wait(Instant::now())),
+            link_time: to_millis(gauge.transfer_time(100 * 1024)),
         }
     }
 
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -323,6 +323,8 @@
             priority: self.rank().0,
             repeat: route.repeat,
             standing: self.standing,
+            answer_bytes: self.engine.chooser().usual_bytes(&route.name),
+            remote: chosen.record.node != self.engine.node(),
             again: self.guide.arrivals() > 0 || hedge,
         }
     }
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -24,6 +24,7 @@
 mod hedge;
 mod housekeeping;
 mod lifecycle;
+mod link_meter;
 mod link_pool;
 pub mod log_output;
 mod measure;
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -41,6 +41,7 @@
     RepeatRule,
     CallStanding,
     bool,
+    u32,
 );
 
 impl WireOrder {
@@ -57,6 +58,7 @@
             order.repeat,
             order.standing,
             order.again,
+            order.answer_bytes,
         )
     }
 
@@ -72,6 +74,8 @@
             repeat: self.6,
             standing: self.7,
             again: self.8,
+            answer_bytes: self.9,
+            remote: true,
         }
     }
 }
@@ -79,7 +83,18 @@
 /// Load of the target, the time in milliseconds that it took for this call, its expected waits, and
 /// what the calls met that the request made.
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct WireReport(u32, u32, u32, u32, u64, [u32; 3], [u32; 3], CallsMet);
+pub struct WireReport(
+    u32,
+    u32,
+    u32,
+    u32,
+    u64,
+    [u32; 3],
+    [u32; 3],
+    CallsMet,
+    u32,
+    u32,
+);
 
 impl WireReport {
     /// Writes a report.
@@ -93,6 +108,8 @@
             report.waits,
             report.nested_waits,
             calls,
+            report.link_wait,
+            report.link_time,
         )
     }
 
@@ -104,6 +121,8 @@
             pace: self.3,
             waits: self.5,
             nested_waits: self.6,
+            link_wait: self.8,
+            link_time: self.9,
         }
     }
 }
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -8,11 +8,12 @@
     WorkClass, log_event,
 };
 use apricotfold_policy::{
-    CallStanding, CallsMet, InstanceReport, RequestFingerprint, RunSummary, WorkOffer,
+    BULK_BYTES, CallStanding, CallsMet, InstanceReport, RequestFingerprint, RunSummary, WorkOffer,
 };
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -90,6 +91,10 @@
     pub standing: CallStanding,
     /// The request may have reached another target before.
     pub again: bool,
+    /// Expected size of the answer.
+    pub answer_bytes: u32,
+    /// The caller is at another instance, so that the answer takes this instance's link.
+    pub remote: bool,
 }
 
 /// A target's answer.
@@ -150,6 +155,9 @@
             log_event!(warn, RequestBlocked, "id={id} request {fingerprint}");
             return Err(self.refuse(RefusalReason::PoisonRequest));
         }
+        self.check_link()?;
+        let bulk = self.expected_bulk();
+        let reserved = self.engine.link.reserve(bulk);
         let slot = self.admit().await?;
         self.check_target()?;
         let started = Instant::now();
@@ -160,7 +168,18 @@
             Ok((answer, link)) => {
                 let service = started.elapsed();
                 let answer = self.read_answer(answer, link, slot, service, &fingerprint)?;
-                Ok(TargetAnswer { calls, ..answer })
+                let answer = self.hold_bulk(answer).await?;
+                drop(reserved);
+                let body = if self.order.remote {
+                    answer.body.pace(&self.engine.link)
+                } else {
+                    answer.body
+                };
+                Ok(TargetAnswer {
+                    calls,
+                    body,
+                    ..answer
+                })
             }
             Err(SendFailure::NotSent(cause)) => {
                 log::debug!("local target not reached: {cause}");
@@ -197,6 +216,47 @@
         }
     }
 
+    /// Size of the answer if it takes this instance's link.
+    fn expected_bulk(&self) -> usize {
+        if self.order.remote {
+            self.order.answer_bytes as usize
+        } else {
+            0
+        }
+    }
+
+    /// Refuses a request whose answer would wait too long for this instance's link.
+    fn check_link(&self) -> Result<(), TargetRefusal> {
+        let order = self.order;
+        let now = Instant::now();
+        let useful = order.useful_until.min(order.deadline);
+        let left = useful.saturating_duration_since(now);
+        let service = self.engine.admission.usual_service(order.class);
+        let gauge = self.engine.link.gauge();
+        let bulk = self.expected_bulk();
+        if gauge.admits(bulk, order.standing, left, service, now) {
+            Ok(())
+        } else {
+            Err(self.refuse(RefusalReason::Overloaded))
+        }
+    }
+
+    /// Takes over a bulk answer as a whole, so that the target's slot does not wait for the link.
+    async fn hold_bulk(&self, answer: TargetAnswer) -> Result<TargetAnswer, TargetRefusal> {
+        let size = answer.body.size_hint().lower();
+        let size = usize::try_from(size).unwrap_or(usize::MAX);
+        if !self.order.remote || size < BULK_BYTES || !self.engine.link.may_hold(size) {
+            return Ok(answer);
+        }
+        let held = answer.body.hold(size).await;
+        let body = held.map_err(|error| {
+            let id = self.request.log_id();
+            log_event!(warn, AnswerCut, "id={id} {error}");
+            self.lose(RefusalReason::ConnectionLost)
+        })?;
+        Ok(TargetAnswer { body, ..answer })
+    }
+
     async fn admit(&self) -> Result<SlotGuard, TargetRefusal> {
         let order = self.order;
         let admission = &self.engine.admission;
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -193,6 +193,7 @@
         service: SERVICE.into(),
         store_address: ([127, 0, 0, 1], 1).into(),
         lease_min: Duration::from_secs(1),
+        link_rate: None,
         announce_interval: Duration::from_mins(1),
         grace: Duration::from_secs(2),
         retry_limit: SharedRetryLimit {
