Count answers to callers on the instance's own link

The pace of 85 % counted only bulk that goes to other nodes, but answers to the node's own callers take the same link. Change: all answers that a node sends count on its link's gauge; whole bulk to callers is paced like bulk to other nodes.

--- a/crates/apricotfold-proxy/src/call_body.rs
+++ b/crates/apricotfold-proxy/src/call_body.rs
@@ -14,6 +14,9 @@
 use crate::link_meter::{LinkMeter, PacedBytes};
 use crate::link_pool::{LinkPool, OpenLink};
 
+/// Bytes that the head of an answer has about.
+const HEAD_BYTES: usize = 400;
+
 /// Why a body ended early.
 #[derive(Debug)]
 pub struct BodyError(pub String);
@@ -103,6 +106,8 @@
         incoming: Incoming,
         /// What is held meanwhile.
         lease: Box<LinkLease>,
+        /// The link that the body takes, if it is this instance's own.
+        meter: Option<LinkMeter>,
     },
 }
 
@@ -135,6 +140,7 @@
             held: None,
             incoming,
             lease: Box::new(lease),
+            meter: None,
         }
     }
 
@@ -162,13 +168,29 @@
         Ok(self)
     }
 
-    /// Lets a whole bulk answer be sent at the pace of the link.
-    pub fn pace(self, meter: &LinkMeter) -> Self {
+    /// Counts the body's use of this instance's link. A whole bulk answer is sent at the pace of
+    /// the link.
+    pub fn sent_over(self, meter: &LinkMeter) -> Self {
         match self {
             Self::Whole(Some(bytes)) if bytes.len() >= BULK_BYTES => {
                 Self::Paced(PacedBytes::new(bytes, meter))
             }
-            other => other,
+            Self::Passing {
+                held,
+                incoming,
+                lease,
+                ..
+            } => Self::Passing {
+                held,
+                incoming,
+                lease,
+                meter: Some(meter.clone()),
+            },
+            other => {
+                let size = other.size_hint().lower();
+                meter.occupy(usize::try_from(size).unwrap_or(usize::MAX) + HEAD_BYTES);
+                other
+            }
         }
     }
 }
@@ -191,14 +213,21 @@
                 held,
                 incoming,
                 lease,
+                meter,
             } => {
                 if let Some(bytes) = held.take() {
+                    if let Some(meter) = meter {
+                        meter.occupy(bytes.len());
+                    }
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
                 let frame = std::task::ready!(Pin::new(&mut *incoming).poll_frame(context));
                 if frame.is_none() || (matches!(frame, Some(Ok(_))) && incoming.is_end_stream()) {
                     lease.finish();
                 }
+                if let (Some(meter), Some(Ok(data))) = (meter, &frame) {
+                    meter.occupy(data.data_ref().map_or(0, Bytes::len));
+                }
                 Poll::Ready(frame.map(|frame| frame.map_err(|error| BodyError(error.to_string()))))
             }
         }
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -431,7 +431,7 @@
             answer.report.pace
         );
         measure::record_call(CallOutcome::Ran, None, route.class, elapsed);
-        let mut response = Response::new(answer.body);
+        let mut response = Response::new(answer.body.sent_over(&self.engine.link));
         *response.status_mut() = answer.status;
         *response.headers_mut() = answer.headers;
         response
--- a/crates/apricotfold-proxy/src/link_meter.rs
+++ b/crates/apricotfold-proxy/src/link_meter.rs
@@ -59,6 +59,11 @@
         self.lock().held + bytes <= MAX_HELD_BYTES
     }
 
+    /// Notes an answer, or a part of one, that is sent without waiting for the link.
+    pub fn occupy(&self, bytes: usize) {
+        self.lock().gauge.occupy(bytes, Instant::now());
+    }
+
     fn lock(&self) -> MutexGuard<'_, MeterState> {
         self.0.lock().expect("no panic while locked")
     }
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -171,7 +171,7 @@
                 let answer = self.hold_bulk(answer).await?;
                 drop(reserved);
                 let body = if self.order.remote {
-                    answer.body.pace(&self.engine.link)
+                    answer.body.sent_over(&self.engine.link)
                 } else {
                     answer.body
                 };
