Keep to relays while the store answers nobody, and read it for less

Ruled out: the relays' own return (they are asked every 0.45 s). Change: FollowGuide leaves relays only while the store answers the node itself, which its renewals show. After a second failure followers wait for a renewal to succeed instead of probing with reads. First reads may be some seconds old (a watch from their revision on brings the rest). A node that has just started keeps to the store for 2 s instead of 8 s. A failed write is followed by a renewal, not by a new lease.

--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -69,7 +69,7 @@
 pub use parent_throttle::ParentThrottle;
 pub use picker::{ChoiceReason, PickCandidate, TargetPicker};
 pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
-pub use relay_choice::{FollowRole, RelayNodes, choose_role};
+pub use relay_choice::{FollowGuide, FollowRole, RelayNodes, choose_role};
 pub use repeat_guide::{NextStep, RepeatGuide, SendEnd};
 pub use return_time::{ReturnDetector, advise_return};
 pub use traffic_split::TrafficSplit;
--- a/crates/apricotfold-policy/tests/relay_choice.rs
+++ b/crates/apricotfold-policy/tests/relay_choice.rs
@@ -1,9 +1,10 @@
 //! Which nodes follow the store for their data centre.
 
 use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceRecord, InstanceState, NodeId};
-use apricotfold_policy::{FollowRole, choose_role};
+use apricotfold_policy::{FollowGuide, FollowRole, choose_role};
 
 fn record(index: usize, data_centre: &str, state: InstanceState) -> InstanceRecord {
     InstanceRecord {
@@ -80,3 +81,32 @@
         .collect();
     assert_eq!(role(&rest, "elsewhere"), FollowRole::Through(relays));
 }
+
+/// Guards against a herd of nodes that all read the store at its return, because each of them began
+/// to follow it while it answered nobody.
+#[test]
+fn store_away_for_all() {
+    let now = Instant::now();
+    let mut guide = FollowGuide::new(now);
+    assert!(guide.stays_direct(now));
+    let now = now + Duration::from_secs(3);
+    assert!(!guide.stays_direct(now));
+    assert_eq!(guide.after_answer(true, true, now), Some(false));
+    for _ in 0..100 {
+        assert_eq!(guide.after_answer(false, false, now), None);
+    }
+}
+
+/// Guards against followers that stay with relays which the store turns away, and against relays
+/// that are given up for one lost answer.
+#[test]
+fn relays_cut_off() {
+    let now = Instant::now();
+    let mut guide = FollowGuide::new(now);
+    assert_eq!(guide.after_answer(false, true, now), None);
+    assert_eq!(guide.after_answer(true, true, now), Some(false));
+    assert_eq!(guide.after_answer(false, true, now), None);
+    assert_eq!(guide.after_answer(false, true, now), Some(true));
+    assert!(guide.stays_direct(now + Duration::from_secs(7)));
+    assert!(!guide.stays_direct(now + Duration::from_secs(9)));
+}
--- a/crates/apricotfold-proxy/src/entry_follower.rs
+++ b/crates/apricotfold-proxy/src/entry_follower.rs
@@ -21,6 +21,9 @@
     longest: Duration::from_millis(2_500),
 };
 
+/// Pause between the first listing and the first watch.
+const START_PAUSE: Duration = Duration::from_millis(600);
+
 /// Follows the entries until the process ends.
 pub struct EntryFollower {
     engine: Arc<Engine>,
@@ -43,7 +46,12 @@
     }
 
     async fn follow_changes(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
-        let listing = self.store.list(NODE_PREFIX).await;
+        // See the table's follower: the watch brings what an old listing lacks.
+        let listing = if *failures == 0 {
+            self.store.list_stale(NODE_PREFIX).await
+        } else {
+            self.store.list(NODE_PREFIX).await
+        };
         measure::count_store_call("list", listing.is_ok());
         let listing = listing?;
         self.engine.store_link.record_answer("list");
@@ -51,6 +59,8 @@
         self.apply_listing(&listing);
         let mut revision = listing.revision;
         let mut pace = BatchPace::new(ENTRY_PACE);
+        // When many nodes start together, their entries arrive together after this pause.
+        tokio::time::sleep(START_PAUSE).await;
         loop {
             let mut watch = self.store.watch(NODE_PREFIX, revision + 1).await?;
             while let Some(batch) = watch.next().await {
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -106,8 +106,13 @@
             return Ok(());
         }
         let wanted = self.with_departure(wanted);
-        if self.is_written(&wanted) && self.renew().await? {
-            return Ok(());
+        if self.is_written(&wanted) {
+            if self.renew().await? {
+                return Ok(());
+            }
+        } else if self.failures > 0 {
+            // A renewal costs less than a write that fails, and tells whether the lease is left.
+            self.renew().await?;
         }
         self.write(wanted).await
     }
@@ -184,9 +189,8 @@
         let answer = match answer {
             Ok(answer) => answer,
             Err(error) => {
-                // The lease may have ended, or the write may still take effect: the next try
-                // starts with a new lease and finds the present revision.
-                self.lease = None;
+                // The lease may have ended, or the write may still take effect: the next try renews
+                // the lease first and finds the present revision.
                 self.written = None;
                 return Err(error);
             }
--- a/crates/apricotfold-proxy/src/relay_follower.rs
+++ b/crates/apricotfold-proxy/src/relay_follower.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::log_event;
-use apricotfold_policy::{FollowRole, RelayNodes, choose_role};
+use apricotfold_policy::{FollowGuide, FollowRole, RelayNodes, choose_role};
 
 use crate::engine::Engine;
 use crate::peer_exchange::{ExchangeAnswer, ask};
@@ -14,21 +14,15 @@
 /// one of them has missed arrives after two intervals.
 const ASK_INTERVAL: Duration = Duration::from_millis(450);
 
-/// Age of the relay's last word from the store above which it does not count as a relay.
+/// Age of a node's last word from the store above which the store does not count as within its
+/// reach. Leases are renewed every 1.8 s.
 const MAX_RELAY_AGE: Duration = Duration::from_millis(2_600);
 
-/// Useless answers in a row after which a node follows the store itself.
-const MAX_FAILURES: u32 = 2;
-
-/// Time for which it then does so at least.
-const DIRECT_TIME: Duration = Duration::from_secs(8);
-
 /// Follows relays while they are of use.
 pub struct RelayFollower {
     engine: Arc<Engine>,
-    failures: u32,
+    guide: FollowGuide,
     turn: usize,
-    direct_until: Instant,
 }
 
 impl RelayFollower {
@@ -36,9 +30,8 @@
     pub fn new(engine: Arc<Engine>) -> Self {
         Self {
             engine,
-            failures: 0,
+            guide: FollowGuide::new(Instant::now()),
             turn: 0,
-            direct_until: Instant::now() + DIRECT_TIME,
         }
     }
 
@@ -61,7 +54,7 @@
 
     async fn ask_relay(&mut self, relays: &RelayNodes) {
         let following = self.engine.follows_store();
-        if following && Instant::now() < self.direct_until {
+        if following && self.guide.stays_direct(Instant::now()) {
             return;
         }
         self.turn += 1;
@@ -81,31 +74,29 @@
                 false
             }
         };
-        if usable {
-            self.failures = 0;
-            if following {
-                log_event!(info, RelayChanged, "follows {relays:?}");
-                self.engine.follow_store(false);
-            }
+        let reached = is_fresh(self.engine.store_link.age());
+        let decided = self.guide.after_answer(usable, reached, Instant::now());
+        let Some(direct) = decided.filter(|direct| *direct != following) else {
             return;
+        };
+        if direct {
+            log_event!(
+                info,
+                RelayChanged,
+                "follows the store, no word of {relays:?}"
+            );
+        } else {
+            log_event!(info, RelayChanged, "follows {relays:?}");
         }
-        self.failures += 1;
-        if self.failures >= MAX_FAILURES {
-            self.failures = 0;
-            self.direct_until = Instant::now() + DIRECT_TIME;
-            if !following {
-                log_event!(
-                    info,
-                    RelayChanged,
-                    "follows the store, no word of {relays:?}"
-                );
-                self.engine.follow_store(true);
-            }
-        }
+        self.engine.follow_store(direct);
     }
 }
 
 fn is_usable(answer: &ExchangeAnswer) -> bool {
     let age = answer.store_age_ms.map(Duration::from_millis);
-    answer.follows_store && age.is_some_and(|age| age <= MAX_RELAY_AGE)
+    answer.follows_store && is_fresh(age)
+}
+
+fn is_fresh(age: Option<Duration>) -> bool {
+    age.is_some_and(|age| age <= MAX_RELAY_AGE)
 }
--- a/crates/apricotfold-proxy/src/store_link.rs
+++ b/crates/apricotfold-proxy/src/store_link.rs
@@ -22,7 +22,6 @@
 
 #[derive(Debug, Default)]
 struct LinkState {
-    available: bool,
     answered: Option<Instant>,
 }
 
@@ -32,6 +31,7 @@
     state: Mutex<LinkState>,
     /// Counts the times at which the store was lost.
     losses: watch::Sender<u64>,
+    available: watch::Sender<bool>,
 }
 
 impl StoreLink {
@@ -40,6 +40,7 @@
         Self {
             state: Mutex::default(),
             losses: watch::Sender::new(0),
+            available: watch::Sender::new(false),
         }
     }
 
@@ -49,20 +50,16 @@
 
     /// Notes an answer of the store, also one that refuses a condition.
     pub fn record_answer(&self, step: &str) {
-        let mut state = self.lock();
-        state.answered = Some(Instant::now());
-        if !state.available {
-            state.available = true;
+        self.lock().answered = Some(Instant::now());
+        if !self.available.send_replace(true) {
             log_event!(info, StoreAvailable, "by {step}");
         }
     }
 
     /// Notes a call without a usable answer.
     pub fn record_failure(&self, error: &StoreError) {
-        let mut state = self.lock();
-        if state.available {
-            state.available = false;
-            let age = state.answered.map(|at| at.elapsed());
+        if self.available.send_replace(false) {
+            let age = self.age();
             log_event!(warn, StoreUnavailable, "{error}, last answer {age:?} ago");
             self.losses.send_modify(|losses| *losses += 1);
         }
@@ -74,12 +71,24 @@
         self.losses.subscribe()
     }
 
+    /// Waits until any task has reached the store, at most for `limit`. Renewals of the node's lease
+    /// cost the store little and show when it is back; a node without a lease makes none.
+    async fn wait_available(&self, limit: Duration) {
+        let mut available = self.available.subscribe();
+        let back = available.wait_for(|available| *available);
+        // The sender lives as long as the link, so only the limit can end the wait early.
+        let _ = tokio::time::timeout(limit, back).await;
+    }
+
     /// Time since the store answered last; `None` if it never has.
     pub fn age(&self) -> Option<Duration> {
         self.lock().answered.map(|at| at.elapsed())
     }
 }
 
+/// Longest wait for another task to reach a store that was lost.
+const UNAVAILABLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Follows a part of the store's keys.
 pub trait KeyFollower: Send + Sync {
     /// Reads and watches until a call fails. Resets `failures` when the store has answered.
@@ -106,6 +115,9 @@
         }
         failures += 1;
         tokio::time::sleep(retry_pause(failures)).await;
+        if failures > 1 {
+            engine.store_link.wait_available(UNAVAILABLE_PAUSE).await;
+        }
     }
 }
 
--- a/crates/apricotfold-proxy/src/table_follower.rs
+++ b/crates/apricotfold-proxy/src/table_follower.rs
@@ -43,7 +43,9 @@
     }
 
     async fn follow_changes(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
-        let mut revision = self.read_newest().await?;
+        // A first read may be old: the watch from its revision on brings what is missing. After a
+        // failure the store may have dropped the history that such a watch needs.
+        let mut revision = self.read_table(*failures == 0).await?;
         *failures = 0;
         let mut pace = BatchPace::new(TABLE_PACE);
         loop {
@@ -67,7 +69,7 @@
             // newest one is read instead until it stays the same.
             while pace.is_busy() {
                 let known = self.engine.tables.version();
-                revision = self.read_newest().await?;
+                revision = self.read_table(false).await?;
                 if self.engine.tables.version() == known {
                     break;
                 }
@@ -76,10 +78,14 @@
         }
     }
 
-    /// Reads the newest table. Returns the store's revision.
-    async fn read_newest(&self) -> Result<Revision, StoreError> {
+    /// Reads the table, or one that may be some seconds old. Returns the store's revision.
+    async fn read_table(&self, stale: bool) -> Result<Revision, StoreError> {
         let key = self.engine.tables.key();
-        let answer = self.store.get(key).await;
+        let answer = if stale {
+            self.store.get_stale(key).await
+        } else {
+            self.store.get(key).await
+        };
         measure::count_store_call("get", answer.is_ok());
         let answer = answer?;
         self.engine.store_link.record_answer("get");
--- a/crates/apricotfold-proxy/tests/relayed_changes.rs
+++ b/crates/apricotfold-proxy/tests/relayed_changes.rs
@@ -48,7 +48,6 @@
     }
     wait_in_force(&nodes, 1, Duration::from_secs(10)).await;
     let watching = || clients.iter().filter(|client| client.watches() > 0).count();
-    // A node that has just started follows the store for 8 s.
     let patience = Duration::from_secs(20);
     support::wait_within(patience, "two relays", || async { watching() == 2 }).await;
     store.publish(&named(5));
@@ -64,3 +63,31 @@
     // The relays' last word must first be older than their renewals are apart.
     wait_in_force(&nodes, 9, IN_FORCE + Duration::from_secs(5)).await;
 }
+
+/// Guards against nodes that all turn to the store when it has been away from everybody: at its
+/// return they would read whole tables at the same moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_away_for_all() {
+    let store = MemoryStore::default().other_client();
+    store.publish(&named(1));
+    let mut nodes = Vec::new();
+    let mut clients = Vec::new();
+    for index in 0..NODES {
+        let client = store.other_client();
+        nodes.push(TestNode::start(&format!("n{index}"), &client).await);
+        clients.push(client);
+    }
+    let watching = || clients.iter().filter(|client| client.watches() > 0).count();
+    let patience = Duration::from_secs(20);
+    support::wait_within(patience, "two relays", || async { watching() == 2 }).await;
+    for client in &clients {
+        client.set_away(true);
+    }
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    for client in &clients {
+        client.set_away(false);
+    }
+    store.publish(&named(5));
+    wait_in_force(&nodes, 5, IN_FORCE).await;
+    assert!(watching() <= 2, "{} nodes follow the store", watching());
+}
--- a/crates/apricotfold-store/src/lib.rs
+++ b/crates/apricotfold-store/src/lib.rs
@@ -106,6 +106,17 @@
     /// Reads all keys that start with `prefix`.
     fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, RangeAnswer>;
 
+    /// Like [`get`](Self::get), but the answer may be some seconds old, which costs the store less.
+    /// Its revision says how old; a watch from there on brings what is missing.
+    fn get_stale<'a>(&'a self, key: &'a str) -> StoreFuture<'a, RangeAnswer> {
+        self.get(key)
+    }
+
+    /// Like [`list`](Self::list), but the answer may be some seconds old.
+    fn list_stale<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, RangeAnswer> {
+        self.list(prefix)
+    }
+
     /// Writes all or nothing, if every comparison holds.
     ///
     /// When a comparison does not hold, the answer carries the present entries of all compared
