Hold to the retry limit over any window, and use three quarters of it

A node that started before it knew others also kept the slack of all for itself. Change: RetryBudget counts exactly over its window, nodes use 75 % of the limit, and the part of the slack follows the number of known nodes. A call whose run has lost another call is not repeated. Rejections by a target itself no longer throttle the requests that made the calls.

--- a/crates/apricotfold-policy/src/budget.rs
+++ b/crates/apricotfold-policy/src/budget.rs
@@ -4,7 +4,7 @@
 
 use apricotfold_model::RetryRule;
 
-use crate::decay::DecayingSum;
+use crate::window_count::WindowCount;
 
 /// Time over which first attempts and retries are counted. It is long against one burst of
 /// failures and short against an incident.
@@ -19,8 +19,8 @@
 pub struct RetryBudget {
     share: f64,
     minimum: f64,
-    first_attempts: DecayingSum,
-    retries: DecayingSum,
+    first_attempts: WindowCount,
+    retries: WindowCount,
 }
 
 impl RetryBudget {
@@ -30,8 +30,8 @@
         Self {
             share: f64::from(percent) / 100.0,
             minimum: MIN_RETRIES_PER_SECOND,
-            first_attempts: DecayingSum::new(BUDGET_WINDOW),
-            retries: DecayingSum::new(BUDGET_WINDOW),
+            first_attempts: WindowCount::new(BUDGET_WINDOW),
+            retries: WindowCount::new(BUDGET_WINDOW),
         }
     }
 
@@ -43,6 +43,11 @@
         self
     }
 
+    /// Like [`with_minimum`](Self::with_minimum), and keeps the counts.
+    pub fn set_minimum(&mut self, per_second: f64) {
+        self.minimum = per_second;
+    }
+
     /// Changes the share and keeps the counts.
     pub fn set_percent(&mut self, percent: u32) {
         self.share = f64::from(percent) / 100.0;
@@ -50,12 +55,12 @@
 
     /// Counts a first attempt.
     pub fn record_first(&mut self, now: Instant) {
-        self.first_attempts.add(1.0, now);
+        self.first_attempts.add(now);
     }
 
     /// Counts a repeat that was not asked for here: a call that a repeated request makes again.
     pub fn record_repeat(&mut self, now: Instant) {
-        self.retries.add(1.0, now);
+        self.retries.add(now);
     }
 
     /// Takes one retry out of the budget. Returns false when none is left.
@@ -76,7 +81,7 @@
         if self.retries.value_at(now) + 1.0 > allowed * part {
             return false;
         }
-        self.retries.add(1.0, now);
+        self.retries.add(now);
         true
     }
 }
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -43,6 +43,7 @@
 mod target_load;
 mod traffic_split;
 mod waiting;
+mod window_count;
 
 pub use admission::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue,
--- a/crates/apricotfold-policy/src/local_runs.rs
+++ b/crates/apricotfold-policy/src/local_runs.rs
@@ -17,6 +17,8 @@
     /// Processes of the same request that run at once: repeats may overlap.
     count: u32,
     calls: CallsMet,
+    /// A call that it made has ended without an answer.
+    lost_call: bool,
 }
 
 /// What the calls of a run met, the worst last.
@@ -66,6 +68,7 @@
             repeat: false,
             count: 0,
             calls: CallsMet::Room,
+            lost_call: false,
         });
         run.count += 1;
         run.repeat |= summary.repeat;
@@ -93,6 +96,20 @@
         })
     }
 
+    /// Notes that a call of a run has ended without an answer.
+    pub fn note_lost_call(&mut self, parent: &str) {
+        if let Some(run) = self.runs.get_mut(parent) {
+            run.lost_call = true;
+        }
+    }
+
+    /// Tells whether a run has lost a call. It will most likely fail, so that repeats of its other
+    /// calls are of no use to it.
+    #[must_use]
+    pub fn has_lost_call(&self, parent: &str) -> bool {
+        self.runs.get(parent).is_some_and(|run| run.lost_call)
+    }
+
     /// Notes what a call of a run met.
     pub fn note_call(&mut self, parent: &str, met: CallsMet) {
         if let Some(run) = self.runs.get_mut(parent) {
--- a/crates/apricotfold-policy/tests/local_runs.rs
+++ b/crates/apricotfold-policy/tests/local_runs.rs
@@ -48,3 +48,15 @@
     runs.end(&PAGE);
     assert_eq!(runs.find(&PAGE), None);
 }
+
+/// Guards against repeats of a call whose run has lost another call and fails anyway.
+#[test]
+fn lost_call() {
+    let mut runs = LocalRuns::default();
+    runs.begin(&PAGE, summary(false));
+    assert!(!runs.has_lost_call(&PAGE));
+    runs.note_lost_call(&PAGE);
+    assert!(runs.has_lost_call(&PAGE));
+    runs.end(&PAGE);
+    assert!(!runs.has_lost_call(&PAGE));
+}
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -66,9 +66,9 @@
 /// Time for which a new instance counts as cold when its announcement says that it is.
 const COLD_TIME: Duration = Duration::from_secs(3);
 
-/// Part of the shared retry limit that the proxies use. They cannot see each other's repeats, so
-/// the rest covers uneven load and calls that repeated requests make.
-const RETRY_LIMIT_USE: f64 = 0.3;
+/// Part of the shared retry limit that the proxies use. Each holds to it over any window, so that
+/// their sum does; the rest covers nodes that restart and forget what they have sent.
+const RETRY_LIMIT_USE: f64 = 0.75;
 
 /// Reported pace of a target that reports none.
 const USUAL_PACE: u32 = 100;
@@ -217,21 +217,30 @@
         service: &ServiceName,
         run: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
+        let minimum = self.retry_minimum();
         let mut budgets = lock(&self.budgets);
         if let Some(budget) = budgets.get_mut(service) {
+            budget.set_minimum(minimum);
             return run(budget);
         }
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| self.new_budget());
+            .or_insert_with(|| self.new_budget().with_minimum(minimum));
         run(budget)
     }
 
-    /// This node's part of the limit that all proxies share.
-    fn new_budget(&self) -> RetryBudget {
+    /// This node's part of the repeats per second that all proxies share at any rate of requests.
+    /// It changes with the number of proxies that are known.
+    fn retry_minimum(&self) -> f64 {
         let limit = self.config.load().retry_limit;
         let proxies = u32::try_from(self.registry().len().max(1)).unwrap_or(u32::MAX);
         let slack_per_second = f64::from(limit.slack) / limit.window.as_secs_f64();
+        RETRY_LIMIT_USE * slack_per_second / f64::from(proxies)
+    }
+
+    /// This node's part of the limit that all proxies share.
+    fn new_budget(&self) -> RetryBudget {
+        let limit = self.config.load().retry_limit;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -239,7 +248,6 @@
         )]
         let percent = (limit.share * RETRY_LIMIT_USE * 100.0) as u32;
         RetryBudget::new(percent)
-            .with_minimum(RETRY_LIMIT_USE * slack_per_second / f64::from(proxies))
     }
 
     /// Takes over an announcement of the local target.
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -169,6 +169,12 @@
         }
     }
 
+    /// Tells whether the request that made this call has lost another call.
+    fn is_needless(&self) -> bool {
+        let parent = self.parent.as_ref();
+        parent.is_some_and(|run| self.engine.runs().has_lost_call(&run.id))
+    }
+
     fn choose_service(&self) -> Option<ServiceName> {
         let route = &self.routed.route;
         let mut chooser = self.engine.chooser();
@@ -374,7 +380,10 @@
         chosen: &ChosenTarget,
         service: &ServiceName,
     ) -> Option<Response<AnswerBody>> {
-        let step = self.guide.after(end, reason);
+        let step = match self.guide.after(end, reason) {
+            NextStep::Repeat { .. } if self.is_needless() => NextStep::GiveUp(self.guide.outcome()),
+            step => step,
+        };
         let room = chosen.pick.queueing + chosen.pick.expected / 4;
         match step {
             NextStep::GiveUp(outcome) => Some(self.refuse(outcome, reason, Some(room))),
@@ -446,12 +455,18 @@
         let route = &self.routed.route;
         let elapsed = self.routed.arrived.elapsed();
         let left = self.routed.left();
-        let full = matches!(
-            reason,
-            RefusalReason::Overloaded | RefusalReason::QueueFull | RefusalReason::DeadlineTooClose
-        );
-        if let Some(run) = self.parent.as_ref().filter(|_| full) {
-            self.engine.runs().note_call(&run.id, CallsMet::Refusal);
+        // A target that rejects requests by itself may do so at any load.
+        let full = self.guide.arrivals() == 0
+            && matches!(
+                reason,
+                RefusalReason::Overloaded | RefusalReason::DeadlineTooClose
+            );
+        if let Some(run) = &self.parent {
+            let mut runs = self.engine.runs();
+            runs.note_lost_call(&run.id);
+            if full {
+                runs.note_call(&run.id, CallsMet::Refusal);
+            }
         }
         let return_in = (outcome == CallOutcome::NotRun)
             .then(|| {
