Add a randomized soak of real processes with overlapping faults

Cause: faults were tested one at a time; the promises must hold when a node is killed while another is frozen, the store loses answers and a link is silent. Change: apricotfold-soak starts the store, six nodes, their targets and links as processes, injects the faults of a seed from outside (signals, links, store) while callers keep their connections, and checks from what callers and targets saw: at most once, truthful not-run, whole answers, answers in time, versions that only grow, service and newest version after the repair. A run that breaks a promise keeps its files. It ends only its own processes. Tests: soak_checks (each kind of broken promise is noticed), soak_seeds in the testsuite (two seeds, 5 s each).

--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -176,8 +176,8 @@
                     answer.body
                 };
                 Ok(TargetAnswer {
-                    calls,
                     body,
+                    calls,
                     ..answer
                 })
             }
--- a/crates/apricotfold-testkit/src/lib.rs
+++ b/crates/apricotfold-testkit/src/lib.rs
@@ -9,9 +9,14 @@
 mod mesh;
 mod network;
 mod process;
+mod soak;
 
 pub use announcer::TargetAnnouncer;
 pub use builder::{MeshBuilder, MeshLink, NodePlan, TargetPlan};
 pub use mesh::{CallReply, CommandOutput, Mesh, MeshNode};
 pub use network::MeshNetwork;
 pub use process::{MeshProcess, ProcessUsage, find_binary};
+pub use soak::{
+    FaultKind, FaultPlan, FaultSpan, LoadKind, LoadRecord, RunCounts, SoakReport, SoakRun,
+    applied_versions, check_records,
+};
--- /dev/null
+++ b/crates/apricotfold-testkit/src/soak/checks.rs
@@ -0,0 +1,84 @@
+//! The promises that the soak checks, from what callers and targets saw.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::load::{DOWNLOAD_BYTES, DOWNLOAD_TIMEOUT};
+use super::{FaultPlan, LoadKind, LoadRecord};
+use crate::Mesh;
+
+/// Longest timeout of the short routes in any version of the soak's profile.
+const LONGEST_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Time beyond a route's timeout within which a caller must have its answer or a broken connection:
+/// the way through the processes of a busy machine.
+const LATE_MARGIN: Duration = Duration::from_secs(2);
+
+/// Versions that a node put in force, in the order of its log.
+#[must_use]
+pub fn applied_versions(log: &str) -> Vec<u64> {
+    let lines = log.lines().filter(|line| line.contains("AF2001"));
+    let version = |line: &str| {
+        let rest = line.split("version ").nth(1)?;
+        rest.split_whitespace().next()?.parse().ok()
+    };
+    lines.filter_map(version).collect()
+}
+
+/// Runs by request id, or by key where there is one.
+pub type RunCounts = HashMap<String, usize>;
+
+/// Checks what callers learned against the runs that targets recorded. Returns the broken promises.
+#[must_use]
+pub fn check_records(runs: &RunCounts, plan: &FaultPlan, records: &[LoadRecord]) -> Vec<String> {
+    let mut broken = Vec::new();
+    for record in records {
+        let count = runs.get(&record.id).copied().unwrap_or_default();
+        if matches!(record.kind, LoadKind::Work | LoadKind::Order) && count > 1 {
+            broken.push(format!("ran {count} times: {record:?}"));
+        }
+        match record.outcome.as_str() {
+            "ran" if count == 0 => broken.push(format!("never ran: {record:?}")),
+            // An order that was sent several times may have run for another of its requests.
+            "not-run" if count > 0 && record.kind != LoadKind::Order => {
+                broken.push(format!("ran {count} times after all: {record:?}"));
+            }
+            _ => {}
+        }
+        let whole = record.bytes > DOWNLOAD_BYTES;
+        if record.kind == LoadKind::Download && record.outcome == "ran" && !whole {
+            broken.push(format!("cut: {record:?}"));
+        }
+        if is_late(plan, record) {
+            broken.push(format!("late: {record:?}"));
+        }
+    }
+    broken
+}
+
+/// Runs of each request id or key at all targets, by their journals.
+#[must_use]
+pub fn count_runs(mesh: &Mesh) -> RunCounts {
+    let mut runs = RunCounts::new();
+    for node in 0..mesh.nodes.len() {
+        for line in mesh.journal_lines(node) {
+            let id = line["idempotency_key"].as_str();
+            let id = id.or(line["request_id"].as_str());
+            if let Some(id) = id.filter(|_| line["event"] == "started") {
+                *runs.entry(id.to_owned()).or_default() += 1;
+            }
+        }
+    }
+    runs
+}
+
+/// Tells whether a caller waited too long although its entry node had no fault of its own.
+fn is_late(plan: &FaultPlan, record: &LoadRecord) -> bool {
+    let timeout = match record.kind {
+        LoadKind::Download => DOWNLOAD_TIMEOUT,
+        LoadKind::Page | LoadKind::Work | LoadKind::Order => LONGEST_TIMEOUT,
+    };
+    let until = record.sent + record.elapsed;
+    record.elapsed > timeout + LATE_MARGIN
+        && !plan.touches(record.entry, record.sent, until, LATE_MARGIN)
+}
--- /dev/null
+++ b/crates/apricotfold-testkit/tests/soak_checks.rs
@@ -0,0 +1,83 @@
+//! The soak notices each kind of broken promise, and draws the same faults for the same seed.
+
+use std::time::Duration;
+
+use apricotfold_testkit::{
+    FaultKind, FaultPlan, FaultSpan, LoadKind, LoadRecord, RunCounts, check_records,
+};
+
+fn record(kind: LoadKind, outcome: &str) -> LoadRecord {
+    LoadRecord {
+        id: "a".to_owned(),
+        kind,
+        entry: 0,
+        sent: Duration::from_secs(10),
+        elapsed: Duration::from_millis(100),
+        outcome: outcome.to_owned(),
+        bytes: 100_000,
+    }
+}
+
+fn broken(record: LoadRecord, runs: usize, spans: &[FaultSpan]) -> usize {
+    let runs = RunCounts::from([("a".to_owned(), runs)]);
+    let plan = FaultPlan {
+        spans: spans.to_vec(),
+    };
+    check_records(&runs, &plan, &[record]).len()
+}
+
+/// Guards against a soak that sees nothing: a request that ran twice, one that ran although it was
+/// said not to have, one that never ran, and one that was cut.
+#[test]
+fn outcomes() {
+    assert_eq!(broken(record(LoadKind::Work, "ran"), 1, &[]), 0);
+    assert_eq!(broken(record(LoadKind::Work, "ran"), 2, &[]), 1);
+    assert_eq!(broken(record(LoadKind::Order, ""), 2, &[]), 1);
+    assert_eq!(broken(record(LoadKind::Page, "ran"), 2, &[]), 0);
+    assert_eq!(broken(record(LoadKind::Page, "not-run"), 1, &[]), 1);
+    assert_eq!(broken(record(LoadKind::Page, "ran"), 0, &[]), 1);
+    let cut = LoadRecord {
+        bytes: 1_000,
+        ..record(LoadKind::Download, "ran")
+    };
+    assert_eq!(broken(cut, 1, &[]), 1);
+}
+
+/// Guards against late answers that are excused by faults of other nodes.
+#[test]
+fn late_answers() {
+    let late = LoadRecord {
+        elapsed: Duration::from_secs(6),
+        ..record(LoadKind::Page, "ran")
+    };
+    let pause = |node| FaultSpan {
+        start: Duration::from_secs(9),
+        end: Duration::from_secs(12),
+        kind: FaultKind::PauseNode(node),
+    };
+    assert_eq!(broken(late.clone(), 1, &[]), 1);
+    assert_eq!(broken(late.clone(), 1, &[pause(1)]), 1);
+    assert_eq!(broken(late, 1, &[pause(0)]), 0);
+}
+
+/// Guards against seeds that cannot be played again.
+#[test]
+fn same_faults() {
+    let draw = |seed| {
+        let plan = FaultPlan::draw(seed, Duration::from_secs(20), 6);
+        let kinds: Vec<_> = plan
+            .spans
+            .iter()
+            .map(|span| (span.start, span.kind))
+            .collect();
+        kinds
+    };
+    assert_eq!(draw(7), draw(7));
+    assert_ne!(draw(7), draw(8));
+    let plan = FaultPlan::draw(7, Duration::from_secs(20), 6);
+    let overlap = plan
+        .spans
+        .windows(2)
+        .any(|pair| pair[1].start < pair[0].end);
+    assert!(overlap);
+}
--- a/tests/testsuite/call_support.rs
+++ b/tests/testsuite/call_support.rs
@@ -92,9 +92,14 @@
     start_profile(builder, &call_profile()).await
 }
 
+/// Waits until another mesh may be started.
+pub async fn mesh_permit() -> eyre::Result<SemaphorePermit<'static>> {
+    Ok(MESH_PERMITS.acquire().await?)
+}
+
 /// Starts a mesh and publishes a profile.
 pub async fn start_profile(builder: MeshBuilder, profile: &Value) -> eyre::Result<CallMesh> {
-    let permit = MESH_PERMITS.acquire().await?;
+    let permit = mesh_permit().await?;
     let mesh = builder.distribution("peers").start().await?;
     let count = mesh.nodes.len();
     mesh.wait_members(count, FORMATION_LIMIT).await?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod paused_relay;
 mod poison_request;
 mod route_parts;
+mod soak_seeds;
 mod store_outage;
 mod support;
 mod target_drain;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+pub use apricotfold_testkit::applied_versions;
 use apricotfold_testkit::{Mesh, MeshBuilder};
 use serde_json::{Value, json};
 
@@ -51,11 +52,3 @@
         "retries": {"max_attempts": 3, "budget_percent": 20}
     })
 }
-
-/// Versions that a node put in force, in the order of its log.
-pub fn applied_versions(log: &str) -> Vec<u64> {
-    let lines = log.lines().filter(|line| line.contains("AF2001"));
-    lines
-        .filter_map(|line| line.rsplit(' ').next()?.parse().ok())
-        .collect()
-}
