Tell callers of a restarted instance in the refusal, and when to come back

Callers of a node without routes were not told when to come back. Ruled out: reading the table (in force 0.3 s after the start). Change: a refusal for another instance carries the one that is there, which the entry node takes over and may ask at once. A node without routes sends Retry-After.

--- a/crates/apricotfold-proxy/src/caller_server.rs
+++ b/crates/apricotfold-proxy/src/caller_server.rs
@@ -1,9 +1,10 @@
 //! The side that callers on this instance see.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use apricotfold_model::{CallOutcome, CallerLimits, RefusalReason, WorkClass, log_event};
+use apricotfold_policy::advise_return;
 use bytes::Bytes;
 use http::Response;
 use http::request::Parts;
@@ -20,6 +21,9 @@
 use crate::measure;
 use crate::target_call::CallRequest;
 
+/// Time that a node usually needs after its start until it knows the routes.
+const START_ROOM: Duration = Duration::from_millis(300);
+
 /// Serves callers.
 pub struct CallerHandler {
     engine: Arc<Engine>,
@@ -158,10 +162,14 @@
             WorkClass::Short,
             arrived.elapsed(),
         );
+        let not_ready = reason == RefusalReason::NotReady;
+        let left = head.time_left.unwrap_or(START_ROOM * 4);
         let refusal = CallRefusal {
             outcome: CallOutcome::NotRun,
             reason,
-            return_in: None,
+            return_in: not_ready
+                .then(|| advise_return(START_ROOM, left, self.engine.chooser().random()))
+                .flatten(),
         };
         write_refusal(&self.engine, &refusal)
     }
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -156,6 +156,10 @@
                 });
             }
             let (result, chosen) = self.send_hedged(chosen, &service).await;
+            if result.is_err() && self.is_replaced(&chosen) {
+                // Its node may be tried again, with the instance that is there now.
+                self.tried.retain(|node| *node != chosen.record.node);
+            }
             let (end, reason) = match result {
                 Ok(answer) if self.is_final(&answer, &service) => {
                     return Ok(self.finish(answer, &chosen));
@@ -301,7 +305,12 @@
                         );
                     }
                 }
-                guard.finish(attempt_end(refusal), refusal.report);
+                let end = if self.is_replaced(chosen) {
+                    AttemptEnd::Cancelled
+                } else {
+                    attempt_end(refusal)
+                };
+                guard.finish(end, refusal.report);
             }
         }
         result
@@ -326,6 +335,13 @@
         }
     }
 
+    /// Tells whether another instance has taken the place of a chosen one since the choice.
+    fn is_replaced(&self, chosen: &ChosenTarget) -> bool {
+        let registry = self.engine.registry();
+        let known = registry.record(&chosen.record.node);
+        known.is_some_and(|known| known.instance != chosen.record.instance)
+    }
+
     fn order(&self, chosen: &ChosenTarget, hedge: bool) -> CallOrder {
         let route = &self.routed.route;
         let service = self.engine.chooser().usual_service(&route.name);
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{
-    CallOutcome, CallPriority, InstanceId, RefusalReason, RepeatRule, ServiceName, WorkClass,
-    whole_millis,
+    CallOutcome, CallPriority, InstanceId, InstanceRecord, RefusalReason, RepeatRule, ServiceName,
+    WorkClass, log_event, whole_millis,
 };
 use apricotfold_policy::{CallStanding, CallsMet, InstanceReport};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -25,6 +25,8 @@
 pub const REPORT_HEADER: HeaderName = HeaderName::from_static("apricotfold-report");
 /// Header with the reason why the target's node has no answer.
 pub const REFUSAL_HEADER: HeaderName = HeaderName::from_static("apricotfold-refusal");
+/// Header with the instance that is beside a node, where another one was meant.
+pub const RECORD_HEADER: HeaderName = HeaderName::from_static("apricotfold-record");
 
 /// Idle time up to which a kept connection to a proxy is used. Proxies keep theirs open longer.
 const FRESH_LINK: Duration = Duration::from_secs(10);
@@ -177,6 +179,9 @@
     let lease = LinkLease::new(&engine.peer_links, link);
     let body = AnswerBody::passing(incoming, lease);
     if let Some(WireRefusal(outcome, reason, arrived)) = refused {
+        if let Some(record) = read_header(&parts.headers, &RECORD_HEADER) {
+            learn_record(engine, record);
+        }
         return Err(TargetRefusal {
             outcome,
             reason,
@@ -203,6 +208,15 @@
     })
 }
 
+/// Takes over the instance that is beside a node now: after a restart of both, callers learn of it
+/// before its entry in the store changes.
+fn learn_record(engine: &Engine, record: InstanceRecord) {
+    let (node, instance) = (record.node.clone(), record.instance.clone());
+    if engine.registry().apply_told(record, Instant::now()) {
+        log_event!(info, PeerLearned, "{node} {instance} by its refusal");
+    }
+}
+
 fn refusal(outcome: CallOutcome, reason: RefusalReason) -> TargetRefusal {
     TargetRefusal {
         outcome,
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -17,8 +17,8 @@
 use crate::engine::Engine;
 use crate::lifecycle::ProcessPhase;
 use crate::peer_call::{
-    CALL_HEADER, REFUSAL_HEADER, REPORT_HEADER, WireOrder, WireRefusal, WireReport, read_header,
-    write_header,
+    CALL_HEADER, RECORD_HEADER, REFUSAL_HEADER, REPORT_HEADER, WireOrder, WireRefusal, WireReport,
+    read_header, write_header,
 };
 use crate::peer_exchange::{EXCHANGE_HEADER, answer_exchange};
 use crate::target_call::{self, CallRequest, TargetRefusal};
@@ -117,6 +117,12 @@
         if let Some(value) = write_header(&WireRefusal(outcome, reason, arrived)) {
             headers.insert(REFUSAL_HEADER, value);
         }
+        if reason == RefusalReason::NoLocalTarget
+            && let Some(record) = self.engine.local_record()
+            && let Some(value) = write_header(&record)
+        {
+            headers.insert(RECORD_HEADER, value);
+        }
         let report = WireReport::new(self.engine.report(), Duration::ZERO, CallsMet::Room);
         add_report(headers, &report);
         response
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -90,8 +90,14 @@
 
     /// Announces the target.
     pub async fn announce(&self, number: u64, state: &str) {
+        let instance = self.target.instance.clone();
+        self.announce_life(&instance, 1, number, state).await;
+    }
+
+    /// Announces the target under an id and a start.
+    pub async fn announce_life(&self, instance: &str, born: u64, number: u64, state: &str) {
         let body = serde_json::json!({
-            "instance": self.target.instance, "born": 1, "number": number,
+            "instance": instance, "born": born, "number": number,
             "service": SERVICE, "slots": 4, "state": state,
             "address": self.target.address,
         });
