Split long modules and share the reading of answers in tests

CallReply::read serves the mesh, the soak and the testsuite, which each had a copy. A call whose chosen instance had been replaced counted twice as a first attempt in the retry budget; it counts once.

--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -19,6 +19,7 @@
 //! [`CallBudgets`] and [`HedgeTimer`] belong to one service and work class, as balancers do.
 
 mod admission;
+mod admission_rule;
 mod attempt;
 mod balancer;
 mod budget;
@@ -45,10 +46,8 @@
 mod waiting;
 mod window_count;
 
-pub use admission::{
-    Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue,
-    AdmissionRule, CallStanding, WorkOffer,
-};
+pub use admission::{AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue};
+pub use admission_rule::{Admission, AdmissionEvent, AdmissionRule, CallStanding, WorkOffer};
 pub use attempt::{AttemptResult, LoadReport};
 pub use balancer::{
     LocalityTier, ServiceBalancer, TargetChange, TargetChoice, TargetEntry, TargetStatus,
@@ -62,9 +61,7 @@
 pub use instance_registry::{ChangedNodes, InstanceRegistry};
 pub use ledger::{ClaimId, OrderKey, OrderLedger, OrderOutcome, StoredAnswer};
 pub use link_gauge::{BULK_BYTES, LinkGauge};
-pub use load_choice::{
-    AttemptEnd, ChoiceCandidate, InstanceReport, LinkCosts, LoadChooser, LoadPick,
-};
+pub use load_choice::{AttemptEnd, ChoiceCandidate, LinkCosts, LoadChooser, LoadPick};
 pub use local_instance::{AnnouncementEffect, LocalInstance};
 pub use local_runs::{CallsMet, LocalRuns, RunId, RunSummary};
 pub use parent_throttle::ParentThrottle;
@@ -73,4 +70,5 @@
 pub use relay_choice::{FollowGuide, FollowRole, RelayNodes, choose_role};
 pub use repeat_guide::{NextStep, RepeatGuide, SendEnd};
 pub use return_time::{ReturnDetector, advise_return};
+pub use target_load::InstanceReport;
 pub use traffic_split::TrafficSplit;
--- a/crates/apricotfold-policy/src/load_choice.rs
+++ b/crates/apricotfold-policy/src/load_choice.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::target_load::{SeenReport, TargetLoad, seconds, stuck_time};
-use crate::{BULK_BYTES, CallStanding, LocalityTier, rank};
+use crate::{BULK_BYTES, CallStanding, InstanceReport, LocalityTier};
 
 /// Weight of a new sample in moving estimates of service times and speeds; they follow a change
 /// within about ten answers.
@@ -64,39 +64,6 @@
     }
 }
 
-/// Load and speed of a target, as its node reports them with each answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct InstanceReport {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that the target runs at once.
-    pub slots: u32,
-    /// How long work takes on the target's machine at present, in percent of the usual time.
-    pub pace: u32,
-    /// Expected waits of first tries by priority, the least urgent first, in milliseconds.
-    pub waits: [u32; 3],
-    /// Expected waits of calls that running requests make, likewise.
-    pub nested_waits: [u32; 3],
-    /// Expected wait of bulk for the link of the target's machine, in milliseconds.
-    pub link_wait: u32,
-    /// Time that 100 KB occupy that link, in milliseconds; 0 where it is not known.
-    pub link_time: u32,
-}
-
-impl InstanceReport {
-    /// Expected wait of a request that arrives now.
-    pub(crate) fn wait(&self, priority: CallPriority, standing: CallStanding) -> f64 {
-        let waits = match standing {
-            CallStanding::New | CallStanding::Returned => &self.waits,
-            CallStanding::Nested => &self.nested_waits,
-        };
-        seconds(waits[rank(priority)])
-    }
-}
-
 /// A target that may be chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceCandidate<'a> {
--- a/crates/apricotfold-policy/src/target_load.rs
+++ b/crates/apricotfold-policy/src/target_load.rs
@@ -4,8 +4,9 @@
 
 use apricotfold_model::CallPriority;
 
+use crate::CallStanding;
 use crate::decay::remaining_share;
-use crate::{CallStanding, InstanceReport};
+use crate::rank;
 
 /// Time constant with which reported load of other nodes loses its meaning: about one service time.
 const REPORT_WINDOW: Duration = Duration::from_millis(700);
@@ -19,6 +20,39 @@
 /// Longest exclusion, so that a target that returns is found within about two seconds.
 const MAX_EXCLUSION: Duration = Duration::from_secs(2);
 
+/// Load and speed of a target, as its node reports them with each answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct InstanceReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// How long work takes on the target's machine at present, in percent of the usual time.
+    pub pace: u32,
+    /// Expected waits of first tries by priority, the least urgent first, in milliseconds.
+    pub waits: [u32; 3],
+    /// Expected waits of calls that running requests make, likewise.
+    pub nested_waits: [u32; 3],
+    /// Expected wait of bulk for the link of the target's machine, in milliseconds.
+    pub link_wait: u32,
+    /// Time that 100 KB occupy that link, in milliseconds; 0 where it is not known.
+    pub link_time: u32,
+}
+
+impl InstanceReport {
+    /// Expected wait of a request that arrives now.
+    pub(crate) fn wait(&self, priority: CallPriority, standing: CallStanding) -> f64 {
+        let waits = match standing {
+            CallStanding::New | CallStanding::Returned => &self.waits,
+            CallStanding::Nested => &self.nested_waits,
+        };
+        seconds(waits[rank(priority)])
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SeenReport {
     pub(crate) report: InstanceReport,
--- /dev/null
+++ b/crates/apricotfold-proxy/src/entry_attempt.rs
@@ -0,0 +1,186 @@
+//! One attempt of a caller's request at a target.
+
+use std::time::{Duration, Instant};
+
+use apricotfold_model::{CallOutcome, NodeId, RefusalReason, log_event};
+use apricotfold_policy::{AttemptEnd, InstanceReport};
+use http::header;
+
+use crate::entry_call::{ChosenTarget, EntryCall};
+use crate::peer_call;
+use crate::target_call::{self, CallOrder, TargetAnswer, TargetRefusal};
+
+/// Largest answer that is held until it is whole, so that one which breaks off can be fetched from
+/// another target. Larger ones are passed on as they arrive.
+const MAX_HELD_BYTES: usize = 256 * 1024;
+
+/// Time after the deadline at which an attempt is given up if it has not ended by itself. Attempts
+/// know whether the request was sent, which an outer time limit does not.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(10);
+
+/// Tells the chooser about an attempt, also when the caller leaves and the attempt is dropped.
+struct AttemptGuard<'a> {
+    call: &'a EntryCall<'a>,
+    node: NodeId,
+    open: bool,
+}
+
+impl AttemptGuard<'_> {
+    fn finish(mut self, end: AttemptEnd, report: Option<InstanceReport>) {
+        self.open = false;
+        let now = Instant::now();
+        let engine = self.call.engine;
+        let route = &self.call.routed.route.name;
+        let excluded = engine.chooser().finish(&self.node, route, end, report, now);
+        if excluded {
+            log_event!(warn, TargetQuarantined, "{} after {end:?}", self.node);
+        }
+        if report.is_some() {
+            engine.registry().record_answer(&self.node, now);
+        }
+    }
+}
+
+impl Drop for AttemptGuard<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            let route = &self.call.routed.route.name;
+            let end = AttemptEnd::Cancelled;
+            let mut chooser = self.call.engine.chooser();
+            chooser.finish(&self.node, route, end, None, Instant::now());
+        }
+    }
+}
+
+impl EntryCall<'_> {
+    /// Sends the request to a target and holds small answers until they are whole.
+    /// `hedge` tells that another attempt is under way.
+    pub(crate) async fn send(
+        &self,
+        chosen: &ChosenTarget,
+        hedge: bool,
+    ) -> Result<TargetAnswer, TargetRefusal> {
+        let engine = self.engine;
+        let guard = AttemptGuard {
+            call: self,
+            node: chosen.record.node.clone(),
+            open: true,
+        };
+        let order = self.order(chosen, hedge);
+        let sent = async {
+            let answer = if chosen.record.node == engine.node() {
+                target_call::run(engine, &order, &self.request).await?
+            } else {
+                let address = chosen.record.address;
+                peer_call::run(engine, address, &order, &self.request).await?
+            };
+            self.hold_answer(answer).await
+        };
+        let sent =
+            tokio::time::timeout_at((self.routed.deadline + GIVE_UP_MARGIN).into(), sent).await;
+        let result = sent.unwrap_or(Err(TargetRefusal {
+            outcome: CallOutcome::MayHaveRun,
+            reason: RefusalReason::DeadlinePassed,
+            arrived: true,
+            report: None,
+        }));
+        match &result {
+            Ok(answer) => {
+                let end = if answer.status.is_server_error() {
+                    AttemptEnd::Rejected
+                } else {
+                    AttemptEnd::Answered {
+                        service: answer.service,
+                        bytes: answer_bytes(answer),
+                    }
+                };
+                guard.finish(end, Some(answer.report));
+            }
+            Err(refusal) => {
+                let node = &chosen.record.node;
+                let instance = &chosen.record.instance;
+                if refusal.reason == RefusalReason::Draining {
+                    let now = Instant::now();
+                    let news = engine.registry().record_departure(node, instance, now);
+                    if news {
+                        log_event!(
+                            info,
+                            InstanceChanged,
+                            "{node} {instance} leaves, by its own word"
+                        );
+                    }
+                }
+                let end = if self.is_replaced(chosen) {
+                    AttemptEnd::Cancelled
+                } else {
+                    attempt_end(refusal)
+                };
+                guard.finish(end, refusal.report);
+            }
+        }
+        result
+    }
+
+    /// Tells whether another instance has taken the place of a chosen one since the choice.
+    pub(crate) fn is_replaced(&self, chosen: &ChosenTarget) -> bool {
+        let registry = self.engine.registry();
+        let known = registry.record(&chosen.record.node);
+        known.is_some_and(|known| known.instance != chosen.record.instance)
+    }
+
+    fn order(&self, chosen: &ChosenTarget, hedge: bool) -> CallOrder {
+        let route = &self.routed.route;
+        let service = self.engine.chooser().usual_service(&route.name);
+        CallOrder {
+            instance: chosen.record.instance.clone(),
+            caller_service: self.engine.config.load().service.clone(),
+            deadline: self.routed.deadline,
+            useful_until: self.useful_until(service),
+            class: route.class,
+            priority: self.rank().0,
+            repeat: route.repeat,
+            standing: self.standing,
+            answer_bytes: self.engine.chooser().usual_bytes(&route.name),
+            remote: chosen.record.node != self.engine.node(),
+            again: self.guide.arrivals() > 0 || hedge,
+        }
+    }
+
+    async fn hold_answer(&self, answer: TargetAnswer) -> Result<TargetAnswer, TargetRefusal> {
+        let TargetAnswer { body, report, .. } = answer;
+        let body = body.hold(MAX_HELD_BYTES).await.map_err(|error| {
+            let id = self.request.log_id();
+            log_event!(warn, AnswerCut, "id={id} {error}");
+            TargetRefusal {
+                outcome: CallOutcome::MayHaveRun,
+                reason: RefusalReason::ConnectionLost,
+                arrived: true,
+                report: Some(report),
+            }
+        })?;
+        Ok(TargetAnswer { body, ..answer })
+    }
+}
+
+fn attempt_end(refusal: &TargetRefusal) -> AttemptEnd {
+    match refusal.reason {
+        RefusalReason::Overloaded if refusal.arrived => AttemptEnd::Rejected,
+        RefusalReason::QueueFull | RefusalReason::Overloaded | RefusalReason::DeadlineTooClose => {
+            AttemptEnd::Full
+        }
+        RefusalReason::ConnectFailed if refusal.report.is_none() => AttemptEnd::Unreachable,
+        RefusalReason::ConnectFailed | RefusalReason::Draining | RefusalReason::NoLocalTarget => {
+            AttemptEnd::Unavailable
+        }
+        RefusalReason::ConnectionLost | RefusalReason::DeadlinePassed => AttemptEnd::Lost,
+        _ => AttemptEnd::Cancelled,
+    }
+}
+
+fn answer_bytes(answer: &TargetAnswer) -> usize {
+    let declared = answer.headers.get(header::CONTENT_LENGTH);
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse().ok());
+    let held = http_body::Body::size_hint(&answer.body).exact();
+    let held = held.and_then(|length| usize::try_from(length).ok());
+    held.or(declared).unwrap_or_default()
+}
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -8,10 +8,10 @@
     log_event,
 };
 use apricotfold_policy::{
-    AttemptEnd, CallStanding, CallsMet, ChoiceCandidate, LoadPick, NextStep, RepeatGuide,
-    RunSummary, SendEnd, advise_return,
+    CallStanding, CallsMet, ChoiceCandidate, LoadPick, NextStep, RepeatGuide, RunSummary, SendEnd,
+    advise_return,
 };
-use http::{Response, header};
+use http::Response;
 use smallvec::SmallVec;
 
 use crate::borders::{CallRefusal, RequestId};
@@ -21,16 +21,7 @@
 use crate::engine::Engine;
 use crate::entry_route::RoutedCall;
 use crate::measure;
-use crate::peer_call;
-use crate::target_call::{self, CallOrder, CallRequest, TargetAnswer, TargetRefusal};
-
-/// Largest answer that is held until it is whole, so that one which breaks off can be fetched from
-/// another target. Larger ones are passed on as they arrive.
-const MAX_HELD_BYTES: usize = 256 * 1024;
-
-/// Time after the deadline at which an attempt is given up if it has not ended by itself. Attempts
-/// know whether the request was sent, which an outer time limit does not.
-const GIVE_UP_MARGIN: Duration = Duration::from_millis(10);
+use crate::target_call::{CallRequest, TargetAnswer, TargetRefusal};
 
 /// Part of the retry budget that repeats after a target's own failure may use. Such a failure is
 /// often that of a call which the target made, and the repeat makes all of its calls again.
@@ -50,7 +41,7 @@
     pub(crate) request: CallRequest,
     pub(crate) guide: RepeatGuide,
     pub(crate) tried: SmallVec<[NodeId; 4]>,
-    standing: CallStanding,
+    pub(crate) standing: CallStanding,
     parent: Option<ParentRun>,
 }
 
@@ -69,40 +60,6 @@
 /// Why no target is asked, and when one is expected to have room.
 pub(crate) type NoTarget = (RefusalReason, Option<Duration>);
 
-/// Tells the chooser about an attempt, also when the caller leaves and the attempt is dropped.
-struct AttemptGuard<'a> {
-    call: &'a EntryCall<'a>,
-    node: NodeId,
-    open: bool,
-}
-
-impl AttemptGuard<'_> {
-    fn finish(mut self, end: AttemptEnd, report: Option<apricotfold_policy::InstanceReport>) {
-        self.open = false;
-        let now = Instant::now();
-        let engine = self.call.engine;
-        let route = &self.call.routed.route.name;
-        let excluded = engine.chooser().finish(&self.node, route, end, report, now);
-        if excluded {
-            log_event!(warn, TargetQuarantined, "{} after {end:?}", self.node);
-        }
-        if report.is_some() {
-            engine.registry().record_answer(&self.node, now);
-        }
-    }
-}
-
-impl Drop for AttemptGuard<'_> {
-    fn drop(&mut self) {
-        if self.open {
-            let route = &self.call.routed.route.name;
-            let end = AttemptEnd::Cancelled;
-            let mut chooser = self.call.engine.chooser();
-            chooser.finish(&self.node, route, end, None, Instant::now());
-        }
-    }
-}
-
 impl<'a> EntryCall<'a> {
     /// Prepares a call.
     pub fn new(engine: &'a Arc<Engine>, routed: RoutedCall, request: CallRequest) -> Self {
@@ -136,6 +93,7 @@
             let room = Some(THROTTLED_ROOM);
             return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::Overloaded, room));
         }
+        let mut counted = false;
         loop {
             let chosen = match self.choose_target(&service) {
                 Ok(chosen) => chosen,
@@ -145,15 +103,9 @@
                 }
             };
             self.tried.push(chosen.record.node.clone());
-            if self.guide.arrivals() == 0 && self.tried.len() == 1 {
-                let now = Instant::now();
-                let repeat = self.parent.as_ref().is_some_and(|run| run.summary.repeat);
-                self.engine.with_budget(&service, |budget| {
-                    budget.record_first(now);
-                    if repeat {
-                        budget.record_repeat(now);
-                    }
-                });
+            if !counted {
+                self.count_first(&service);
+                counted = true;
             }
             let (result, chosen) = self.send_hedged(chosen, &service).await;
             if result.is_err() && self.is_replaced(&chosen) {
@@ -173,6 +125,19 @@
         }
     }
 
+    /// Counts the request in the budget of its service; as a repeat, too, if the request that made
+    /// this call is one.
+    fn count_first(&self, service: &ServiceName) {
+        let now = Instant::now();
+        let repeat = self.parent.as_ref().is_some_and(|run| run.summary.repeat);
+        self.engine.with_budget(service, |budget| {
+            budget.record_first(now);
+            if repeat {
+                budget.record_repeat(now);
+            }
+        });
+    }
+
     /// Tells whether the request that made this call has lost another call.
     fn is_needless(&self) -> bool {
         let parent = self.parent.as_ref();
@@ -248,76 +213,8 @@
         Ok(ChosenTarget { record, pick })
     }
 
-    /// Sends the request to a target and holds small answers until they are whole.
-    /// `hedge` tells that another attempt is under way.
-    pub(crate) async fn send(
-        &self,
-        chosen: &ChosenTarget,
-        hedge: bool,
-    ) -> Result<TargetAnswer, TargetRefusal> {
-        let engine = self.engine;
-        let guard = AttemptGuard {
-            call: self,
-            node: chosen.record.node.clone(),
-            open: true,
-        };
-        let order = self.order(chosen, hedge);
-        let sent = async {
-            let answer = if chosen.record.node == engine.node() {
-                target_call::run(engine, &order, &self.request).await?
-            } else {
-                let address = chosen.record.address;
-                peer_call::run(engine, address, &order, &self.request).await?
-            };
-            self.hold_answer(answer).await
-        };
-        let sent =
-            tokio::time::timeout_at((self.routed.deadline + GIVE_UP_MARGIN).into(), sent).await;
-        let result = sent.unwrap_or(Err(TargetRefusal {
-            outcome: CallOutcome::MayHaveRun,
-            reason: RefusalReason::DeadlinePassed,
-            arrived: true,
-            report: None,
-        }));
-        match &result {
-            Ok(answer) => {
-                let end = if answer.status.is_server_error() {
-                    AttemptEnd::Rejected
-                } else {
-                    AttemptEnd::Answered {
-                        service: answer.service,
-                        bytes: answer_bytes(answer),
-                    }
-                };
-                guard.finish(end, Some(answer.report));
-            }
-            Err(refusal) => {
-                let node = &chosen.record.node;
-                let instance = &chosen.record.instance;
-                if refusal.reason == RefusalReason::Draining {
-                    let now = Instant::now();
-                    let news = engine.registry().record_departure(node, instance, now);
-                    if news {
-                        log_event!(
-                            info,
-                            InstanceChanged,
-                            "{node} {instance} leaves, by its own word"
-                        );
-                    }
-                }
-                let end = if self.is_replaced(chosen) {
-                    AttemptEnd::Cancelled
-                } else {
-                    attempt_end(refusal)
-                };
-                guard.finish(end, refusal.report);
-            }
-        }
-        result
-    }
-
     /// Importance of the request. A call is as important as the request that made it.
-    fn rank(&self) -> (CallPriority, CallStanding) {
+    pub(crate) fn rank(&self) -> (CallPriority, CallStanding) {
         let own = self.routed.route.priority;
         let parent = self.parent.as_ref().map(|run| run.summary.priority);
         (
@@ -328,53 +225,13 @@
 
     /// Time until which the request should wait for a slot. The request that made a call waits for
     /// it as long as it can.
-    fn useful_until(&self, service: Duration) -> Instant {
+    pub(crate) fn useful_until(&self, service: Duration) -> Instant {
         match self.standing {
             CallStanding::Nested => self.routed.deadline,
             CallStanding::New | CallStanding::Returned => self.routed.useful_until(service),
         }
     }
 
-    /// Tells whether another instance has taken the place of a chosen one since the choice.
-    fn is_replaced(&self, chosen: &ChosenTarget) -> bool {
-        let registry = self.engine.registry();
-        let known = registry.record(&chosen.record.node);
-        known.is_some_and(|known| known.instance != chosen.record.instance)
-    }
-
-    fn order(&self, chosen: &ChosenTarget, hedge: bool) -> CallOrder {
-        let route = &self.routed.route;
-        let service = self.engine.chooser().usual_service(&route.name);
-        CallOrder {
-            instance: chosen.record.instance.clone(),
-            caller_service: self.engine.config.load().service.clone(),
-            deadline: self.routed.deadline,
-            useful_until: self.useful_until(service),
-            class: route.class,
-            priority: self.rank().0,
-            repeat: route.repeat,
-            standing: self.standing,
-            answer_bytes: self.engine.chooser().usual_bytes(&route.name),
-            remote: chosen.record.node != self.engine.node(),
-            again: self.guide.arrivals() > 0 || hedge,
-        }
-    }
-
-    async fn hold_answer(&self, answer: TargetAnswer) -> Result<TargetAnswer, TargetRefusal> {
-        let TargetAnswer { body, report, .. } = answer;
-        let body = body.hold(MAX_HELD_BYTES).await.map_err(|error| {
-            let id = self.request.log_id();
-            log_event!(warn, AnswerCut, "id={id} {error}");
-            TargetRefusal {
-                outcome: CallOutcome::MayHaveRun,
-                reason: RefusalReason::ConnectionLost,
-                arrived: true,
-                report: Some(report),
-            }
-        })?;
-        Ok(TargetAnswer { body, ..answer })
-    }
-
     /// Tells whether an answer goes to the caller. A target's failure does, too, unless the
     /// request may be tried at another target.
     fn is_final(&self, answer: &TargetAnswer, service: &ServiceName) -> bool {
@@ -534,26 +391,3 @@
         _ => SendEnd::MayHaveRun,
     }
 }
-
-fn attempt_end(refusal: &TargetRefusal) -> AttemptEnd {
-    match refusal.reason {
-        RefusalReason::Overloaded if refusal.arrived => AttemptEnd::Rejected,
-        RefusalReason::QueueFull | RefusalReason::Overloaded | RefusalReason::DeadlineTooClose => {
-            AttemptEnd::Full
-        }
-        RefusalReason::ConnectFailed if refusal.report.is_none() => AttemptEnd::Unreachable,
-        RefusalReason::ConnectFailed | RefusalReason::Draining | RefusalReason::NoLocalTarget => {
-            AttemptEnd::Unavailable
-        }
-        RefusalReason::ConnectionLost | RefusalReason::DeadlinePassed => AttemptEnd::Lost,
-        _ => AttemptEnd::Cancelled,
-    }
-}
-
-fn answer_bytes(answer: &TargetAnswer) -> usize {
-    let declared = answer.headers.get(header::CONTENT_LENGTH);
-    let declared = declared.and_then(|value| value.to_str().ok()?.parse().ok());
-    let held = http_body::Body::size_hint(&answer.body).exact();
-    let held = held.and_then(|length| usize::try_from(length).ok());
-    held.or(declared).unwrap_or_default()
-}
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod connection;
 mod crash_watch;
 mod engine;
+mod entry_attempt;
 mod entry_call;
 mod entry_follower;
 mod entry_route;
--- a/crates/apricotfold-testkit/src/mesh.rs
+++ b/crates/apricotfold-testkit/src/mesh.rs
@@ -50,6 +50,27 @@
     pub body: Vec<u8>,
 }
 
+impl CallReply {
+    /// Reads an answer to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the answer breaks off.
+    pub async fn read(response: reqwest::Response) -> reqwest::Result<Self> {
+        let text = |name: &str| {
+            let value = response.headers().get(name);
+            let value = value.and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        Ok(Self {
+            status: response.status().as_u16(),
+            outcome: text(headers::OUTCOME),
+            reason: text(headers::REASON),
+            body: response.bytes().await?.to_vec(),
+        })
+    }
+}
+
 /// One node with what belongs to it.
 #[derive(Debug)]
 pub struct MeshNode {
@@ -324,20 +345,7 @@
     ///
     /// Returns an error when the connection fails or the answer breaks off.
     pub async fn send(&self, request: reqwest::RequestBuilder) -> reqwest::Result<CallReply> {
-        let response = request.send().await?;
-        let text = |name: &str| {
-            let value = response.headers().get(name);
-            value
-                .and_then(|value| value.to_str().ok())
-                .unwrap_or_default()
-                .to_owned()
-        };
-        Ok(CallReply {
-            status: response.status().as_u16(),
-            outcome: text(headers::OUTCOME),
-            reason: text(headers::REASON),
-            body: response.bytes().await?.to_vec(),
-        })
+        CallReply::read(request.send().await?).await
     }
 
     /// Starts faults of the store; times count from now.
--- a/crates/apricotfold-testkit/src/soak/load.rs
+++ b/crates/apricotfold-testkit/src/soak/load.rs
@@ -171,18 +171,7 @@
     }
 
     async fn reply(&self, id: &str, entry: usize) -> reqwest::Result<CallReply> {
-        let response = self.request(id, entry).send().await?;
-        let text = |name: &str| {
-            let value = response.headers().get(name);
-            let value = value.and_then(|value| value.to_str().ok());
-            value.unwrap_or_default().to_owned()
-        };
-        Ok(CallReply {
-            status: response.status().as_u16(),
-            outcome: text(headers::OUTCOME),
-            reason: text(headers::REASON),
-            body: response.bytes().await?.to_vec(),
-        })
+        CallReply::read(self.request(id, entry).send().await?).await
     }
 
     fn request(&self, id: &str, entry: usize) -> RequestBuilder {
--- a/tests/testsuite/call_support.rs
+++ b/tests/testsuite/call_support.rs
@@ -249,7 +249,10 @@
 /// Sends a request that carries an id and notes what its caller learns.
 pub async fn record_call(id: String, request: reqwest::RequestBuilder) -> CallRecord {
     let started = Instant::now();
-    let reply = read_reply(request.send().await).await;
+    let reply = match request.send().await {
+        Ok(response) => CallReply::read(response).await,
+        Err(error) => Err(error),
+    };
     CallRecord {
         id,
         reply: reply.map_err(|error| format!("{error:?}")),
@@ -257,21 +260,6 @@
     }
 }
 
-async fn read_reply(response: reqwest::Result<reqwest::Response>) -> reqwest::Result<CallReply> {
-    let response = response?;
-    let text = |name: &str| {
-        let value = response.headers().get(name);
-        let value = value.and_then(|value| value.to_str().ok());
-        value.unwrap_or_default().to_owned()
-    };
-    Ok(CallReply {
-        status: response.status().as_u16(),
-        outcome: text(headers::OUTCOME),
-        reason: text(headers::REASON),
-        body: response.bytes().await?.to_vec(),
-    })
-}
-
 /// Checks each record against the journals of all targets: the answer came in time, names an
 /// outcome, and the outcome is true. No request of a non-idempotent route started twice.
 pub fn check_records(mesh: &CallMesh, records: &[CallRecord], idempotent: bool) {
