Log what throttles a request: its standing, the admitted share, the link's wait

Refusals of the throttle and of a full link both read "overloaded", so that a log did not tell which input had decided. The entry node's line names standing and admitted share, the line at the target the wait for the link.

--- a/crates/apricotfold-policy/src/admission_rule.rs
+++ b/crates/apricotfold-policy/src/admission_rule.rs
@@ -38,8 +38,10 @@
     Ord,
     serde::Serialize,
     serde::Deserialize,
+    strum::Display,
 )]
 #[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
 pub enum CallStanding {
     /// A caller's first try.
     #[default]
--- a/crates/apricotfold-policy/src/crest_queue.rs
+++ b/crates/apricotfold-policy/src/crest_queue.rs
@@ -88,9 +88,9 @@
 /// Admits what will be answered in time and refuses the rest on arrival.
 ///
 /// Requests wait in one queue: the most urgent first, among equals those whose refusal would waste
-/// most, then the oldest. A request waits only if its expected wait, with more urgent work that will overtake it, is a part of the
-/// time that it can spare. What is refused is refused at once, so that its caller can come back or
-/// go elsewhere.
+/// most, then the oldest. A request waits only if its expected wait, with more urgent work that will
+/// overtake it, is a part of the time that it can spare. What is refused is refused at once, so that
+/// its caller can come back or go elsewhere.
 #[derive(Debug)]
 pub struct CrestQueue {
     limits: AdmissionLimits,
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -356,13 +356,15 @@
                 advise_return(room, left, self.engine.chooser().random())
             })
             .flatten();
+        let share = self.engine.throttle().share(&route.name);
         log_event!(
             info,
             CallRefused,
-            "id={} route {} table {} {outcome} {reason} tried {:?} after {elapsed:?}, {left:?} left, return in {return_in:?}",
+            "id={} route {} table {} {outcome} {reason} {} tried {:?} admitted share {share:.2} after {elapsed:?}, {left:?} left, return in {return_in:?}",
             self.request.log_id(),
             route.name,
             self.routed.version,
+            self.standing,
             self.tried
         );
         measure::record_call(outcome, Some(reason), route.class, elapsed);
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -93,12 +93,13 @@
                 log_event!(
                     info,
                     CallRefused,
-                    "id={} at-target {outcome} {reason} after {:?} running {} waiting {} slots {}",
+                    "id={} at-target {outcome} {reason} after {:?} running {} waiting {} slots {} link wait {} ms",
                     call.log_id(),
                     arrived.elapsed(),
                     report.running,
                     report.waiting,
-                    report.slots
+                    report.slots,
+                    report.link_wait
                 );
                 self.refuse(outcome, reason, reached)
             }
