Open tests' proxies at addresses of their own, and fill a target to see both

Traced in runs of the file: the tests waited for the announcement address, which the proxy opens first, and called at the caller address, which it opens last. Waiting for the latter, 2 of 60, then 2 of 60 and 4 of 120 runs failed with "not in time" in start_pair: with targets that answer within a millisecond one of them could stay the better choice for each single call, so that the second was never used. Ruled out: an error of the proxy (printed now), taken ports (addresses are unique now and the failure stayed). Change, in the tests' support only: wait for the last address, print why a proxy ended, unique loopback addresses, and twelve calls at once until both targets have been used.

--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use apricotfold_model::{
@@ -15,7 +16,6 @@
     ServicePart, SharedRetryLimit, TableService, WorkClass,
 };
 use apricotfold_proxy::{ProxyBorders, run_proxy};
-use tokio::net::TcpListener;
 
 use caller::exchange;
 use dialect::{TestAnnouncements, TestCalls, TestTables};
@@ -25,6 +25,9 @@
 pub const HOST: &str = "almanac.example";
 pub const SERVICE: &str = "parish-desk";
 
+/// Calls that fill the slots of one target, which has four.
+const CALLS_AT_ONCE: usize = 12;
+
 /// Longest wait for something that must happen.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -35,11 +38,18 @@
     pub target: ScriptedTarget,
 }
 
-/// Finds a free address. Another process could take it before it is used, which does not happen
-/// within the ports that the system hands out in turn.
-pub async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    listener.local_addr().expect("an address")
+/// Port of all addresses that [`free_address`] hands out; it is below those that the system gives
+/// to outgoing connections.
+const PORT: u16 = 7_000;
+
+/// Returns an address that nothing else uses: each has a loopback number of its own, which differs
+/// from process to process. A port that was bound and released to find it could be taken by another
+/// test's socket before the proxy opens it.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = u8::try_from(std::process::id() % 200).expect("below 200");
+    SocketAddr::from(([127, 20 + process, high, low], PORT))
 }
 
 impl TestNode {
@@ -60,7 +70,10 @@
         second.wait_serving().await;
         first
             .wait_for(|| async {
-                first.call("GET", "/pages/both", "1000").await;
+                // One call at a time may always find the same target the better one; several at
+                // once fill its slots.
+                let calls = (0..CALLS_AT_ONCE).map(|_| first.call("GET", "/pages/both", "1000"));
+                futures_util::future::join_all(calls).await;
                 !first.target.calls("both").is_empty() && !second.target.calls("both").is_empty()
             })
             .await;
@@ -70,20 +83,27 @@
     /// Starts a proxy whose target announces nothing yet.
     pub async fn start_silent(name: &str, store: &Arc<MemoryStore>) -> Self {
         let target = ScriptedTarget::start(&format!("i-{name}")).await;
-        let config = config(name, target.address).await;
+        let config = config(name, target.address);
         let borders = ProxyBorders {
             calls: Arc::new(TestCalls),
             announcements: Arc::new(TestAnnouncements),
             tables: Arc::new(TestTables),
             store: store.clone(),
         };
-        tokio::spawn(run_proxy(config.clone(), borders, None));
+        let proxy = run_proxy(config.clone(), borders, None);
+        let started = name.to_owned();
+        tokio::spawn(async move {
+            if let Err(error) = proxy.await {
+                eprintln!("proxy {started} ended: {error:#}");
+            }
+        });
         let node = Self {
             name: name.to_owned(),
             config,
             target,
         };
-        node.wait_for(|| async { TcpListenerProbe::open(node.config.announce_address).await })
+        // The proxy opens the address for callers last.
+        node.wait_for(|| async { TcpListenerProbe::open(node.config.caller_address).await })
             .await;
         node
     }
@@ -179,21 +199,21 @@
 
 /// Ids of requests that differ within the process.
 pub fn rand_id() -> u64 {
-    use std::sync::atomic::{AtomicU64, Ordering};
+    use std::sync::atomic::AtomicU64;
     static NEXT: AtomicU64 = AtomicU64::new(1);
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
-async fn config(name: &str, target_address: SocketAddr) -> ProxyConfig {
+fn config(name: &str, target_address: SocketAddr) -> ProxyConfig {
     ProxyConfig {
         node: name.into(),
         region: "rs-gaucho".into(),
         data_centre: "poa-a".into(),
         data_centres: [("poa-a".into(), "rs-gaucho".into())].into(),
-        caller_address: free_address().await,
-        peer_address: free_address().await,
-        announce_address: free_address().await,
-        ready_address: free_address().await,
+        caller_address: free_address(),
+        peer_address: free_address(),
+        announce_address: free_address(),
+        ready_address: free_address(),
         metrics_address: None,
         target_address,
         service: SERVICE.into(),
