--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -8,16 +8,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 use std::time::Duration;
 
 use apricotfold_model::{
     CallPriority, LinkConfig, LinkImpairment, ProxyConfig, RawCallerLimits, RawRouteTable,
     RawTableRoute, RetrySafety, SharedRetryLimit, TableService, WeightedService, WorkClass,
 };
+use apricotfold_policy::CallStanding;
 use apricotfold_proxy::{PlatformAdapters, run_proxy};
 use apricotfold_standins::LinkServer;
 
+use tokio::runtime::{Builder, Runtime};
+
 use caller::exchange;
 use protocol::{TestAnnouncements, TestCalls, TestTables};
 use store::{ClientLink, MemoryStore};
@@ -37,6 +40,10 @@
     pub name: String,
     pub config: ProxyConfig,
     pub target: ScriptedTarget,
+    /// Start time of the target's current incarnation.
+    born: AtomicU64,
+    /// Runtime of a proxy that can be killed.
+    process: Option<Runtime>,
 }
 
 /// Port of all addresses from [`free_address`]. It is below the system's range of ephemeral ports.
@@ -130,28 +137,83 @@
         store: &Arc<MemoryStore>,
     ) -> Self {
         let name = config.node.to_string();
-        let adapters = PlatformAdapters {
-            calls: Arc::new(TestCalls),
-            announcements: Arc::new(TestAnnouncements),
-            tables: Arc::new(TestTables),
-            store: store.clone(),
-        };
-        let proxy = run_proxy(config.clone(), adapters, None);
-        let started = name.clone();
-        tokio::spawn(async move {
-            if let Err(error) = proxy.await {
-                eprintln!("proxy {started} ended: {error:#}");
-            }
-        });
+        tokio::spawn(serve(config.clone(), store.clone()));
         let node = Self {
             name,
             config,
             target,
+            born: AtomicU64::new(1),
+            process: None,
+        };
+        node.wait_listening().await;
+        node
+    }
+
+    /// Starts a proxy that can be killed, and its target, and announces the target as ready.
+    pub async fn start_killable(name: &str, store: &Arc<MemoryStore>) -> Self {
+        let target = ScriptedTarget::start(&format!("i-{name}")).await;
+        let mut node = Self {
+            name: name.to_owned(),
+            config: config(name, target.address),
+            target,
+            born: AtomicU64::new(1),
+            process: None,
         };
+        node.start_process(store).await;
+        node.announce(1, "ready").await;
+        node
+    }
+
+    /// Starts the process of a proxy that was killed.
+    pub async fn start_process(&mut self, store: &Arc<MemoryStore>) {
+        let process = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        process.spawn(serve(self.config.clone(), store.clone()));
+        self.process = Some(process);
+        self.wait_listening().await;
+    }
+
+    /// Kills the proxy's process.
+    pub async fn kill_process(&mut self) {
+        self.process
+            .take()
+            .expect("a process")
+            .shutdown_background();
+        self.wait_for(|| async { !TcpListenerProbe::open(self.config.peer_address).await })
+            .await;
+    }
+
+    /// Returns the id of the target's current incarnation.
+    fn instance(&self) -> String {
+        match self.born.load(Ordering::Relaxed) {
+            1 => self.target.instance.clone(),
+            born => format!("{}-{born}", self.target.instance),
+        }
+    }
+
+    /// Starts and announces the next incarnation of a crashed target.
+    pub async fn revive(&self) {
+        self.born.fetch_add(1, Ordering::Relaxed);
+        self.target.revive();
+        self.announce_current().await;
+    }
+
+    /// Announces the target's current incarnation as ready.
+    pub async fn announce_current(&self) {
+        let (instance, born) = (self.instance(), self.born.load(Ordering::Relaxed));
+        // The second announcement confirms the first.
+        for number in 1..=2 {
+            self.announce_as(&instance, born, number, "ready").await;
+        }
+    }
+
+    async fn wait_listening(&self) {
         // The proxy opens the caller address last.
-        node.wait_for(|| async { TcpListenerProbe::open(node.config.caller_address).await })
+        self.wait_for(|| async { TcpListenerProbe::open(self.config.caller_address).await })
             .await;
-        node
     }
 
     /// Announces the target with its own id and a start time of 1.
@@ -188,7 +250,7 @@
 
     /// Tells the proxy that the target leaves.
     pub async fn leave(&self) {
-        let body = serde_json::json!({"instance": self.target.instance});
+        let body = serde_json::json!({"instance": self.instance()});
         let body = body.to_string();
         let address = self.config.announce_address;
         let answer = exchange(address, "POST", "/leave", &[], &body).await;
@@ -204,6 +266,31 @@
         .await;
     }
 
+    /// Sends a call for this node's target as another proxy would, and returns the reason if it is
+    /// refused.
+    pub async fn call_target(&self, path: &str, timeout_ms: u64) -> Option<String> {
+        let id = format!("r-{:016x}", rand_id());
+        let context = serde_json::json!([
+            timeout_ms,
+            timeout_ms,
+            self.instance(),
+            SERVICE,
+            WorkClass::Short,
+            CallPriority::Normal,
+            RetrySafety::AtMostOnce,
+            CallStanding::New,
+            false,
+            0,
+        ]);
+        let context = context.to_string();
+        let headers = [("request-id", id.as_str()), ("apricotfold-call", &context)];
+        let answer = exchange(self.config.peer_address, "POST", path, &headers, "").await;
+        let refusal = answer.header("apricotfold-refusal")?;
+        let (_, reason, _): (String, String, bool) =
+            serde_json::from_str(&refusal).expect("a refusal");
+        Some(reason)
+    }
+
     /// Sends a call with a unique request id on a new connection.
     pub async fn call(&self, method: &str, path: &str, timeout_ms: &str) -> caller::CallerResponse {
         let id = format!("r-{:016x}", rand_id());
@@ -221,6 +308,28 @@
     }
 }
 
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        if let Some(process) = self.process.take() {
+            process.shutdown_background();
+        }
+    }
+}
+
+/// Runs a proxy until it ends.
+async fn serve(config: ProxyConfig, store: Arc<MemoryStore>) {
+    let adapters = PlatformAdapters {
+        calls: Arc::new(TestCalls),
+        announcements: Arc::new(TestAnnouncements),
+        tables: Arc::new(TestTables),
+        store,
+    };
+    let name = config.node.clone();
+    if let Err(error) = run_proxy(config, adapters, None).await {
+        eprintln!("proxy {name} ended: {error:#}");
+    }
+}
+
 /// Waits until a condition holds. Panics after [`WAIT_TIMEOUT`].
 pub async fn wait_for<F, R>(what: &str, condition: F)
 where
@@ -253,7 +362,6 @@
 
 /// Returns a number that is unique within the process.
 pub fn rand_id() -> u64 {
-    use std::sync::atomic::AtomicU64;
     static NEXT: AtomicU64 = AtomicU64::new(1);
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
--- a/crates/apricotfold-proxy/tests/support/target.rs
+++ b/crates/apricotfold-proxy/tests/support/target.rs
@@ -7,6 +7,10 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Work of a `crash-later` request before the crash.
+const LATE_CRASH: Duration = Duration::from_millis(300);
 
 /// A request as received by the target.
 #[derive(Clone, Debug)]
@@ -30,14 +34,45 @@
 /// body without a length, with chunks, or with a length that is never reached; with `-slowly`, a few
 /// at a time. With `-first`, this applies only to the first request with that path at any
 /// target of the process; later ones get a normal response.
+///
+/// `crash` ends the target until [`revive`](Self::revive): its connections and its listener are
+/// closed. `crash-after-head`: after half of a response. `crash-later`: after 300 ms, even if the
+/// caller has disconnected. `crash-silently`: its connections stay open without any response.
+/// `crash-replaced`: the next incarnation listens at once.
 #[derive(Clone)]
 pub struct ScriptedTarget {
     pub address: SocketAddr,
     pub instance: String,
     calls: Arc<Mutex<Vec<ReceivedCall>>>,
     healthy: Arc<std::sync::atomic::AtomicBool>,
+    mode: Arc<Mutex<TargetMode>>,
     health_checks: Arc<std::sync::atomic::AtomicUsize>,
     statements: Arc<Mutex<String>>,
+    life: watch::Sender<TargetLife>,
+}
+
+/// How a target answers requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TargetMode {
+    /// As the words in the path say.
+    #[default]
+    Scripted,
+    /// All are rejected as not run.
+    Full,
+    /// All fail with 500 at once.
+    Failing,
+    /// All succeed, whatever the path says.
+    Sound,
+}
+
+/// The target's current incarnation.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetLife {
+    /// Number of crashes before it.
+    crashes: usize,
+    down: bool,
+    /// Whether the connections of the last incarnation stay open.
+    silent: bool,
 }
 
 impl ScriptedTarget {
@@ -48,17 +83,73 @@
             instance: instance.to_owned(),
             calls: Arc::default(),
             healthy: Arc::new(true.into()),
+            mode: Arc::default(),
             health_checks: Arc::default(),
             statements: Arc::default(),
+            life: watch::Sender::default(),
         };
-        let serving = target.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let target = serving.clone();
-                tokio::spawn(async move { target.serve(stream).await });
+        tokio::spawn(target.clone().listen(listener));
+        target
+    }
+
+    /// Accepts connections, except between a crash and the next incarnation.
+    async fn listen(self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        let mut life = self.life.subscribe();
+        loop {
+            let Some(open) = &listener else {
+                let _ = life.wait_for(|life| !life.down).await;
+                listener = Some(TcpListener::bind(self.address).await.expect("the port"));
+                continue;
+            };
+            tokio::select! {
+                Ok((stream, _)) = open.accept() => {
+                    let target = self.clone();
+                    tokio::spawn(async move { target.serve_life(stream).await });
+                }
+                _ = life.wait_for(|life| life.down) => listener = None,
             }
+        }
+    }
+
+    /// Serves a connection until it or the incarnation ends.
+    async fn serve_life(&self, stream: TcpStream) {
+        let mut life = self.life.subscribe();
+        let crashes = life.borrow_and_update().crashes;
+        let ended = life.wait_for(|life| life.crashes > crashes && !life.silent);
+        tokio::select! {
+            () = self.serve(stream) => {}
+            _ = ended => {}
+        }
+    }
+
+    /// Ends the incarnation as the path of a request says.
+    fn crash(&self, path: &str) {
+        self.life.send_modify(|life| {
+            life.crashes += 1;
+            life.down = !path.contains("replaced");
+            life.silent = path.contains("silently");
         });
-        target
+    }
+
+    /// Ends the incarnation, as a loss of power does.
+    pub fn kill(&self) {
+        self.crash("");
+    }
+
+    /// Starts the next incarnation at the same address.
+    pub fn revive(&self) {
+        self.life.send_modify(|life| life.down = false);
+    }
+
+    /// Returns the number of crashes.
+    pub fn crashes(&self) -> usize {
+        self.life.borrow().crashes
+    }
+
+    /// Sets how requests are answered from now on.
+    pub fn set_mode(&self, mode: TargetMode) {
+        *self.mode.lock().expect("no panic while locked") = mode;
     }
 
     /// Returns the received calls whose path contains a word.
@@ -125,6 +216,8 @@
         index: usize,
         scripted: bool,
     ) -> bool {
+        let mode = *self.mode.lock().expect("no panic while locked");
+        let scripted = scripted && mode == TargetMode::Scripted;
         let has = |word: &str| scripted && call.path.contains(word);
         let body = format!("answer to {} by {}", call.path, self.instance);
         let id = if has("foreign") { "r-other" } else { &call.id };
@@ -140,6 +233,10 @@
                 return false;
             }
         }
+        if has("crash") {
+            self.run_crash(stream, &call.path, &head("200 OK")).await;
+            return false;
+        }
         if has("endless") {
             self.send_endless(stream, call, index, &head("200 OK"))
                 .await;
@@ -159,14 +256,14 @@
             let socket = socket2::SockRef::from(&*stream);
             let _ = socket.set_linger(Some(Duration::ZERO));
             return false;
-        } else if has("shed") {
+        } else if mode == TargetMode::Full || has("shed") {
             format!(
                 "{}not-run: 1\r\ncontent-length: 0\r\n\r\n",
                 head("503 Busy")
             )
         } else if has("busy") {
             format!("{}content-length: 0\r\n\r\n", head("503 Busy"))
-        } else if has("fail") {
+        } else if mode == TargetMode::Failing || has("fail") {
             format!("{}content-length: 0\r\n\r\n", head("500 Failed"))
         } else {
             format!("{}content-length: {length}\r\n\r\n{body}", head("200 OK"))
@@ -174,6 +271,30 @@
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
+    /// Runs a request under which the target crashes.
+    async fn run_crash(&self, stream: &mut TcpStream, path: &str, head: &str) {
+        if path.contains("after-head") {
+            let text = format!("{head}content-length: 100\r\n\r\nhalf");
+            let _ = stream.write_all(text.as_bytes()).await;
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        if path.contains("later") {
+            let target = self.clone();
+            let path = path.to_owned();
+            // The work goes on if the caller disconnects.
+            let work = tokio::spawn(async move {
+                tokio::time::sleep(LATE_CRASH).await;
+                target.crash(&path);
+            });
+            let _ = work.await;
+        } else {
+            self.crash(path);
+        }
+        if path.contains("silently") {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Sends bytes until the connection is closed, and records when that was.
     async fn send_endless(
         &self,
