Log which crashes a node hears of, clears or does not count

The lines as found could not tell counts that never arrive from counts that are lost or cleared: only the node that counted a crash and the one that refused a request said so. AF3016, AF3017 and AF3018 are new, and the gauges of suspect and of blocked requests. No decision changes.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -117,6 +117,15 @@
     /// A target states another request rate that it accepts, or no longer states one.
     #[strum(serialize = "AF3015", message = "rate limit changed")]
     RateLimitChanged,
+    /// Another node reports that a request was in flight when a target crashed.
+    #[strum(serialize = "AF3016", message = "crash learned")]
+    CrashLearned,
+    /// An answer cleared a request of the crashes known so far.
+    #[strum(serialize = "AF3017", message = "suspicion cleared")]
+    SuspicionCleared,
+    /// A request lost its target and was not counted as in flight at a crash.
+    #[strum(serialize = "AF3018", message = "crash not counted")]
+    CrashNotCounted,
     /// A stream to or from a peer was opened.
     #[strum(serialize = "AF4001", message = "peer connected")]
     PeerConnected,
--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -175,33 +175,38 @@
     }
 
     /// Merges the count of another node. A count that is not above the known one is ignored, so
-    /// that repeated records have no effect.
+    /// that repeated records have no effect. Returns whether the count is new.
     pub fn merge(
         &mut self,
         fingerprint: &RequestFingerprint,
         node: &NodeId,
         count: u32,
         now: Instant,
-    ) {
+    ) -> bool {
         if count == 0 {
-            return;
+            return false;
         }
         let known = self.entry(fingerprint, now);
         let slot = count_slot(known, node);
-        if count > *slot {
+        let new = count > *slot;
+        if new {
             *slot = count;
             known.changed = now;
         }
+        new
     }
 
     /// Records that a target answered the request, which shows that the crashes counted so far were
     /// a coincidence. A frequent request is in flight at most crashes; its answers distinguish it
-    /// from one that crashes every target.
-    pub fn record_answer(&mut self, fingerprint: &RequestFingerprint, now: Instant) {
+    /// from one that crashes every target. Returns the number of crashes that it is cleared of.
+    pub fn record_answer(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> u32 {
         self.answered.record(fingerprint, now);
-        if let Some(known) = self.entries.get_mut(fingerprint) {
-            known.cleared = known.total();
-        }
+        let Some(known) = self.entries.get_mut(fingerprint) else {
+            return 0;
+        };
+        let cleared = known.suspect_count();
+        known.cleared = known.total();
+        cleared
     }
 
     /// Returns whether the request must be refused with `poison-request`. A request that was
@@ -222,6 +227,14 @@
         self.entries.len()
     }
 
+    /// Number of requests that are blocked unless they were answered within the last few seconds.
+    #[must_use]
+    pub fn blocked(&self, now: Instant) -> usize {
+        let blocked =
+            |known: &&CrashEntry| !known.is_expired(now) && known.suspect_count() >= BLOCK_AFTER;
+        self.entries.values().filter(blocked).count()
+    }
+
     /// Returns whether no crash is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/apricotfold-policy/tests/crash_guard.rs
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -16,7 +16,9 @@
     let mut guard = CrashGuard::new("n1".into());
     assert_eq!(guard.record_crash(&POISON, now), Some(1));
     assert!(!guard.is_blocked(&POISON, now));
+    assert_eq!(guard.blocked(now), 0);
     assert_eq!(guard.record_crash(&POISON, now), Some(2));
+    assert_eq!(guard.blocked(now), 1);
     assert!(guard.is_blocked(&POISON, now + ALMOST));
     assert!(!guard.is_blocked(&"q".into(), now));
     assert!(!guard.is_blocked(&POISON, now + LIFETIME));
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -41,7 +41,14 @@
 
     /// Records that the target answered a request.
     pub fn record_answer(&self, fingerprint: &RequestFingerprint) {
-        self.lock().guard.record_answer(fingerprint, Instant::now());
+        let cleared = self.lock().guard.record_answer(fingerprint, Instant::now());
+        if cleared > 0 {
+            log_event!(
+                info,
+                SuspicionCleared,
+                "request {fingerprint} of {cleared} crashes"
+            );
+        }
     }
 
     /// Counts a request that was in flight when the target crashed. Returns whether the counts
@@ -49,10 +56,11 @@
     pub fn record_crash(&self, fingerprint: &RequestFingerprint, started: Instant) -> bool {
         let mut state = self.lock();
         let now = Instant::now();
-        if !state.guard.is_suspect(fingerprint, started, now) {
-            return false;
-        }
-        let Some(count) = state.guard.record_crash(fingerprint, now) else {
+        let suspect = state.guard.is_suspect(fingerprint, started, now);
+        let count = suspect.then(|| state.guard.record_crash(fingerprint, now));
+        let Some(count) = count.flatten() else {
+            let reason = "answered or counted shortly before";
+            log_event!(info, CrashNotCounted, "request {fingerprint}: {reason}");
             return false;
         };
         state.shared.retain(|(known, _)| known != fingerprint);
@@ -78,7 +86,19 @@
         let mut state = self.lock();
         let now = Instant::now();
         for (fingerprint, count) in counts {
-            state.guard.merge(fingerprint, node, *count, now);
+            if state.guard.merge(fingerprint, node, *count, now) {
+                log_event!(
+                    info,
+                    CrashLearned,
+                    "request {fingerprint} crash {count} at {node}"
+                );
+            }
         }
     }
+
+    /// Returns the number of requests with known crashes, and of those that are blocked.
+    pub fn sizes(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.guard.len(), state.guard.blocked(Instant::now()))
+    }
 }
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -42,6 +42,7 @@
 
 fn publish_metrics(engine: &Engine) {
     let report = engine.report();
+    let (suspects, blocked) = engine.crashes.sizes();
     let metrics = telemetry::StateMetrics {
         table_version: engine.tables.version(),
         instances: engine.registry().len() as u64,
@@ -49,6 +50,8 @@
         waiting: report.waiting,
         slots: report.slots,
         store_age: engine.store_health.age().unwrap_or(Duration::MAX),
+        suspects: suspects as u64,
+        blocked: blocked as u64,
         ready: engine.is_ready(),
     };
     telemetry::publish_state(&metrics);
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -466,6 +466,8 @@
         let address = engine.config.load().target_address;
         let crashed = engine.target_connections.probe(address).await.is_err();
         if !crashed {
+            let reason = "the target still accepts connections";
+            log_event!(info, CrashNotCounted, "request {fingerprint}: {reason}");
             return;
         }
         probe_down_target(&engine);
--- a/crates/apricotfold-proxy/src/telemetry.rs
+++ b/crates/apricotfold-proxy/src/telemetry.rs
@@ -96,6 +96,8 @@
     gauge!("apricotfold_target_waiting").set(f64::from(state.waiting));
     gauge!("apricotfold_target_slots").set(f64::from(state.slots));
     gauge!("apricotfold_store_word_age_seconds").set(state.store_age.as_secs_f64());
+    gauge!("apricotfold_suspect_requests").set(to_float(state.suspects));
+    gauge!("apricotfold_blocked_requests").set(to_float(state.blocked));
     gauge!("apricotfold_ready").set(f64::from(u8::from(state.ready)));
 }
 
@@ -113,6 +115,10 @@
     pub slots: u32,
     /// Time since the store last answered.
     pub store_age: Duration,
+    /// Requests that were in flight when targets crashed.
+    pub suspects: u64,
+    /// Those of them that are blocked.
+    pub blocked: u64,
     /// Whether the node is ready for callers.
     pub ready: bool,
 }
