Clear a request of crashes only by an answer that shows that it ran

What callers saw: a request that had crashed a target was sent to more of them after a full target had turned it away. Cause: read_answer recorded an answer before it looked at whether the target had run the request, so a rejection cleared the request of all crashes known to that node and exempted it for 10 s; a failure that the target gives before it runs the request did the same. Class: a message about the target is taken for one about the request. Change: rejections and server errors record nothing. A request that always fails and was in flight at two crashes is now blocked; callers lose an error.

--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -322,7 +322,6 @@
         let (mut parts, incoming) = answer.into_parts();
         let head = engine.protocol.read_answer(parts.status, &parts.headers);
         self.check_request_id(&head)?;
-        engine.crashes.record_answer(fingerprint);
         if let Some(pace) = head.pace {
             engine.record_pace(pace);
         }
@@ -341,6 +340,10 @@
             refusal.arrived = true;
             return Err(refusal);
         }
+        if !parts.status.is_server_error() {
+            // A target can fail a request before it begins to run it.
+            engine.crashes.record_answer(fingerprint);
+        }
         strip_hop_by_hop_headers(&mut parts.headers);
         Ok(TargetResponse {
             status: parts.status,
