Identify crashes by incarnation instead of counting them by node

What callers saw: a request that had crashed targets reached more of them after a proxy had restarted. Cause: each node counted the crashes at its own target from 0, and others merged the count by maximum. What a restarted node counted was not above what they knew of it, so it was lost to all, and the restarted node knew nothing of its former counts. Class: a counter with one writer that lives shorter than its readers. Change: the shared state is a set of marks, each for a request and the incarnation of the target that ended. Marks and clearances only gain, so merging is idempotent and commutes; two nodes that notice the same crash count it once.

--- a/crates/apricotfold-model/src/instance.rs
+++ b/crates/apricotfold-model/src/instance.rs
@@ -16,6 +16,21 @@
 /// Sequence number of an announcement; increases from the start of a target until it exits.
 pub type AnnouncementNumber = u64;
 
+/// One start of a target. A target that restarts under its former id is another incarnation.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct TargetIncarnation {
+    /// Id of the target.
+    pub instance: InstanceId,
+    /// Start time of the target.
+    pub born: StartTimeMillis,
+}
+
+impl std::fmt::Display for TargetIncarnation {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}@{}", self.instance, self.born)
+    }
+}
+
 /// Whether a target accepts new requests.
 #[derive(
     Clone,
@@ -64,6 +79,17 @@
     pub cold: Duration,
 }
 
+impl InstanceAnnouncement {
+    /// Returns the incarnation that announces itself.
+    #[must_use]
+    pub fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
+            instance: self.instance.clone(),
+            born: self.born,
+        }
+    }
+}
+
 /// An instance as known to other nodes, both as a store entry and in messages between nodes.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -98,6 +124,15 @@
 }
 
 impl InstanceRecord {
+    /// Returns the incarnation of the target.
+    #[must_use]
+    pub fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
+            instance: self.instance.clone(),
+            born: self.born,
+        }
+    }
+
     /// Key by which the records of a node are ordered; the record with the highest key is in force.
     /// A later start of the target takes precedence over an earlier one, and then a later process
     /// of the node. Within the same target and node processes, the state only advances.
--- a/crates/apricotfold-model/src/lib.rs
+++ b/crates/apricotfold-model/src/lib.rs
@@ -35,7 +35,7 @@
 };
 pub use instance::{
     AnnouncementNumber, InstanceAnnouncement, InstanceId, InstanceRecord, InstanceState,
-    StartTimeMillis,
+    StartTimeMillis, TargetIncarnation,
 };
 pub use millis::saturating_millis;
 pub use outcome::{CallOutcome, RefusalReason, headers};
--- a/crates/apricotfold-node/src/state.rs
+++ b/crates/apricotfold-node/src/state.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use apricotfold_control::RelayInfo;
-use apricotfold_model::{MeshSnapshot, NodeConfig, NodeId, ProfileLimits, TargetState, log_event};
-use apricotfold_policy::{CrashGuard, RequestFingerprint};
+use apricotfold_model::{MeshSnapshot, NodeConfig, ProfileLimits, TargetState, log_event};
+use apricotfold_policy::{CountedLosses, CrashGuard, CrashId, CrashMark, RequestFingerprint};
 use arc_swap::ArcSwap;
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::sync::{broadcast, watch};
@@ -27,8 +27,8 @@
 /// closed.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Source id of the summed crash counts of all nodes, which the control plane delivers.
-const ALL_NODES: NodeId = CompactString::const_new("all-nodes");
+/// Largest crash count of a request that is told apart from smaller ones; it is blocked long before.
+const MAX_CRASH_COUNT: u32 = 8;
 /// Largest request body for which responses are recorded.
 const MAX_RECORDED_BODY_BYTES: usize = 64 * 1024;
 /// Crash reports that are queued for the control plane.
@@ -82,6 +82,8 @@
     pub admission: AdmissionController,
     /// Fingerprints of requests that were in flight when targets crashed.
     pub crashes: Mutex<CrashGuard>,
+    /// When requests were last counted as in flight at a local crash.
+    counted_losses: Mutex<CountedLosses>,
     /// Fingerprints of requests at local crashes, to be sent to other nodes.
     pub crash_reports: broadcast::Sender<RequestFingerprint>,
     target: watch::Sender<Option<(TargetState, Instant)>>,
@@ -113,7 +115,6 @@
         } else {
             config.seed
         };
-        let node: NodeId = config.node.clone();
         Ok(Arc::new(Self {
             incarnation,
             snapshot: ArcSwap::default(),
@@ -128,7 +129,8 @@
             client,
             balancers: BalancerSet::new(&config, seed),
             admission: AdmissionController::new(),
-            crashes: Mutex::new(CrashGuard::new(node)),
+            crashes: Mutex::default(),
+            counted_losses: Mutex::default(),
             crash_reports: broadcast::Sender::new(CRASH_REPORT_CAPACITY),
             target: watch::Sender::new(None),
             limits: Mutex::new(ProfileLimits::default()),
@@ -202,11 +204,16 @@
     pub fn report_crash(&self, request: &BufferedRequest, started: Instant) {
         let fingerprint = fingerprint(request);
         log_event!(warn, TargetGone, "connection lost in request {fingerprint}");
-        let mut crashes = self.crashes.lock().expect("no panic while locked");
-        if !crashes.is_suspect(&fingerprint, started, Instant::now()) {
+        let crashes = self.crashes.lock().expect("no panic while locked");
+        if crashes.is_recently_answered(&fingerprint, SystemTime::now()) {
             return;
         }
         drop(crashes);
+        let mut losses = self.counted_losses.lock().expect("no panic while locked");
+        if !losses.record_loss(&fingerprint, started, Instant::now()) {
+            return;
+        }
+        drop(losses);
         // Sending fails only if nothing receives reports, for example while the control plane
         // stops.
         let _ = self.crash_reports.send(fingerprint);
@@ -215,8 +222,8 @@
     /// Tells whether a request was in flight at so many crashes that it is blocked. The fingerprint
     /// is computed only while crashes are known, since it needs a digest over the body.
     pub fn is_poison(&self, request: &BufferedRequest) -> bool {
-        let mut crashes = self.crashes.lock().expect("no panic while locked");
-        !crashes.is_empty() && crashes.is_blocked(&fingerprint(request), Instant::now())
+        let crashes = self.crashes.lock().expect("no panic while locked");
+        !crashes.is_empty() && crashes.is_blocked(&fingerprint(request), SystemTime::now())
     }
 
     /// Records that a target answered a request, which clears the request of earlier crashes and of
@@ -228,13 +235,22 @@
         }
         let fingerprint = fingerprint(request);
         let mut crashes = self.crashes.lock().expect("no panic while locked");
-        crashes.record_answer(&fingerprint, Instant::now());
+        crashes.record_answer(&fingerprint, SystemTime::now());
     }
 
-    /// Merges the number of crashes that all nodes have seen for a request.
+    /// Merges the number of crashes that all nodes have seen for a request. Each number up to it
+    /// stands for one crash.
     pub fn merge_crashes(&self, fingerprint: &RequestFingerprint, count: u32) {
+        for number in 1..=count.min(MAX_CRASH_COUNT) {
+            self.merge_crash(fingerprint, number.to_compact_string());
+        }
+    }
+
+    /// Merges a crash during which a request was in flight.
+    pub fn merge_crash(&self, fingerprint: &RequestFingerprint, crash: CrashId) {
+        let now = SystemTime::now();
         let mut crashes = self.crashes.lock().expect("no panic while locked");
-        crashes.merge(fingerprint, &ALL_NODES, count, Instant::now());
+        crashes.merge(fingerprint, CrashMark::new(crash, now), now);
     }
 
     /// Returns a random number from the generator seeded with `seed`.
--- a/crates/apricotfold-node/src/store_watch.rs
+++ b/crates/apricotfold-node/src/store_watch.rs
@@ -15,6 +15,7 @@
 use apricotfold_store::{
     Compare, ConfigStore, HttpStore, LeaseId, StoreEntry, StoreTxn, WatchBatch, WatchEvent,
 };
+use compact_str::ToCompactString;
 use futures_util::StreamExt;
 
 use crate::enforce::ProfileEnforcer;
@@ -92,6 +93,7 @@
         let mut renew = tokio::time::interval(RENEW_INTERVAL);
         let mut target = self.state.watch_target();
         let mut crashes = self.state.crash_reports.subscribe();
+        let mut own_crashes: u64 = 0;
         loop {
             tokio::select! {
                 batch = watch.next() => {
@@ -105,8 +107,8 @@
                     node_metrics::record_store_call("keep-alive");
                 }
                 Ok(fingerprint) = crashes.recv() => {
-                    let mut known = self.state.crashes.lock().expect("no panic while locked");
-                    known.record_crash(&fingerprint, Instant::now());
+                    own_crashes += 1;
+                    self.state.merge_crash(&fingerprint, own_crashes.to_compact_string());
                 }
                 changed = target.changed() => {
                     changed?;
--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -1,9 +1,9 @@
 //! Blocks requests that crash targets. See `docs/design.md`, section 6.
 
-use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use apricotfold_model::NodeId;
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
@@ -11,10 +11,23 @@
 /// key.
 pub type RequestFingerprint = CompactString;
 
+/// Identifies a crash, equally at all nodes that notice it: the incarnation of the target that
+/// ended.
+pub type CrashId = CompactString;
+
+/// Time of a crash in milliseconds since the Unix epoch.
+pub type CrashTimeMillis = u64;
+
+/// Crashes during which one request was in flight.
+pub type CrashMarks = SmallVec<[CrashMark; 2]>;
+
+/// Crash marks by request, as shared with other nodes.
+pub type CrashEvidence = BTreeMap<RequestFingerprint, CrashMarks>;
+
 /// Number of crashes after which a request is blocked. A single crash may be a coincidence.
-const BLOCK_AFTER: u32 = 2;
+const BLOCK_AFTER: usize = 2;
 
-/// Time after the last change at which an entry is dropped, equal to the lifetime of `crash`
+/// Time after its latest crash for which a request is remembered, equal to the lifetime of `crash`
 /// records.
 const ENTRY_LIFETIME: Duration = Duration::from_mins(10);
 
@@ -22,206 +35,218 @@
 /// some 300 crashes within the lifetime.
 const MAX_ENTRIES: usize = 4_096;
 
-/// Time for which an answer clears a request of later crashes. A frequent request that is always
-/// answered is in flight at most crashes without causing them; one that begins to crash targets
-/// gets no more answers and is counted after this time.
+/// Maximum number of crashes that are remembered for a request.
+const MAX_MARKS: usize = 8;
+
+/// Time for which the answer to a request is remembered.
 const ANSWER_RETENTION: Duration = Duration::from_secs(10);
 
 /// Maximum number of answered fingerprints in each generation of [`RecentAnswers`].
 const MAX_ANSWERED: usize = 4_096;
 
-/// Time for which a crash is remembered as counted. Requests that were in flight at the same crash
-/// are lost within a short time of each other.
-const COUNTED_LIFETIME: Duration = Duration::from_mins(1);
+/// A crash during which a request was in flight. Marks only gain information, so nodes can merge
+/// them in any order and any number of times.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CrashMark {
+    /// The crash.
+    pub crash: CrashId,
+    /// When the crash was first noticed.
+    pub observed: CrashTimeMillis,
+    /// Whether a later answer to the request has shown that it did not cause the crash.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cleared: bool,
+}
 
-/// Recently answered fingerprints, in two generations. The older one is dropped as a whole, so that
+impl CrashMark {
+    /// Creates the mark of a crash that is noticed now.
+    #[must_use]
+    pub fn new(crash: CrashId, now: SystemTime) -> Self {
+        Self {
+            crash,
+            observed: unix_millis(now),
+            cleared: false,
+        }
+    }
+
+    fn is_expired(&self, now: CrashTimeMillis) -> bool {
+        Duration::from_millis(now.saturating_sub(self.observed)) >= ENTRY_LIFETIME
+    }
+}
+
+/// Latest answers by fingerprint, in two generations. The older one is dropped as a whole, so that
 /// recording an answer costs one insertion.
 #[derive(Clone, Debug, Default)]
 struct RecentAnswers {
-    recent: HashSet<RequestFingerprint>,
-    older: HashSet<RequestFingerprint>,
-    rotated: Option<Instant>,
+    recent: HashMap<RequestFingerprint, CrashTimeMillis>,
+    older: HashMap<RequestFingerprint, CrashTimeMillis>,
+    rotated: CrashTimeMillis,
 }
 
 impl RecentAnswers {
-    fn record(&mut self, fingerprint: &RequestFingerprint, now: Instant) {
-        self.rotate(now);
-        if self.recent.contains(fingerprint) {
-            return;
-        }
-        if self.recent.len() >= MAX_ANSWERED {
+    fn record(&mut self, fingerprint: &RequestFingerprint, now: CrashTimeMillis) {
+        let age = Duration::from_millis(now.saturating_sub(self.rotated));
+        if age >= ANSWER_RETENTION || self.recent.len() >= MAX_ANSWERED {
             self.older = std::mem::take(&mut self.recent);
+            self.rotated = now;
+        }
+        if let Some(answered) = self.recent.get_mut(fingerprint) {
+            *answered = now;
+        } else {
+            self.recent.insert(fingerprint.clone(), now);
         }
-        self.recent.insert(fingerprint.clone());
-    }
-
-    fn contains(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> bool {
-        self.rotate(now);
-        self.recent.contains(fingerprint) || self.older.contains(fingerprint)
     }
 
-    /// Drops the fingerprints that are older than [`ANSWER_RETENTION`].
-    fn rotate(&mut self, now: Instant) {
-        let rotated = *self.rotated.get_or_insert(now);
-        let age = now.saturating_duration_since(rotated);
-        if age < ANSWER_RETENTION / 2 {
-            return;
-        }
-        self.older = std::mem::take(&mut self.recent);
-        if age >= ANSWER_RETENTION {
-            self.older.clear();
-        }
-        self.rotated = Some(now);
+    /// Returns the time of the latest answer, if it is within [`ANSWER_RETENTION`].
+    fn latest(
+        &self,
+        fingerprint: &RequestFingerprint,
+        now: CrashTimeMillis,
+    ) -> Option<CrashTimeMillis> {
+        let recent = self.recent.get(fingerprint);
+        let answered = *recent.or_else(|| self.older.get(fingerprint))?;
+        let age = Duration::from_millis(now.saturating_sub(answered));
+        (age < ANSWER_RETENTION).then_some(answered)
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct CrashEntry {
-    changed: Instant,
-    /// Highest known count of each node.
-    counts: SmallVec<[(NodeId, u32); 2]>,
-    /// Number of crashes that a later answer has shown to be a coincidence.
-    cleared: u32,
+    marks: CrashMarks,
 }
 
 impl CrashEntry {
-    fn total(&self) -> u32 {
-        self.counts
-            .iter()
-            .fold(0, |sum, (_, count)| sum.saturating_add(*count))
+    /// Number of crashes that the request may have caused.
+    fn suspect_count(&self) -> usize {
+        self.marks.iter().filter(|mark| !mark.cleared).count()
     }
 
-    fn suspect_count(&self) -> u32 {
-        self.total().saturating_sub(self.cleared)
+    fn latest(&self) -> CrashTimeMillis {
+        let observed = self.marks.iter().map(|mark| mark.observed);
+        observed.max().unwrap_or_default()
     }
 
-    /// Sort key for eviction; the entry with the lowest key is evicted first.
-    fn eviction_rank(&self) -> (bool, Instant) {
-        (self.suspect_count() >= BLOCK_AFTER, self.changed)
+    /// Sort key for eviction and for sharing: the entry with the highest key is kept and shared first.
+    fn rank(&self) -> (bool, CrashTimeMillis) {
+        (self.suspect_count() >= BLOCK_AFTER, self.latest())
     }
 
-    fn is_expired(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.changed) >= ENTRY_LIFETIME
+    fn is_expired(&self, now: CrashTimeMillis) -> bool {
+        self.marks.iter().all(|mark| mark.is_expired(now))
     }
-}
 
-/// Counts how often a request was in flight when its target crashed, at this node and at others.
-///
-/// A crash must be recorded by one node only: by the target's own node, or by the entry node if the
-/// whole instance was lost and its node can no longer record the crash.
-#[derive(Clone, Debug)]
-pub struct CrashGuard {
-    own: NodeId,
-    entries: HashMap<RequestFingerprint, CrashEntry>,
-    answered: RecentAnswers,
-    /// Time of the latest crash that this node observed, for each request.
-    last_counted: HashMap<RequestFingerprint, Instant>,
-}
-
-impl CrashGuard {
-    /// Creates a guard without entries for the node `own`.
-    #[must_use]
-    pub fn new(own: NodeId) -> Self {
-        Self {
-            own,
-            entries: HashMap::new(),
-            answered: RecentAnswers::default(),
-            last_counted: HashMap::new(),
+    /// Adds a mark or merges it into the known one of the same crash. Returns whether that is news.
+    fn merge(&mut self, mark: CrashMark) -> bool {
+        let mut known = self.marks.iter_mut();
+        if let Some(known) = known.find(|known| known.crash == mark.crash) {
+            let news = mark.cleared && !known.cleared;
+            known.cleared |= mark.cleared;
+            known.observed = known.observed.min(mark.observed);
+            return news;
         }
-    }
-
-    /// Returns whether a request that was sent to the target at `started` and lost its target now
-    /// is suspect. It is not if it was answered within the last few seconds, nor if an equal
-    /// request that was in flight at the same time has already been counted, because one crash
-    /// counts once.
-    pub fn is_suspect(
-        &mut self,
-        fingerprint: &RequestFingerprint,
-        started: Instant,
-        now: Instant,
-    ) -> bool {
-        if self.answered.contains(fingerprint, now) {
-            return false;
-        }
-        let counted = self.last_counted.get(fingerprint);
-        if counted.is_some_and(|counted| *counted >= started) {
-            return false;
-        }
-        if self.last_counted.len() >= MAX_ENTRIES {
-            let recent = |last_counted: &Instant| {
-                now.saturating_duration_since(*last_counted) < COUNTED_LIFETIME
+        if self.marks.len() >= MAX_MARKS {
+            // What is cleared tells least, then what is oldest.
+            let first = (0..self.marks.len()).min_by_key(|index| {
+                let known = &self.marks[*index];
+                (!known.cleared, known.observed)
+            });
+            let Some(first) = first.filter(|index| self.marks[*index].cleared) else {
+                return false;
             };
-            self.last_counted
-                .retain(|_, last_counted| recent(last_counted));
+            self.marks.remove(first);
         }
-        self.last_counted.insert(fingerprint.clone(), now);
+        self.marks.push(mark);
         true
     }
+}
 
-    /// Counts a crash that this node observed. Returns this node's new count, to be shared as a
-    /// `crash` record, or `None` if the request was answered within the last few seconds and is not
-    /// suspect.
-    pub fn record_crash(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> Option<u32> {
-        if self.answered.contains(fingerprint, now) {
-            return None;
-        }
-        let own = self.own.clone();
-        let known = self.entry(fingerprint, now);
-        let slot = count_slot(known, &own);
-        *slot = slot.saturating_add(1);
-        let count = *slot;
-        known.changed = now;
-        Some(count)
-    }
+/// Knows which requests were in flight when targets crashed, at this node and at others, and which
+/// of them must not run again.
+///
+/// Time is the time of day, because nodes compare the times of crashes and answers. Clocks that
+/// differ by some seconds only delay when a request is cleared.
+#[derive(Clone, Debug, Default)]
+pub struct CrashGuard {
+    entries: HashMap<RequestFingerprint, CrashEntry>,
+    answers: RecentAnswers,
+}
 
-    /// Merges the count of another node. A count that is not above the known one is ignored, so
-    /// that repeated records have no effect. Returns whether the count is new.
+impl CrashGuard {
+    /// Merges a mark that this node or another one made. Returns whether that is news. A request that
+    /// was answered here since the crash is cleared of it at once.
     pub fn merge(
         &mut self,
         fingerprint: &RequestFingerprint,
-        node: &NodeId,
-        count: u32,
-        now: Instant,
+        mark: CrashMark,
+        now: SystemTime,
     ) -> bool {
-        if count == 0 {
+        let now = unix_millis(now);
+        if mark.is_expired(now) {
             return false;
         }
-        let known = self.entry(fingerprint, now);
-        let slot = count_slot(known, node);
-        let new = count > *slot;
-        if new {
-            *slot = count;
-            known.changed = now;
+        if !self.entries.contains_key(fingerprint) {
+            self.make_room(now);
         }
-        new
+        let answered = self.answers.latest(fingerprint, now);
+        let cleared = mark.cleared || answered.is_some_and(|answered| answered > mark.observed);
+        let known = self.entries.entry(fingerprint.clone()).or_default();
+        known.marks.retain(|known| !known.is_expired(now));
+        known.merge(CrashMark { cleared, ..mark })
     }
 
-    /// Records that a target answered the request, which shows that the crashes counted so far were
-    /// a coincidence. A frequent request is in flight at most crashes; its answers distinguish it
-    /// from one that crashes every target. Returns the number of crashes that it is cleared of.
-    pub fn record_answer(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> u32 {
-        self.answered.record(fingerprint, now);
+    /// Records that a target ran the request to its end, which shows that the crashes before were a
+    /// coincidence. A frequent request is in flight at most crashes; its answers distinguish it from
+    /// one that crashes every target. Returns the number of crashes that it is cleared of.
+    pub fn record_answer(&mut self, fingerprint: &RequestFingerprint, now: SystemTime) -> usize {
+        self.answers.record(fingerprint, unix_millis(now));
         let Some(known) = self.entries.get_mut(fingerprint) else {
             return 0;
         };
         let cleared = known.suspect_count();
-        known.cleared = known.total();
+        for mark in &mut known.marks {
+            mark.cleared = true;
+        }
         cleared
     }
 
-    /// Returns whether the request must be refused with `poison-request`. A request that was
-    /// answered within the last few seconds is not, because its next answer clears it of the
-    /// crashes that other nodes have counted.
+    /// Returns whether the request was answered within the last few seconds.
     #[must_use]
-    pub fn is_blocked(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> bool {
-        let counted = self
+    pub fn is_recently_answered(&self, fingerprint: &RequestFingerprint, now: SystemTime) -> bool {
+        let answered = self.answers.latest(fingerprint, unix_millis(now));
+        answered.is_some()
+    }
+
+    /// Returns whether the request must be refused with `poison-request`.
+    #[must_use]
+    pub fn is_blocked(&self, fingerprint: &RequestFingerprint, now: SystemTime) -> bool {
+        let Some(known) = self.entries.get(fingerprint) else {
+            return false;
+        };
+        !known.is_expired(unix_millis(now))
+            && known.suspect_count() >= BLOCK_AFTER
+            && !self.is_recently_answered(fingerprint, now)
+    }
+
+    /// Returns the evidence on at most `limit` requests for other nodes, blocked requests first, then
+    /// those with the latest crashes. Nodes with the same information return the same.
+    #[must_use]
+    pub fn evidence(&self, limit: usize, now: SystemTime) -> CrashEvidence {
+        let now = unix_millis(now);
+        let valid = self
             .entries
-            .get(fingerprint)
-            .is_some_and(|known| !known.is_expired(now) && known.suspect_count() >= BLOCK_AFTER);
-        counted && !self.answered.contains(fingerprint, now)
+            .iter()
+            .filter(|(_, known)| !known.is_expired(now));
+        let mut ranked: Vec<_> = valid.collect();
+        ranked.sort_by_cached_key(|(fingerprint, known)| {
+            (Reverse(known.rank()), (*fingerprint).clone())
+        });
+        let shared = ranked.into_iter().take(limit);
+        shared
+            .map(|(fingerprint, known)| (fingerprint.clone(), known.marks.clone()))
+            .collect()
     }
 
-    /// Number of requests with counted crashes.
+    /// Number of requests with known crashes.
     #[must_use]
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -229,7 +254,8 @@
 
     /// Number of requests that are blocked unless they were answered within the last few seconds.
     #[must_use]
-    pub fn blocked(&self, now: Instant) -> usize {
+    pub fn blocked(&self, now: SystemTime) -> usize {
+        let now = unix_millis(now);
         let blocked =
             |known: &&CrashEntry| !known.is_expired(now) && known.suspect_count() >= BLOCK_AFTER;
         self.entries.values().filter(blocked).count()
@@ -241,29 +267,9 @@
         self.entries.is_empty()
     }
 
-    fn entry(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> &mut CrashEntry {
-        if !self.entries.contains_key(fingerprint) {
-            self.make_room(now);
-        }
-        let known = self
-            .entries
-            .entry(fingerprint.clone())
-            .or_insert_with(|| CrashEntry {
-                changed: now,
-                counts: SmallVec::new(),
-                cleared: 0,
-            });
-        if known.is_expired(now) {
-            known.counts.clear();
-            known.cleared = 0;
-            known.changed = now;
-        }
-        known
-    }
-
     /// Makes room for an entry by dropping expired entries, then the oldest one. Blocked ones are
     /// dropped last, because they protect targets.
-    fn make_room(&mut self, now: Instant) {
+    fn make_room(&mut self, now: CrashTimeMillis) {
         if self.entries.len() < MAX_ENTRIES {
             return;
         }
@@ -274,7 +280,7 @@
         // Ties are broken by fingerprint, so that the result does not depend on the map's iteration
         // order.
         let oldest = self.entries.iter().min_by(|(left, one), (right, other)| {
-            let order = one.eviction_rank().cmp(&other.eviction_rank());
+            let order = one.rank().cmp(&other.rank());
             order.then_with(|| left.cmp(right))
         });
         let oldest = oldest.map(|(fingerprint, _)| fingerprint.clone());
@@ -284,14 +290,8 @@
     }
 }
 
-fn count_slot<'a>(known: &'a mut CrashEntry, node: &NodeId) -> &'a mut u32 {
-    let index = known
-        .counts
-        .iter()
-        .position(|(known_node, _)| known_node == node)
-        .unwrap_or_else(|| {
-            known.counts.push((node.clone(), 0));
-            known.counts.len() - 1
-        });
-    &mut known.counts[index].1
+/// Returns a time in milliseconds since the Unix epoch; 0 for times before it.
+fn unix_millis(time: SystemTime) -> CrashTimeMillis {
+    let age = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    apricotfold_model::saturating_millis(age)
 }
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -1,8 +1,9 @@
 //! Decisions of the call path as state machines without I/O.
 //!
 //! No code in this crate opens a socket, reads a clock or blocks: time is passed in as
-//! [`std::time::Instant`] and random numbers are drawn from a seeded generator, so that every
-//! decision can be reproduced in a test. The node daemon carries the decisions out. See
+//! [`std::time::Instant`] or, where nodes compare times, as [`std::time::SystemTime`], and random
+//! numbers are drawn from a seeded generator, so that every decision can be reproduced in a test.
+//! The node daemon carries the decisions out. See
 //! `docs/design.md`, sections 2.1 and 6.
 //!
 //! At the entry node, a [`CallPlan`] controls a call. It spends from [`CallBudgets`], delays hedges
@@ -26,6 +27,7 @@
 mod balancer;
 mod budget;
 mod claims;
+mod counted_losses;
 mod crash;
 mod deadline_queue;
 mod decay;
@@ -63,7 +65,10 @@
 };
 pub use budget::{CallBudgets, RetryBudget};
 pub use claims::{ClaimBatch, ClaimRequest, ClaimTicket};
-pub use crash::{CrashGuard, RequestFingerprint};
+pub use counted_losses::CountedLosses;
+pub use crash::{
+    CrashEvidence, CrashGuard, CrashId, CrashMark, CrashMarks, CrashTimeMillis, RequestFingerprint,
+};
 pub use deadline_queue::{DeadlineQueue, ExpectedWaits, priority_index};
 pub use direct_fallback::{DirectFallback, STORE_SILENCE, StoreContact};
 pub use hedge::HedgeTimer;
--- a/crates/apricotfold-policy/tests/crash_guard.rs
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -1,98 +1,136 @@
 //! Blocking of requests that crash targets.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
-use apricotfold_policy::{CrashGuard, RequestFingerprint};
+use apricotfold_policy::{CountedLosses, CrashGuard, CrashMark, RequestFingerprint};
 
 const LIFETIME: Duration = Duration::from_mins(10);
 const ALMOST: Duration = Duration::from_millis(599_999);
 const POISON: RequestFingerprint = RequestFingerprint::const_new("p");
 
+fn record(guard: &mut CrashGuard, crash: &str, now: SystemTime) -> bool {
+    guard.merge(&POISON, CrashMark::new(crash.into(), now), now)
+}
+
 /// Guards against a request that crashes one target after the other, against a block after a single
 /// crash, which may be a coincidence, and against a block that never ends.
 #[test]
 fn second_crash_blocks_for_ten_minutes() {
-    let now = Instant::now();
-    let mut guard = CrashGuard::new("n1".into());
-    assert_eq!(guard.record_crash(&POISON, now), Some(1));
+    let now = SystemTime::now();
+    let mut guard = CrashGuard::default();
+    assert!(record(&mut guard, "a@1", now));
     assert!(!guard.is_blocked(&POISON, now));
     assert_eq!(guard.blocked(now), 0);
-    assert_eq!(guard.record_crash(&POISON, now), Some(2));
+    assert!(record(&mut guard, "b@1", now));
     assert_eq!(guard.blocked(now), 1);
     assert!(guard.is_blocked(&POISON, now + ALMOST));
     assert!(!guard.is_blocked(&"q".into(), now));
     assert!(!guard.is_blocked(&POISON, now + LIFETIME));
-    assert_eq!(guard.record_crash(&POISON, now + LIFETIME), Some(1));
+    assert!(record(&mut guard, "c@1", now + LIFETIME));
+    assert!(!guard.is_blocked(&POISON, now + LIFETIME));
 }
 
-/// Guards against crashes at different nodes that are not added up, and against a record that is
-/// counted again each time it is received.
+/// Guards against crashes that several nodes notice, or that are heard of again, and that count more
+/// than once, and against a repetition that prolongs a block.
 #[test]
-fn counts_of_other_nodes_are_merged_once() {
-    let now = Instant::now();
-    let mut guard = CrashGuard::new("n1".into());
-    for _ in 0..5 {
-        guard.merge(&POISON, &"n2".into(), 1, now);
+fn same_crash_counts_once() {
+    let now = SystemTime::now();
+    let mut guard = CrashGuard::default();
+    assert!(record(&mut guard, "a@1", now));
+    for second in 0..5 {
+        let later = now + Duration::from_secs(second);
+        assert!(!record(&mut guard, "a@1", later));
     }
     assert!(!guard.is_blocked(&POISON, now));
-    guard.merge(&POISON, &"n3".into(), 1, now);
+    assert!(record(&mut guard, "a@2", now));
     assert!(guard.is_blocked(&POISON, now));
-    guard.merge(&POISON, &"n3".into(), 1, now + ALMOST);
+    record(&mut guard, "a@2", now + ALMOST);
     assert!(!guard.is_blocked(&POISON, now + LIFETIME));
 }
 
-/// Guards against frequent requests that are blocked because they are in flight at most crashes,
-/// and against answers that clear a request permanently.
+/// Guards against frequent requests that stay blocked because they are in flight at most crashes,
+/// and against answers that clear a request of later crashes.
 #[test]
-fn answers_clear_a_request() {
-    let now = Instant::now();
-    let mut guard = CrashGuard::new("n1".into());
-    guard.record_crash(&POISON, now);
-    guard.record_answer(&POISON, now);
-    guard.merge(&POISON, &"n2".into(), 1, now);
-    assert!(!guard.is_blocked(&POISON, now));
-    assert_eq!(
-        guard.record_crash(&POISON, now + Duration::from_secs(4)),
-        None
-    );
-    let later = now + Duration::from_secs(10);
-    guard.record_crash(&POISON, later);
-    assert!(guard.is_blocked(&POISON, later));
+fn answers_clear_earlier_crashes() {
+    let now = SystemTime::now();
+    let later = now + Duration::from_secs(1);
+    let mut guard = CrashGuard::default();
+    record(&mut guard, "a@1", now);
+    record(&mut guard, "b@1", now);
+    assert_eq!(guard.record_answer(&POISON, later), 2);
+    assert!(!guard.is_blocked(&POISON, later));
+    // Heard of late: the crash was before the answer.
+    let late = CrashMark::new("c@1".into(), now);
+    guard.merge(&POISON, late, later);
+    assert_eq!(guard.blocked(later), 0);
+    let after = later + Duration::from_secs(1);
+    for (crash, blocked) in [("d@1", false), ("e@1", false), ("f@1", false)] {
+        record(&mut guard, crash, after);
+        assert_eq!(guard.is_blocked(&POISON, after), blocked, "{crash}");
+    }
+}
+
+/// Guards against nodes that disagree for good: marks that arrive in another order, or several times,
+/// and a clearance that arrives before or after them.
+#[test]
+fn merges_commute() {
+    let now = SystemTime::now();
+    let mark = CrashMark::new("a@1".into(), now);
+    let cleared = CrashMark {
+        cleared: true,
+        ..mark.clone()
+    };
+    let orders = [
+        [&mark, &cleared, &mark],
+        [&cleared, &mark, &mark],
+        [&mark, &mark, &cleared],
+    ];
+    let states = orders.map(|order| {
+        let mut guard = CrashGuard::default();
+        for mark in order {
+            guard.merge(&POISON, mark.clone(), now);
+        }
+        guard.evidence(10, now)
+    });
+    assert!(states[0][&POISON][0].cleared);
+    assert!(states.iter().all(|state| *state == states[0]));
 }
 
 /// Guards against memory use that grows with every crash, and against many crashes that evict a
-/// blocked request.
+/// blocked request or keep it from other nodes.
 #[test]
 fn size_is_bounded_and_blocks_outlive_floods() {
-    let mut now = Instant::now();
-    let mut guard = CrashGuard::new("n1".into());
-    guard.record_crash(&POISON, now);
-    guard.record_crash(&POISON, now);
+    let mut now = SystemTime::now();
+    let mut guard = CrashGuard::default();
+    for crash in 0..20 {
+        record(&mut guard, &format!("a@{crash}"), now);
+    }
     for index in 0..5_000 {
-        now += Duration::from_micros(10);
-        guard.record_crash(&format!("f{index}").into(), now);
+        now += Duration::from_millis(1);
+        let mark = CrashMark::new("b@1".into(), now);
+        guard.merge(&format!("f{index}").into(), mark, now);
     }
     assert_eq!(guard.len(), 4_096);
     assert!(guard.is_blocked(&POISON, now));
+    let shared = guard.evidence(32, now);
+    assert_eq!(shared.len(), 32);
+    assert_eq!(shared[&POISON].len(), 8);
 }
 
-/// Guards against a frequent request that is blocked because several equal ones were in flight at
-/// one crash, or although it was answered shortly before, and against later crashes that are not
-/// counted.
+/// Guards against a request that counts several times because several equal ones were in flight at
+/// one crash, against later crashes that are not counted, and against memory use that grows with every
+/// loss within a short time.
 #[test]
-fn one_crash_counts_once() {
+fn counted_losses() {
     let start = Instant::now();
     let crash = start + Duration::from_millis(50);
-    let mut guard = CrashGuard::new("n1".into());
-    assert!(guard.is_suspect(&POISON, start, crash));
-    assert!(!guard.is_suspect(&POISON, start + Duration::from_millis(20), crash));
+    let mut losses = CountedLosses::default();
+    assert!(losses.record_loss(&POISON, start, crash));
+    assert!(!losses.record_loss(&POISON, start + Duration::from_millis(20), crash));
     let again = crash + Duration::from_millis(10);
-    assert!(guard.is_suspect(&POISON, again, again));
-    let popular = RequestFingerprint::from("q");
-    guard.record_answer(&popular, start);
-    assert!(!guard.is_suspect(&popular, start, crash));
-    guard.merge(&popular, &"n2".into(), 2, crash);
-    assert!(!guard.is_blocked(&popular, crash));
-    let later = crash + Duration::from_secs(10);
-    assert!(guard.is_suspect(&popular, later, later));
+    assert!(losses.record_loss(&POISON, again, again));
+    for index in 0..5_000 {
+        losses.record_loss(&format!("f{index}").into(), start, crash);
+    }
+    assert_eq!(losses.len(), 4_096);
 }
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -1,47 +1,57 @@
 //! Tracks requests that crash their targets. See `docs/platform.md`, section 6.
 
-use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::SystemTime;
 
-use apricotfold_model::{NodeId, log_event};
-use apricotfold_policy::{CrashGuard, RequestFingerprint};
+use apricotfold_model::{TargetIncarnation, log_event};
+use apricotfold_policy::{CrashEvidence, CrashGuard, CrashMark, RequestFingerprint};
+use compact_str::ToCompactString;
 
-/// Largest number of crash counts that a node shares with others; the newest replace the oldest.
-const MAX_SHARED: usize = 32;
-
-/// Crash counts by request, as shared with other nodes.
-pub type CrashCounts = BTreeMap<RequestFingerprint, u32>;
+/// Largest number of own marks that are kept; the newest replace the oldest. They are in the node's
+/// entry in the store, so that they outlive its process.
+const MAX_OWN_MARKS: usize = 32;
 
+#[derive(Default)]
 struct TrackerState {
     guard: CrashGuard,
-    shared: Vec<(RequestFingerprint, u32)>,
+    /// Marks of crashes that this node noticed, oldest first.
+    own: Vec<(RequestFingerprint, CrashMark)>,
 }
 
-/// Shares the crash guard among tasks and keeps the counts that this node publishes.
+impl TrackerState {
+    fn keep_own(&mut self, fingerprint: &RequestFingerprint, mark: CrashMark) {
+        let is_known = |(request, known): &(RequestFingerprint, CrashMark)| {
+            request == fingerprint && known.crash == mark.crash
+        };
+        if self.own.iter().any(is_known) {
+            return;
+        }
+        self.own.push((fingerprint.clone(), mark));
+        if self.own.len() <= MAX_OWN_MARKS {
+            return;
+        }
+        self.own.remove(0);
+    }
+}
+
+/// Shares the crash guard among tasks and keeps the marks that this node publishes.
+#[derive(Default)]
 pub struct CrashTracker(Mutex<TrackerState>);
 
 impl CrashTracker {
-    /// Creates a tracker for the node `own`.
-    pub fn new(own: NodeId) -> Self {
-        Self(Mutex::new(TrackerState {
-            guard: CrashGuard::new(own),
-            shared: Vec::new(),
-        }))
-    }
-
     fn lock(&self) -> MutexGuard<'_, TrackerState> {
         self.0.lock().expect("no panic while locked")
     }
 
     /// Returns whether a request is refused because it has crashed targets.
     pub fn is_blocked(&self, fingerprint: &RequestFingerprint) -> bool {
-        self.lock().guard.is_blocked(fingerprint, Instant::now())
+        self.lock().guard.is_blocked(fingerprint, SystemTime::now())
     }
 
-    /// Records that the target answered a request.
+    /// Records that the target ran a request to its end.
     pub fn record_answer(&self, fingerprint: &RequestFingerprint) {
-        let cleared = self.lock().guard.record_answer(fingerprint, Instant::now());
+        let now = SystemTime::now();
+        let cleared = self.lock().guard.record_answer(fingerprint, now);
         if cleared > 0 {
             log_event!(
                 info,
@@ -51,46 +61,68 @@
         }
     }
 
-    /// Counts a request that was in flight when the target crashed. Returns whether the counts
-    /// shared with other nodes have changed.
-    pub fn record_crash(&self, fingerprint: &RequestFingerprint, started: Instant) -> bool {
+    /// Records that a request was in flight when an incarnation of a target crashed. Returns whether
+    /// that is news.
+    pub fn record_crash(
+        &self,
+        fingerprint: &RequestFingerprint,
+        incarnation: &TargetIncarnation,
+    ) -> bool {
         let mut state = self.lock();
-        let now = Instant::now();
-        let suspect = state.guard.is_suspect(fingerprint, started, now);
-        let count = suspect.then(|| state.guard.record_crash(fingerprint, now));
-        let Some(count) = count.flatten() else {
-            let reason = "answered or counted shortly before";
+        let now = SystemTime::now();
+        let mark = CrashMark::new(incarnation.to_compact_string(), now);
+        let answered = state.guard.is_recently_answered(fingerprint, now);
+        if answered || !state.guard.merge(fingerprint, mark.clone(), now) {
+            let reason = "known or answered shortly before";
             log_event!(info, CrashNotCounted, "request {fingerprint}: {reason}");
             return false;
-        };
-        state.shared.retain(|(known, _)| known != fingerprint);
-        state.shared.push((fingerprint.clone(), count));
-        if state.shared.len() > MAX_SHARED {
-            state.shared.remove(0);
         }
+        state.keep_own(fingerprint, mark);
         log_event!(
             warn,
             CrashRecorded,
-            "request {fingerprint} crash {count} here"
+            "request {fingerprint} in flight at {incarnation}"
         );
         true
     }
 
-    /// Returns the counts that this node shares with others.
-    pub fn shared(&self) -> CrashCounts {
-        self.lock().shared.iter().cloned().collect()
+    /// Returns the marks for this node's entry in the store.
+    pub fn own_marks(&self) -> CrashEvidence {
+        let state = self.lock();
+        let mut evidence = CrashEvidence::new();
+        for (fingerprint, mark) in &state.own {
+            let marks = evidence.entry(fingerprint.clone()).or_default();
+            marks.push(mark.clone());
+        }
+        evidence
     }
 
-    /// Merges the counts of another node.
-    pub fn merge(&self, node: &NodeId, counts: &CrashCounts) {
+    /// Takes over the marks that an earlier process of this node has left in the store.
+    pub fn adopt(&self, evidence: &CrashEvidence) {
         let mut state = self.lock();
-        let now = Instant::now();
-        for (fingerprint, count) in counts {
-            if state.guard.merge(fingerprint, node, *count, now) {
+        let now = SystemTime::now();
+        for (fingerprint, mark) in each_mark(evidence) {
+            state.guard.merge(fingerprint, mark.clone(), now);
+            state.keep_own(fingerprint, mark.clone());
+        }
+    }
+
+    /// Merges what another node knows. `origin` is for log lines.
+    pub fn merge(&self, origin: &str, evidence: &CrashEvidence) {
+        let mut state = self.lock();
+        let now = SystemTime::now();
+        for (fingerprint, mark) in each_mark(evidence) {
+            if state.guard.merge(fingerprint, mark.clone(), now) {
+                let crash = &mark.crash;
+                let word = if mark.cleared {
+                    "cleared of"
+                } else {
+                    "in flight at"
+                };
                 log_event!(
                     info,
                     CrashLearned,
-                    "request {fingerprint} crash {count} at {node}"
+                    "request {fingerprint} {word} {crash}, from {origin}"
                 );
             }
         }
@@ -99,6 +131,11 @@
     /// Returns the number of requests with known crashes, and of those that are blocked.
     pub fn sizes(&self) -> (usize, usize) {
         let state = self.lock();
-        (state.guard.len(), state.guard.blocked(Instant::now()))
+        (state.guard.len(), state.guard.blocked(SystemTime::now()))
     }
 }
+
+fn each_mark(evidence: &CrashEvidence) -> impl Iterator<Item = (&RequestFingerprint, &CrashMark)> {
+    let requests = evidence.iter();
+    requests.flat_map(|(fingerprint, marks)| marks.iter().map(move |mark| (fingerprint, mark)))
+}
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -136,7 +136,7 @@
         let limits = AdmissionLimits::new(&TARGET_LIMITS, 0);
         let link_meter = LinkMeter::new(config.link_rate);
         Self {
-            crashes: CrashTracker::new(config.node.clone()),
+            crashes: CrashTracker::default(),
             config: ArcSwap::from_pointee(config),
             protocol,
             tables,
--- a/crates/apricotfold-proxy/src/instance_watcher.rs
+++ b/crates/apricotfold-proxy/src/instance_watcher.rs
@@ -129,7 +129,7 @@
             log_event!(warn, EntryIgnored, "{} cannot be read", entry.key);
             return None;
         };
-        self.engine.crashes.merge(&node.into(), &read.crashes);
+        self.engine.crashes.merge(node, &read.crash_marks);
         read.record.filter(|record| record.node == node)
     }
 }
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceRecord, NodeId, TableVersion, log_event, saturating_millis};
-use apricotfold_policy::STORE_SILENCE;
+use apricotfold_policy::{CrashEvidence, STORE_SILENCE};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body::Body;
@@ -16,7 +16,6 @@
 
 use crate::call_body::{ConnectionLease, ResponseBody};
 use crate::compressed_json::{compress, decompress};
-use crate::crash_tracker::CrashCounts;
 use crate::engine::Engine;
 use crate::table_cache::TableTransfer;
 use crate::telemetry;
@@ -59,7 +58,7 @@
     /// Digest of the instances known to the node.
     digest: u64,
     record: Option<InstanceRecord>,
-    crashes: CrashCounts,
+    crashes: CrashEvidence,
 }
 
 /// State that the peer returns.
@@ -75,7 +74,7 @@
     /// Compressed list of the instances that the store has, as far as the peer knows, if the digests
     /// differ.
     records: Option<String>,
-    crashes: BTreeMap<NodeId, CrashCounts>,
+    crashes: BTreeMap<NodeId, CrashEvidence>,
 }
 
 /// Compressed list of instances, which is created once for all nodes that ask for the same one.
@@ -167,7 +166,7 @@
         table_version: engine.tables.transfer_base(),
         digest: engine.registry().digest(),
         record: engine.local_record(),
-        crashes: engine.crashes.shared(),
+        crashes: engine.crashes.own_marks(),
     };
     let mut request = Request::new(Full::new(Bytes::from(serde_json::to_vec(&message)?)));
     *request.method_mut() = Method::POST;
@@ -292,7 +291,7 @@
     }
     engine.crashes.merge(&asked.node, &asked.crashes);
     let cached = engine.tables.current();
-    let own_crashes = BTreeMap::from([(engine.node(), engine.crashes.shared())]);
+    let own_crashes = BTreeMap::from([(engine.node(), engine.crashes.own_marks())]);
     let records = {
         let registry = engine.registry();
         let digest = registry.digest();
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -1,15 +1,15 @@
-//! Keeps this node's entry in the store up to date: its instance and the crashes that it observed.
+//! Keeps this node's entry in the store up to date: its instance and the crashes that it noticed.
 //! See `docs/platform.md`, section 4.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceRecord, InstanceState, log_event};
+use apricotfold_policy::CrashEvidence;
 use apricotfold_store::{
     Compare, ConfigStore, LeaseId, Revision, StoreEntry, StoreError, StoreTxn,
 };
 
-use crate::crash_tracker::CrashCounts;
 use crate::engine::Engine;
 use crate::store_health::retry_pause;
 use crate::telemetry;
@@ -35,8 +35,8 @@
     pub record: Option<InstanceRecord>,
     /// State that the instance itself announced, which a later process of the node must know.
     pub announced: Option<InstanceState>,
-    /// Crashes that the node observed, by request.
-    pub crashes: CrashCounts,
+    /// Requests that were in flight at crashes that the node noticed.
+    pub crash_marks: CrashEvidence,
 }
 
 /// Returns the key of a node's entry.
@@ -100,7 +100,7 @@
         let wanted = NodeEntry {
             record: self.engine.local_record(),
             announced: self.engine.announced_state(),
-            crashes: self.engine.crashes.shared(),
+            crash_marks: self.engine.crashes.own_marks(),
         };
         if wanted.record.is_none() && self.written.is_none() {
             return Ok(());
@@ -127,7 +127,8 @@
             (None, None) => true,
             _ => false,
         };
-        same_record && written.announced == wanted.announced && written.crashes == wanted.crashes
+        let same_marks = written.crash_marks == wanted.crash_marks;
+        same_record && written.announced == wanted.announced && same_marks
     }
 
     /// Keeps the record of an instance that has left, marked as gone, so that delayed announcements
@@ -231,6 +232,7 @@
             log_event!(warn, EntryIgnored, "{} cannot be read", found.key);
             return;
         };
+        self.engine.crashes.adopt(&entry.crash_marks);
         if let Some(record) = entry.record {
             self.engine.raise_node_start(record.node_start);
             let (instance, born) = (&record.instance, record.born);
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -5,7 +5,7 @@
 
 use apricotfold_model::{
     CallOutcome, CallPriority, InstanceId, InstanceState, RateLimit, RefusalReason, RetrySafety,
-    ServiceName, StartTimeMillis, WorkClass, log_event,
+    ServiceName, StartTimeMillis, TargetIncarnation, WorkClass, log_event,
 };
 use apricotfold_policy::{
     AdmissionRequest, BULK_MIN_BYTES, CallStanding, InstanceReport, NestedCapacity,
@@ -168,6 +168,10 @@
         let reserved = self.engine.link_meter.reserve(bulk);
         let slot = self.admit().await?;
         let born = self.check_target()?;
+        let incarnation = TargetIncarnation {
+            instance: self.context.instance.clone(),
+            born,
+        };
         let started = Instant::now();
         let run = LocalRunGuard::new(self);
         let sent = self.send().await;
@@ -198,7 +202,7 @@
             Err(SendFailure::Lost(cause)) => {
                 let id = self.request.log_id();
                 log_event!(info, TargetGone, "id={id} connection lost: {cause}");
-                check_for_crash(self.engine, fingerprint, started);
+                check_for_crash(self.engine, fingerprint, incarnation);
                 Err(self.may_have_run(RefusalReason::ConnectionLost))
             }
             Err(SendFailure::TimedOut) => Err(self.may_have_run(RefusalReason::DeadlinePassed)),
@@ -463,7 +467,11 @@
 
 /// Counts a lost request as in flight at a crash if the target then refuses connections. A
 /// connection reset alone does not show a crash.
-fn check_for_crash(engine: &Arc<Engine>, fingerprint: RequestFingerprint, started: Instant) {
+fn check_for_crash(
+    engine: &Arc<Engine>,
+    fingerprint: RequestFingerprint,
+    incarnation: TargetIncarnation,
+) {
     let engine = engine.clone();
     tokio::spawn(async move {
         let address = engine.config.load().target_address;
@@ -474,7 +482,7 @@
             return;
         }
         probe_down_target(&engine);
-        if engine.crashes.record_crash(&fingerprint, started) {
+        if engine.crashes.record_crash(&fingerprint, &incarnation) {
             engine.change_registration();
         }
     });
--- a/crates/apricotfold-proxy/tests/crashing_requests.rs
+++ b/crates/apricotfold-proxy/tests/crashing_requests.rs
@@ -25,6 +25,9 @@
 /// Sends of such a request that may still reach a target after that, over all proxies.
 const MAX_LATE_SENDS: usize = 3;
 
+/// Time for which a crashed target stays down.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
 /// Timeout of calls in milliseconds.
 const TIMEOUT: &str = "1500";
 
@@ -78,7 +81,7 @@
             node.target.crashes() > before
         };
         wait_for("crash", crashed).await;
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        tokio::time::sleep(DOWN_TIME).await;
         node.revive().await;
     }
 
