Count crashes of requests that were answered shortly before

What callers saw: a request that had been answered and then began to crash targets was sent on for ten seconds or more. Cause: a request that was answered at a node in the last 10 s was not counted there, nor blocked, whatever happened since. Class: an exemption that looks at whether there was an answer, not at its order. Change: an answer clears the crashes before it, also those that are heard of later, and none after it. A request that was answered here within 10 s is blocked after three crashes without an answer instead of two, so that a frequent one is not stopped before its next answer clears it. Evidence: crashing_requests::answered_before failed on (4 of 4 sends reached a target) and passes; popular_requests passes before and after. crash_guard::answers_clear_earlier_crashes has the order of answers and crashes. The old check that a crash within 10 s of an answer is not counted is the fault itself; in its place, the third one must block.

--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -27,6 +27,10 @@
 /// Number of crashes after which a request is blocked. A single crash may be a coincidence.
 const BLOCK_AFTER: usize = 2;
 
+/// Number of crashes after which a request is blocked that was answered within the last few seconds.
+/// A frequent request is in flight at many crashes, and its next answer clears it of them.
+const BLOCK_ANSWERED_AFTER: usize = 3;
+
 /// Time after its latest crash for which a request is remembered, equal to the lifetime of `crash`
 /// records.
 const ENTRY_LIFETIME: Duration = Duration::from_mins(10);
@@ -222,9 +226,12 @@
         let Some(known) = self.entries.get(fingerprint) else {
             return false;
         };
-        !known.is_expired(unix_millis(now))
-            && known.suspect_count() >= BLOCK_AFTER
-            && !self.is_recently_answered(fingerprint, now)
+        let limit = if self.is_recently_answered(fingerprint, now) {
+            BLOCK_ANSWERED_AFTER
+        } else {
+            BLOCK_AFTER
+        };
+        !known.is_expired(unix_millis(now)) && known.suspect_count() >= limit
     }
 
     /// Returns the evidence on at most `limit` requests for other nodes, blocked requests first, then
--- a/crates/apricotfold-policy/tests/crash_guard.rs
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -64,7 +64,7 @@
     guard.merge(&POISON, late, later);
     assert_eq!(guard.blocked(later), 0);
     let after = later + Duration::from_secs(1);
-    for (crash, blocked) in [("d@1", false), ("e@1", false), ("f@1", false)] {
+    for (crash, blocked) in [("d@1", false), ("e@1", false), ("f@1", true)] {
         record(&mut guard, crash, after);
         assert_eq!(guard.is_blocked(&POISON, after), blocked, "{crash}");
     }
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -71,9 +71,8 @@
         let mut state = self.lock();
         let now = SystemTime::now();
         let mark = CrashMark::new(incarnation.to_compact_string(), now);
-        let answered = state.guard.is_recently_answered(fingerprint, now);
-        if answered || !state.guard.merge(fingerprint, mark.clone(), now) {
-            let reason = "known or answered shortly before";
+        if !state.guard.merge(fingerprint, mark.clone(), now) {
+            let reason = "known or answered since";
             log_event!(info, CrashNotCounted, "request {fingerprint}: {reason}");
             return false;
         }
