Keep marks of blocked requests longest in a node's entry

What callers saw: after many crashes, a request that had crashed two targets reached those beside nodes that joined later. Cause: a node publishes its 32 newest counts, so one crash with many requests in flight, or many crashes, push out the request that caused them. Change: 64 marks, and what is not blocked goes first. Evidence: crashing_requests::many_crashes failed on (1 of 1 sends reached the target) and passes.

--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -9,7 +9,7 @@
 
 /// Largest number of own marks that are kept; the newest replace the oldest. They are in the node's
 /// entry in the store, so that they outlive its process.
-const MAX_OWN_MARKS: usize = 32;
+const MAX_OWN_MARKS: usize = 64;
 
 #[derive(Default)]
 struct TrackerState {
@@ -19,7 +19,7 @@
 }
 
 impl TrackerState {
-    fn keep_own(&mut self, fingerprint: &RequestFingerprint, mark: CrashMark) {
+    fn keep_own(&mut self, fingerprint: &RequestFingerprint, mark: CrashMark, now: SystemTime) {
         let is_known = |(request, known): &(RequestFingerprint, CrashMark)| {
             request == fingerprint && known.crash == mark.crash
         };
@@ -30,7 +30,11 @@
         if self.own.len() <= MAX_OWN_MARKS {
             return;
         }
-        self.own.remove(0);
+        // A request that is blocked is not blocked by coincidence, so its marks are kept longest.
+        let coincidence =
+            |(request, _): &(RequestFingerprint, _)| !self.guard.is_blocked(request, now);
+        let oldest = self.own.iter().position(coincidence).unwrap_or(0);
+        self.own.remove(oldest);
     }
 }
 
@@ -76,7 +80,7 @@
             log_event!(info, CrashNotCounted, "request {fingerprint}: {reason}");
             return false;
         }
-        state.keep_own(fingerprint, mark);
+        state.keep_own(fingerprint, mark, now);
         log_event!(
             warn,
             CrashRecorded,
@@ -102,7 +106,7 @@
         let now = SystemTime::now();
         for (fingerprint, mark) in each_mark(evidence) {
             state.guard.merge(fingerprint, mark.clone(), now);
-            state.keep_own(fingerprint, mark.clone());
+            state.keep_own(fingerprint, mark.clone(), now);
         }
     }
 
