Hold all unanswered requests of an ended incarnation suspect

What callers saw: requests that crashed targets reached more of them without ever being blocked. Cause: a crash was counted only for a call whose connection broke before the head of an answer, while its caller waited, and only if a new connection was refused right then. Not counted: a crash after the head, after the caller had left or the time had run out, with a target that falls silent, and one whose next incarnation, or whose listener, still accepted the probe. Class: an event of the target is derived from one call's fate. Change: the proxy keeps what each incarnation has received and not answered, until 15 s after a call was given up, and marks all of it when the incarnation is known to have crashed: a lost or refused connection, a successor that announces itself though the former did not leave, or missing announcements. An answer clears a request only when its last byte has come, and not if it has no visible end.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -123,7 +123,7 @@
     /// An answer cleared a request of the crashes known so far.
     #[strum(serialize = "AF3017", message = "suspicion cleared")]
     SuspicionCleared,
-    /// A request lost its target and was not counted as in flight at a crash.
+    /// A call lost its connection to the target, which is not known to have crashed.
     #[strum(serialize = "AF3018", message = "crash not counted")]
     CrashNotCounted,
     /// A stream to or from a peer was opened.
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -51,6 +51,7 @@
 mod target_load;
 mod target_selector;
 mod traffic_split;
+mod unanswered_runs;
 mod waiting;
 mod window_count;
 
@@ -89,3 +90,4 @@
 pub use target_load::InstanceReport;
 pub use target_selector::{AttemptEnd, LinkCosts, SelectedTarget, TargetCandidate, TargetSelector};
 pub use traffic_split::TrafficSplit;
+pub use unanswered_runs::{SentNumber, UnansweredRuns};
--- a/crates/apricotfold-proxy/src/call_body.rs
+++ b/crates/apricotfold-proxy/src/call_body.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::SlotGuard;
 use crate::connection_pool::{ConnectionPool, PooledConnection};
+use crate::crash_tracker::SentRun;
 use crate::lifecycle::InFlightGuard;
 use crate::link_meter::{LinkMeter, PacedBytes};
 
@@ -38,6 +39,8 @@
     connection: Option<PooledConnection>,
     /// Slot of the local target, if the response comes from it.
     slot: Option<SlotGuard>,
+    /// The request at the local target, and whether a complete answer shows that the target ran it.
+    run: Option<(SentRun, bool)>,
 }
 
 impl ConnectionLease {
@@ -47,9 +50,17 @@
             pool: pool.clone(),
             connection: Some(connection),
             slot: None,
+            run: None,
         }
     }
 
+    /// Also records the end of the answer. `ran` is whether a complete answer shows that the target
+    /// ran the request.
+    pub fn with_run(mut self, run: SentRun, ran: bool) -> Self {
+        self.run = Some((run, ran));
+        self
+    }
+
     /// Also holds a slot of the local target.
     pub fn with_slot(mut self, slot: SlotGuard) -> Self {
         self.slot = Some(slot);
@@ -65,6 +76,9 @@
         if let Some(slot) = self.slot.take() {
             slot.release();
         }
+        if let Some((run, ran)) = self.run.take() {
+            run.answered(ran);
+        }
     }
 }
 
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -1,10 +1,12 @@
 //! Tracks requests that crash their targets. See `docs/platform.md`, section 6.
 
-use std::sync::{Mutex, MutexGuard};
-use std::time::SystemTime;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Instant, SystemTime};
 
 use apricotfold_model::{TargetIncarnation, log_event};
-use apricotfold_policy::{CrashEvidence, CrashGuard, CrashMark, RequestFingerprint};
+use apricotfold_policy::{
+    CrashEvidence, CrashGuard, CrashMark, RequestFingerprint, SentNumber, UnansweredRuns,
+};
 use compact_str::ToCompactString;
 
 /// Largest number of own marks that are kept; the newest replace the oldest. They are in the node's
@@ -14,6 +16,7 @@
 #[derive(Default)]
 struct TrackerState {
     guard: CrashGuard,
+    unanswered: UnansweredRuns,
     /// Marks of crashes that this node noticed, oldest first.
     own: Vec<(RequestFingerprint, CrashMark)>,
 }
@@ -39,8 +42,49 @@
 }
 
 /// Shares the crash guard among tasks and keeps the marks that this node publishes.
-#[derive(Default)]
-pub struct CrashTracker(Mutex<TrackerState>);
+#[derive(Clone, Default)]
+pub struct CrashTracker(Arc<Mutex<TrackerState>>);
+
+/// A request that was sent to a target. Unless it is answered or rejected, it is suspect if the
+/// target crashes.
+pub struct SentRun {
+    tracker: CrashTracker,
+    incarnation: TargetIncarnation,
+    fingerprint: RequestFingerprint,
+    number: SentNumber,
+    settled: bool,
+}
+
+impl SentRun {
+    /// Records the end of the target's answer. `ran` is whether the answer shows that the target ran
+    /// the request.
+    pub fn answered(self, ran: bool) {
+        if ran {
+            self.tracker.record_answer(&self.fingerprint);
+        }
+        self.settle();
+    }
+
+    /// Records that the target did not run the request.
+    pub fn settle(mut self) {
+        self.settled = true;
+        let mut state = self.tracker.lock();
+        state.unanswered.settle(&self.incarnation, self.number);
+    }
+}
+
+impl Drop for SentRun {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let mut state = self.tracker.lock();
+        let now = Instant::now();
+        state
+            .unanswered
+            .abandon(&self.incarnation, self.number, now);
+    }
+}
 
 impl CrashTracker {
     fn lock(&self) -> MutexGuard<'_, TrackerState> {
@@ -52,8 +96,29 @@
         self.lock().guard.is_blocked(fingerprint, SystemTime::now())
     }
 
-    /// Records that the target ran a request to its end.
-    pub fn record_answer(&self, fingerprint: &RequestFingerprint) {
+    /// Records that a request is sent to a target.
+    pub fn begin_run(
+        &self,
+        incarnation: TargetIncarnation,
+        fingerprint: RequestFingerprint,
+    ) -> SentRun {
+        let mut state = self.lock();
+        let number = state.unanswered.begin(&incarnation, fingerprint.clone());
+        SentRun {
+            tracker: self.clone(),
+            incarnation,
+            fingerprint,
+            number,
+            settled: false,
+        }
+    }
+
+    /// Forgets requests that were given up too long ago to be suspect.
+    pub fn prune(&self) {
+        self.lock().unanswered.prune(Instant::now());
+    }
+
+    fn record_answer(&self, fingerprint: &RequestFingerprint) {
         let now = SystemTime::now();
         let cleared = self.lock().guard.record_answer(fingerprint, now);
         if cleared > 0 {
@@ -65,28 +130,27 @@
         }
     }
 
-    /// Records that a request was in flight when an incarnation of a target crashed. Returns whether
-    /// that is news.
-    pub fn record_crash(
-        &self,
-        fingerprint: &RequestFingerprint,
-        incarnation: &TargetIncarnation,
-    ) -> bool {
+    /// Records that an incarnation of a target crashed, and marks the requests that it has not
+    /// answered. Returns whether any of that is news.
+    pub fn record_crash(&self, incarnation: &TargetIncarnation) -> bool {
         let mut state = self.lock();
         let now = SystemTime::now();
+        let suspects = state.unanswered.take_suspects(incarnation, Instant::now());
         let mark = CrashMark::new(incarnation.to_compact_string(), now);
-        if !state.guard.merge(fingerprint, mark.clone(), now) {
-            let reason = "known or answered since";
-            log_event!(info, CrashNotCounted, "request {fingerprint}: {reason}");
-            return false;
+        let mut news = false;
+        for fingerprint in &suspects {
+            if !state.guard.merge(fingerprint, mark.clone(), now) {
+                continue;
+            }
+            news = true;
+            state.keep_own(fingerprint, mark.clone(), now);
+            log_event!(
+                warn,
+                CrashRecorded,
+                "request {fingerprint} in flight at {incarnation}"
+            );
         }
-        state.keep_own(fingerprint, mark, now);
-        log_event!(
-            warn,
-            CrashRecorded,
-            "request {fingerprint} in flight at {incarnation}"
-        );
-        true
+        news
     }
 
     /// Returns the marks for this node's entry in the store.
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -8,7 +8,7 @@
 
 use apricotfold_model::{
     DataCentreName, InstanceAnnouncement, InstanceRecord, InstanceState, NodeId, ProfileLimits,
-    ProxyConfig, ServiceName, log_event, saturating_millis,
+    ProxyConfig, ServiceName, TargetIncarnation, log_event, saturating_millis,
 };
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, DeadlineQueue, InstanceRegistry, InstanceReport,
@@ -287,16 +287,26 @@
             announcement.instance, announcement.service, announcement.born, announcement.number
         );
         let instance = announcement.instance.clone();
-        let effect = {
+        let incarnation = announcement.incarnation();
+        let (effect, former) = {
             let mut local = self.local();
+            let former = local.current().cloned();
             let born = announcement.born;
             let mut known = local.current().into_iter();
             if known.any(|target| target.instance == instance && target.born < born) {
                 // What an earlier incarnation stated does not bind the new one.
                 self.rate_limits().forget(&instance);
             }
-            local.announce(announcement, Instant::now())
+            (local.announce(announcement, Instant::now()), former)
         };
+        if effect == AnnouncementEffect::Changed
+            && let Some(former) = former
+            && former.state == InstanceState::Ready
+            && former.incarnation() != incarnation
+        {
+            // It ended without notice.
+            self.record_crash(&former.incarnation());
+        }
         match effect {
             AnnouncementEffect::Changed => {
                 self.admission.set_limits(&TARGET_LIMITS, slots);
@@ -313,6 +323,19 @@
         effect
     }
 
+    /// Returns the incarnation of the local target; `None` if there is no target.
+    pub fn current_incarnation(&self) -> Option<TargetIncarnation> {
+        let local = self.local();
+        local.current().map(InstanceAnnouncement::incarnation)
+    }
+
+    /// Records that an incarnation of a target crashed and what it had not answered.
+    pub fn record_crash(&self, incarnation: &TargetIncarnation) {
+        if self.crashes.record_crash(incarnation) {
+            self.change_registration();
+        }
+    }
+
     /// Requests that this node's entry in the store be rewritten.
     pub fn change_registration(&self) {
         self.registration.send_modify(|count| *count += 1);
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -28,10 +28,15 @@
             log_event!(info, InstanceChanged, "{node} is gone");
         }
         let silence = engine.config.load().announce_interval * MAX_MISSED_ANNOUNCEMENTS;
+        let incarnation = engine.current_incarnation();
         if engine.local().expire(silence, now) {
             log_event!(warn, TargetGone, "no announcement for {silence:?}");
             engine.change_registration();
+            if let Some(incarnation) = incarnation {
+                engine.record_crash(&incarnation);
+            }
         }
+        engine.crashes.prune();
         engine.target_connections.prune();
         engine.peer_connections.prune();
         engine.selector().prune(UNUSED_AGE, now);
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -13,7 +13,7 @@
 };
 use bytes::Bytes;
 use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -22,6 +22,7 @@
 use crate::admission::SlotGuard;
 use crate::call_body::{ConnectionLease, ResponseBody};
 use crate::connection_pool::{PooledConnection, SendFailure};
+use crate::crash_tracker::SentRun;
 use crate::engine::Engine;
 use crate::fingerprint::fingerprint;
 use crate::hop_by_hop::strip_hop_by_hop_headers;
@@ -174,13 +175,16 @@
         };
         let started = Instant::now();
         let run = LocalRunGuard::new(self);
+        let sent_run = self
+            .engine
+            .crashes
+            .begin_run(incarnation.clone(), fingerprint);
         let sent = self.send().await;
         let calls = run.finish();
         match sent {
             Ok((answer, connection)) => {
                 let service = started.elapsed();
-                let answer =
-                    self.read_answer(answer, born, connection, slot, service, &fingerprint)?;
+                let answer = self.read_answer(answer, born, connection, slot, service, sent_run)?;
                 let answer = self.buffer_bulk(answer).await?;
                 drop(reserved);
                 let body = if self.context.remote {
@@ -196,13 +200,15 @@
             }
             Err(SendFailure::NotSent(cause)) => {
                 log::debug!("local target not reached: {cause}");
+                sent_run.settle();
                 probe_down_target(self.engine);
                 Err(self.refuse(RefusalReason::ConnectFailed))
             }
             Err(SendFailure::Lost(cause)) => {
                 let id = self.request.log_id();
                 log_event!(info, TargetGone, "id={id} connection lost: {cause}");
-                check_for_crash(self.engine, fingerprint, incarnation);
+                drop(sent_run);
+                check_for_crash(self.engine, incarnation);
                 Err(self.may_have_run(RefusalReason::ConnectionLost))
             }
             Err(SendFailure::TimedOut) => Err(self.may_have_run(RefusalReason::DeadlinePassed)),
@@ -320,7 +326,7 @@
         mut connection: PooledConnection,
         slot: SlotGuard,
         service: Duration,
-        fingerprint: &RequestFingerprint,
+        run: SentRun,
     ) -> Result<TargetResponse, TargetRefusal> {
         let engine = self.engine;
         let (mut parts, incoming) = answer.into_parts();
@@ -338,16 +344,21 @@
             .map(|limit| limit.saturating_sub(IDLE_MARGIN));
         telemetry::record_target_time(self.context.class, service);
         let lease = ConnectionLease::new(&engine.target_connections, connection).with_slot(slot);
-        let body = ResponseBody::streaming(incoming, lease);
         if head.not_run {
+            run.settle();
+            let _unread = ResponseBody::streaming(incoming, lease);
             let mut refusal = self.refuse(RefusalReason::Overloaded);
             refusal.arrived = true;
             return Err(refusal);
         }
-        if !parts.status.is_server_error() {
-            // A target can fail a request before it begins to run it.
-            engine.crashes.record_answer(fingerprint);
-        }
+        // A target can fail a request before it begins to run it.
+        let ran = !parts.status.is_server_error();
+        let lease = if has_visible_end(&parts.headers, &incoming) {
+            lease.with_run(run, ran)
+        } else {
+            lease
+        };
+        let body = ResponseBody::streaming(incoming, lease);
         strip_hop_by_hop_headers(&mut parts.headers);
         Ok(TargetResponse {
             status: parts.status,
@@ -404,6 +415,12 @@
     }
 }
 
+/// Returns whether the end of an answer can be told from its connection's end.
+fn has_visible_end(headers: &HeaderMap, body: &Incoming) -> bool {
+    let framed = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    body.is_end_stream() || framed.iter().any(|name| headers.contains_key(name))
+}
+
 /// Registers a running request so that its nested calls can be recognised.
 struct LocalRunGuard<'a> {
     engine: &'a Engine,
@@ -448,13 +465,16 @@
     }
     log_event!(warn, TargetGone, "the target refuses connections");
     let engine = engine.clone();
+    let incarnation = engine.current_incarnation();
     tokio::spawn(async move {
         while engine.is_target_down() {
             tokio::time::sleep(DOWN_PROBE_INTERVAL).await;
             let address = engine.config.load().target_address;
-            if engine.target_connections.probe(address).await.is_ok()
-                && engine.set_target_down(false)
-            {
+            if engine.target_connections.probe(address).await.is_err() {
+                if let Some(incarnation) = &incarnation {
+                    engine.record_crash(incarnation);
+                }
+            } else if engine.set_target_down(false) {
                 log_event!(
                     info,
                     TargetAnnounced,
@@ -465,25 +485,19 @@
     });
 }
 
-/// Counts a lost request as in flight at a crash if the target then refuses connections. A
-/// connection reset alone does not show a crash.
-fn check_for_crash(
-    engine: &Arc<Engine>,
-    fingerprint: RequestFingerprint,
-    incarnation: TargetIncarnation,
-) {
+/// Records a crash if the target refuses connections after it has lost one. A connection reset alone
+/// does not show a crash; the next incarnation does.
+fn check_for_crash(engine: &Arc<Engine>, incarnation: TargetIncarnation) {
     let engine = engine.clone();
     tokio::spawn(async move {
         let address = engine.config.load().target_address;
         let crashed = engine.target_connections.probe(address).await.is_err();
         if !crashed {
-            let reason = "the target still accepts connections";
-            log_event!(info, CrashNotCounted, "request {fingerprint}: {reason}");
+            let reason = "a new connection is accepted";
+            log_event!(info, CrashNotCounted, "{incarnation}: {reason}");
             return;
         }
         probe_down_target(&engine);
-        if engine.crashes.record_crash(&fingerprint, &incarnation) {
-            engine.change_registration();
-        }
+        engine.record_crash(&incarnation);
     });
 }
