Pass marks of crashes on from node to node

Cause: counts travelled in a node's own entry in the store, which only nodes that follow the store read, and in exchanges, which carried the counts of the two nodes only. Behind relays, a node heard of crashes at its relays' own targets and of no others; with the store away, only of those whose node it happened to exchange with. Class: state that only its origin sends, on links that do not reach everyone. Change: news are passed on, to three nodes of the own data centre and one of another, and digests are compared with a random node every second while anything is likely to be missing. Exchanges carry no counts any more; the empty field stays for earlier releases. Ruled out: merged counts in the answers of relays only (late while the store is away, and for 2.5 s by the pause of watches).

--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -200,17 +200,23 @@
 
     /// Records that a target ran the request to its end, which shows that the crashes before were a
     /// coincidence. A frequent request is in flight at most crashes; its answers distinguish it from
-    /// one that crashes every target. Returns the number of crashes that it is cleared of.
-    pub fn record_answer(&mut self, fingerprint: &RequestFingerprint, now: SystemTime) -> usize {
+    /// one that crashes every target. Returns the marks that it is cleared of.
+    pub fn record_answer(
+        &mut self,
+        fingerprint: &RequestFingerprint,
+        now: SystemTime,
+    ) -> CrashMarks {
         self.answers.record(fingerprint, unix_millis(now));
         let Some(known) = self.entries.get_mut(fingerprint) else {
-            return 0;
+            return CrashMarks::new();
         };
-        let cleared = known.suspect_count();
-        for mark in &mut known.marks {
-            mark.cleared = true;
-        }
-        cleared
+        let suspect = known.marks.iter_mut().filter(|mark| !mark.cleared);
+        suspect
+            .map(|mark| {
+                mark.cleared = true;
+                mark.clone()
+            })
+            .collect()
     }
 
     /// Returns whether the request was answered within the last few seconds.
--- a/crates/apricotfold-policy/tests/crash_guard.rs
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -57,7 +57,7 @@
     let mut guard = CrashGuard::default();
     record(&mut guard, "a@1", now);
     record(&mut guard, "b@1", now);
-    assert_eq!(guard.record_answer(&POISON, later), 2);
+    assert_eq!(guard.record_answer(&POISON, later).len(), 2);
     assert!(!guard.is_blocked(&POISON, later));
     // Heard of late: the crash was before the answer.
     let late = CrashMark::new("c@1".into(), now);
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -1,5 +1,6 @@
 //! Tracks requests that crash their targets. See `docs/platform.md`, section 6.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Instant, SystemTime};
 
@@ -8,6 +9,10 @@
     CrashEvidence, CrashGuard, CrashMark, RequestFingerprint, SentNumber, UnansweredRuns,
 };
 use compact_str::ToCompactString;
+use tokio::sync::watch;
+
+/// Largest number of requests of which other nodes are told when evidence is compared.
+const MAX_SHARED: usize = 256;
 
 /// Largest number of own marks that are kept; the newest replace the oldest. They are in the node's
 /// entry in the store, so that they outlive its process.
@@ -19,9 +24,31 @@
     unanswered: UnansweredRuns,
     /// Marks of crashes that this node noticed, oldest first.
     own: Vec<(RequestFingerprint, CrashMark)>,
+    /// Marks that were not passed on yet.
+    news: CrashEvidence,
 }
 
 impl TrackerState {
+    /// Merges a mark, and keeps it as news if it is. Returns whether it is.
+    fn learn(
+        &mut self,
+        fingerprint: &RequestFingerprint,
+        mark: &CrashMark,
+        now: SystemTime,
+    ) -> bool {
+        if !self.guard.merge(fingerprint, mark.clone(), now) {
+            return false;
+        }
+        self.add_news(fingerprint, mark.clone());
+        true
+    }
+
+    fn add_news(&mut self, fingerprint: &RequestFingerprint, mark: CrashMark) {
+        let marks = self.news.entry(fingerprint.clone()).or_default();
+        marks.retain(|known| known.crash != mark.crash);
+        marks.push(mark);
+    }
+
     fn keep_own(&mut self, fingerprint: &RequestFingerprint, mark: CrashMark, now: SystemTime) {
         let is_known = |(request, known): &(RequestFingerprint, CrashMark)| {
             request == fingerprint && known.crash == mark.crash
@@ -43,7 +70,11 @@
 
 /// Shares the crash guard among tasks and keeps the marks that this node publishes.
 #[derive(Clone, Default)]
-pub struct CrashTracker(Arc<Mutex<TrackerState>>);
+pub struct CrashTracker {
+    state: Arc<Mutex<TrackerState>>,
+    /// Notified when there is news for other nodes.
+    news: watch::Sender<()>,
+}
 
 /// A request that was sent to a target. Unless it is answered or rejected, it is suspect if the
 /// target crashes.
@@ -88,7 +119,7 @@
 
 impl CrashTracker {
     fn lock(&self) -> MutexGuard<'_, TrackerState> {
-        self.0.lock().expect("no panic while locked")
+        self.state.lock().expect("no panic while locked")
     }
 
     /// Returns whether a request is refused because it has crashed targets.
@@ -119,15 +150,21 @@
     }
 
     fn record_answer(&self, fingerprint: &RequestFingerprint) {
-        let now = SystemTime::now();
-        let cleared = self.lock().guard.record_answer(fingerprint, now);
-        if cleared > 0 {
-            log_event!(
-                info,
-                SuspicionCleared,
-                "request {fingerprint} of {cleared} crashes"
-            );
+        let mut state = self.lock();
+        let cleared = state.guard.record_answer(fingerprint, SystemTime::now());
+        if cleared.is_empty() {
+            return;
+        }
+        let crashes = cleared.len();
+        for mark in cleared {
+            state.add_news(fingerprint, mark);
         }
+        self.news.send_replace(());
+        log_event!(
+            info,
+            SuspicionCleared,
+            "request {fingerprint} of {crashes} crashes"
+        );
     }
 
     /// Records that an incarnation of a target crashed, and marks the requests that it has not
@@ -139,7 +176,7 @@
         let mark = CrashMark::new(incarnation.to_compact_string(), now);
         let mut news = false;
         for fingerprint in &suspects {
-            if !state.guard.merge(fingerprint, mark.clone(), now) {
+            if !state.learn(fingerprint, &mark, now) {
                 continue;
             }
             news = true;
@@ -150,6 +187,9 @@
                 "request {fingerprint} in flight at {incarnation}"
             );
         }
+        if news {
+            self.news.send_replace(());
+        }
         news
     }
 
@@ -169,17 +209,20 @@
         let mut state = self.lock();
         let now = SystemTime::now();
         for (fingerprint, mark) in each_mark(evidence) {
-            state.guard.merge(fingerprint, mark.clone(), now);
+            state.learn(fingerprint, mark, now);
             state.keep_own(fingerprint, mark.clone(), now);
         }
+        self.news.send_replace(());
     }
 
     /// Merges what another node knows. `origin` is for log lines.
     pub fn merge(&self, origin: &str, evidence: &CrashEvidence) {
         let mut state = self.lock();
         let now = SystemTime::now();
+        let mut news = false;
         for (fingerprint, mark) in each_mark(evidence) {
-            if state.guard.merge(fingerprint, mark.clone(), now) {
+            if state.learn(fingerprint, mark, now) {
+                news = true;
                 let crash = &mark.crash;
                 let word = if mark.cleared {
                     "cleared of"
@@ -193,6 +236,57 @@
                 );
             }
         }
+        if news {
+            self.news.send_replace(());
+        }
+    }
+
+    /// Subscribes to news for other nodes.
+    pub fn watch_news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
+    /// Returns what was not passed on yet.
+    pub fn take_news(&self) -> CrashEvidence {
+        std::mem::take(&mut self.lock().news)
+    }
+
+    /// Returns what this node knows, as far as it is shared.
+    pub fn evidence(&self) -> CrashEvidence {
+        self.lock().guard.evidence(MAX_SHARED, SystemTime::now())
+    }
+
+    /// Returns what this node knows and another one does not.
+    pub fn evidence_beyond(&self, theirs: &CrashEvidence) -> CrashEvidence {
+        let mut evidence = self.evidence();
+        evidence.retain(|fingerprint, marks| {
+            let known = theirs.get(fingerprint);
+            let is_known = |mark: &CrashMark| {
+                known.is_some_and(|known| {
+                    let mut same = known.iter().filter(|other| other.crash == mark.crash);
+                    same.any(|other| other.cleared || !mark.cleared)
+                })
+            };
+            marks.retain(|mark| !is_known(mark));
+            !marks.is_empty()
+        });
+        evidence
+    }
+
+    /// Returns a digest of [`evidence`](Self::evidence), which two nodes compare to learn whether they
+    /// know the same.
+    pub fn digest(&self) -> u64 {
+        let evidence = self.evidence();
+        let mut hasher = DefaultHasher::new();
+        for (fingerprint, marks) in evidence {
+            let mut crashes: Vec<_> = marks
+                .iter()
+                .map(|mark| (&mark.crash, mark.cleared))
+                .collect();
+            crashes.sort_unstable();
+            (fingerprint, crashes).hash(&mut hasher);
+        }
+        hasher.finish()
     }
 
     /// Returns the number of requests with known crashes, and of those that are blocked.
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod compressed_json;
 mod connection;
 mod connection_pool;
+mod crash_gossip;
 mod crash_tracker;
 mod engine;
 mod entry_attempt;
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -7,12 +7,13 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceRecord, NodeId, TableVersion, log_event, saturating_millis};
-use apricotfold_policy::{CrashEvidence, STORE_SILENCE};
+use apricotfold_policy::STORE_SILENCE;
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use rand::seq::IteratorRandom;
+use serde::Serialize;
 
 use crate::call_body::{ConnectionLease, ResponseBody};
 use crate::compressed_json::{compress, decompress};
@@ -58,7 +59,9 @@
     /// Digest of the instances known to the node.
     digest: u64,
     record: Option<InstanceRecord>,
-    crashes: CrashEvidence,
+    /// Empty; earlier releases, which share crash counts here, need it.
+    #[serde(skip_deserializing)]
+    crashes: BTreeMap<NodeId, u32>,
 }
 
 /// State that the peer returns.
@@ -74,7 +77,9 @@
     /// Compressed list of the instances that the store has, as far as the peer knows, if the digests
     /// differ.
     records: Option<String>,
-    crashes: BTreeMap<NodeId, CrashEvidence>,
+    /// Empty; earlier releases, which share crash counts here, need it.
+    #[serde(skip_deserializing)]
+    crashes: BTreeMap<NodeId, u32>,
 }
 
 /// Compressed list of instances, which is created once for all nodes that ask for the same one.
@@ -166,31 +171,53 @@
         table_version: engine.tables.transfer_base(),
         digest: engine.registry().digest(),
         record: engine.local_record(),
-        crashes: engine.crashes.own_marks(),
+        crashes: BTreeMap::new(),
     };
-    let mut request = Request::new(Full::new(Bytes::from(serde_json::to_vec(&message)?)));
-    *request.method_mut() = Method::POST;
-    *request.headers_mut() = exchange_headers(address)?;
     let limit = Instant::now() + EXCHANGE_TIMEOUT;
-    let sent = engine
-        .peer_connections
-        .send(
-            address,
-            request,
-            EXCHANGE_INTERVAL * 4,
-            Instant::now() + STALL_TIMEOUT,
-        )
-        .await
-        .map_err(|failure| eyre::eyre!("{failure:?}"))?;
-    let (answer, connection) = sent;
-    let lease = ConnectionLease::new(&engine.peer_connections, connection);
-    let body = ResponseBody::streaming(answer.into_body(), lease);
+    let body = open_post(engine, address, EXCHANGE_HEADER, &message).await?;
     let body = tokio::time::timeout_at(limit.into(), read_body(body, progress)).await??;
     let answer: ExchangeResponse = serde_json::from_slice(&body)?;
     apply_answer(engine, &answer, address);
     Ok(answer)
 }
 
+/// Sends a message to another proxy and returns the body of the response. `kind` is the header that
+/// names the kind of message.
+///
+/// # Errors
+///
+/// Returns an error if there is no complete response, or none within [`STALL_TIMEOUT`].
+pub async fn post(
+    engine: &Arc<Engine>,
+    address: SocketAddr,
+    kind: HeaderName,
+    message: &impl Serialize,
+) -> eyre::Result<Bytes> {
+    let body = open_post(engine, address, kind, message).await?;
+    Ok(read_body(body, &|_| {}).await?.freeze())
+}
+
+async fn open_post(
+    engine: &Arc<Engine>,
+    address: SocketAddr,
+    kind: HeaderName,
+    message: &impl Serialize,
+) -> eyre::Result<ResponseBody> {
+    let mut request = Request::new(Full::new(Bytes::from(serde_json::to_vec(message)?)));
+    *request.method_mut() = Method::POST;
+    let headers = request.headers_mut();
+    headers.insert(kind, HeaderValue::from_static("1"));
+    headers.insert(header::HOST, address.to_string().parse()?);
+    let deadline = Instant::now() + STALL_TIMEOUT;
+    let sent = engine
+        .peer_connections
+        .send(address, request, EXCHANGE_INTERVAL * 4, deadline)
+        .await;
+    let (answer, connection) = sent.map_err(|failure| eyre::eyre!("{failure:?}"))?;
+    let lease = ConnectionLease::new(&engine.peer_connections, connection);
+    Ok(ResponseBody::streaming(answer.into_body(), lease))
+}
+
 async fn read_body(mut body: ResponseBody, progress: ProgressReport<'_>) -> eyre::Result<BytesMut> {
     let mut bytes = BytesMut::new();
     let long = body.size_hint().lower() > LONG_ANSWER_BYTES;
@@ -207,13 +234,6 @@
     }
 }
 
-fn exchange_headers(address: SocketAddr) -> eyre::Result<HeaderMap> {
-    let mut headers = HeaderMap::new();
-    headers.insert(EXCHANGE_HEADER, HeaderValue::from_static("1"));
-    headers.insert(http::header::HOST, address.to_string().parse()?);
-    Ok(headers)
-}
-
 fn apply_answer(engine: &Engine, answer: &ExchangeResponse, address: SocketAddr) {
     if let Some(transfer) = &answer.table {
         apply_table(engine, transfer, address);
@@ -224,9 +244,6 @@
             Err(cause) => log_event!(warn, ExchangeFailed, "{address}: instances: {cause}"),
         }
     }
-    for (node, counts) in &answer.crashes {
-        engine.crashes.merge(node, counts);
-    }
 }
 
 fn apply_table(engine: &Engine, transfer: &TableTransfer, address: SocketAddr) {
@@ -289,9 +306,7 @@
             );
         }
     }
-    engine.crashes.merge(&asked.node, &asked.crashes);
     let cached = engine.tables.current();
-    let own_crashes = BTreeMap::from([(engine.node(), engine.crashes.own_marks())]);
     let records = {
         let registry = engine.registry();
         let digest = registry.digest();
@@ -311,10 +326,15 @@
         store_age_ms: store_age.map(saturating_millis),
         table: cached.transfer_from(asked.table_version),
         records,
-        crashes: own_crashes,
+        crashes: BTreeMap::new(),
     };
     telemetry::count_exchange_parts(answer.table.is_some(), answer.records.is_some());
-    match serde_json::to_vec(&answer) {
+    json_response(&answer)
+}
+
+/// Encodes the answer to a message of a peer.
+pub fn json_response(answer: &impl Serialize) -> Response<ResponseBody> {
+    match serde_json::to_vec(answer) {
         Ok(text) => {
             telemetry::count_exchange_bytes(text.len());
             Response::new(ResponseBody::whole(text.into()))
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -14,6 +14,7 @@
 
 use crate::call_body::ResponseBody;
 use crate::connection::{CallerDisconnected, RequestHandler};
+use crate::crash_gossip::{self, CRASHES_HEADER};
 use crate::engine::Engine;
 use crate::lifecycle::ProcessPhase;
 use crate::peer_call::{
@@ -41,6 +42,7 @@
         let arrived = Instant::now();
         let (mut parts, incoming) = request.into_parts();
         let exchange = parts.headers.contains_key(EXCHANGE_HEADER);
+        let crashes = parts.headers.contains_key(CRASHES_HEADER);
         let context: Option<WireCallContext> = read_header(&parts.headers, &CALL_HEADER);
         parts.headers.remove(CALL_HEADER);
         let rate_limit: Option<RateLimit> = read_header(&parts.headers, &RATE_LIMIT_HEADER);
@@ -53,6 +55,9 @@
         if exchange {
             return Ok(respond_to_exchange(&self.engine, &body));
         }
+        if crashes {
+            return Ok(crash_gossip::respond(&self.engine, &body));
+        }
         let Some(path) = parts.uri.path_and_query().cloned() else {
             return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::BadRequest, false));
         };
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -11,6 +11,7 @@
 use crate::announce_server::AnnounceHandler;
 use crate::caller_server::{CallerHandler, serve_callers};
 use crate::connection::{RequestHandler, listen, serve};
+use crate::crash_gossip;
 use crate::engine::Engine;
 use crate::housekeeping::run_housekeeping;
 use crate::instance_watcher::InstanceWatcher;
@@ -99,6 +100,7 @@
     tokio::spawn(watch_keys(engine.clone(), entries));
     tokio::spawn(Registration::new(engine.clone(), adapters.store).run());
     tokio::spawn(peer_exchange::run(engine.clone()));
+    tokio::spawn(crash_gossip::run(engine.clone()));
     tokio::spawn(RelayPoller::new(engine.clone()).run());
     tokio::spawn(run_housekeeping(engine.clone()));
     if let Some((reader, text)) = settings {
--- a/crates/apricotfold-proxy/tests/crashing_requests.rs
+++ b/crates/apricotfold-proxy/tests/crashing_requests.rs
@@ -85,6 +85,20 @@
         node.revive().await;
     }
 
+    /// Crashes the targets of two nodes with a request, and that of a third one if the request is not
+    /// refused there.
+    async fn crash_thrice(&self, nodes: &[usize], path: &str) {
+        for node in &nodes[..2] {
+            self.crash(*node, path).await;
+        }
+        let third = &self.nodes[nodes[2]];
+        third.call_target(path, 1_000).await;
+        tokio::time::sleep(DOWN_TIME).await;
+        if third.target.crashes() > 0 {
+            third.revive().await;
+        }
+    }
+
     /// Sends a request to the targets of nodes after the time within which it must be known, and
     /// returns how many of these sends reached a target.
     async fn late_sends(&self, nodes: &[usize], path: &str) -> usize {
@@ -129,9 +143,7 @@
     let mesh = CrashMesh::start(NODES).await;
     let nodes = mesh.wait_relays().await;
     let (crashed, others) = nodes.split_at(3);
-    for node in crashed {
-        mesh.crash(*node, "/orders/crash").await;
-    }
+    mesh.crash_thrice(crashed, "/orders/crash").await;
     let late = mesh.late_sends(others, "/orders/crash").await;
     assert!(late <= MAX_LATE_SENDS, "{late} sends reached a target");
     assert_eq!(
@@ -148,9 +160,7 @@
     mesh.set_store_away(true);
     tokio::time::sleep(Duration::from_secs(1)).await;
     let (crashed, others) = nodes.split_at(3);
-    for node in crashed {
-        mesh.crash(*node, "/orders/crash").await;
-    }
+    mesh.crash_thrice(crashed, "/orders/crash").await;
     let late = mesh.late_sends(others, "/orders/crash").await;
     assert!(late <= MAX_LATE_SENDS, "{late} sends reached a target");
 }
