Refuse blocked requests where they enter

What callers saw: a request that crashes targets was sent by its entry node to one target after another, although that node knew of the crashes; what could not reach any target was told to come back in 100 ms. Cause: only the target's node looked at the counts, so one target node that had not heard of them was enough. Class: a check at one of two places that know. Change: the entry node refuses it before it chooses a target and before each retry, and says how long the block lasts. The fingerprint is computed there only while crashes are known. Evidence: crashing_requests::refused_at_entry failed on ("overloaded", no target in reach) and passes; popular_requests passes.

--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -229,15 +229,25 @@
     /// Returns whether the request must be refused with `poison-request`.
     #[must_use]
     pub fn is_blocked(&self, fingerprint: &RequestFingerprint, now: SystemTime) -> bool {
-        let Some(known) = self.entries.get(fingerprint) else {
-            return false;
-        };
+        self.block_left(fingerprint, now).is_some()
+    }
+
+    /// Returns for how long the request must be refused, unless it is cleared; `None` if it may run.
+    #[must_use]
+    pub fn block_left(
+        &self,
+        fingerprint: &RequestFingerprint,
+        now: SystemTime,
+    ) -> Option<Duration> {
+        let known = self.entries.get(fingerprint)?;
         let limit = if self.is_recently_answered(fingerprint, now) {
             BLOCK_ANSWERED_AFTER
         } else {
             BLOCK_AFTER
         };
-        !known.is_expired(unix_millis(now)) && known.suspect_count() >= limit
+        let age = Duration::from_millis(unix_millis(now).saturating_sub(known.latest()));
+        let left = ENTRY_LIFETIME.saturating_sub(age);
+        (!left.is_zero() && known.suspect_count() >= limit).then_some(left)
     }
 
     /// Returns the evidence on at most `limit` requests for other nodes, blocked requests first, then
--- a/crates/apricotfold-policy/tests/crash_guard.rs
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -24,6 +24,8 @@
     assert!(record(&mut guard, "b@1", now));
     assert_eq!(guard.blocked(now), 1);
     assert!(guard.is_blocked(&POISON, now + ALMOST));
+    let left = guard.block_left(&POISON, now + LIFETIME / 2);
+    assert_eq!(left.map(|left| left.as_secs()), Some(300));
     assert!(!guard.is_blocked(&"q".into(), now));
     assert!(!guard.is_blocked(&POISON, now + LIFETIME));
     assert!(record(&mut guard, "c@1", now + LIFETIME));
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use apricotfold_model::{TargetIncarnation, log_event};
 use apricotfold_policy::{
@@ -127,6 +127,17 @@
         self.lock().guard.is_blocked(fingerprint, SystemTime::now())
     }
 
+    /// Returns for how long a request is refused because it has crashed targets; `None` if it is not.
+    /// The fingerprint is computed only while crashes are known, since it needs a digest of the body.
+    pub fn block_left(&self, fingerprint: impl FnOnce() -> RequestFingerprint) -> Option<Duration> {
+        if self.lock().guard.is_empty() {
+            return None;
+        }
+        let fingerprint = fingerprint();
+        let state = self.lock();
+        state.guard.block_left(&fingerprint, SystemTime::now())
+    }
+
     /// Records that a request is sent to a target.
     pub fn begin_run(
         &self,
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -107,6 +107,11 @@
         }
         let mut counted = false;
         loop {
+            if self.block_left().is_some() {
+                log_event!(warn, RequestBlocked, "id={}", self.request.log_id());
+                let outcome = self.retries.outcome();
+                return Ok(self.refuse(outcome, RefusalReason::PoisonRequest, None));
+            }
             let chosen = match self.choose_target(&service) {
                 Ok(chosen) => chosen,
                 Err((reason, expected_wait)) => {
@@ -137,6 +142,13 @@
         }
     }
 
+    /// Returns for how long the request is refused at all nodes because it has crashed targets.
+    fn block_left(&self) -> Option<Duration> {
+        let engine = self.engine;
+        let fingerprint = || self.request.fingerprint(&engine.config.load().service);
+        engine.crashes.block_left(fingerprint)
+    }
+
     /// Counts the request in the retry budget of its service. If the parent request is a retry,
     /// this call is counted as a retry too.
     fn count_first(&self, service: &ServiceName) {
@@ -370,12 +382,14 @@
                 runs.note_call(&run.id, NestedCapacity::Refusal);
             }
         }
-        let retry_after = (outcome == CallOutcome::NotRun)
-            .then(|| {
+        let retry_after = match (outcome, reason) {
+            (CallOutcome::NotRun, RefusalReason::PoisonRequest) => self.block_left(),
+            (CallOutcome::NotRun, _) => {
                 let expected_wait = expected_wait.unwrap_or(DEFAULT_RETRY_DELAY);
                 advise_retry_after(expected_wait, left, self.engine.selector().random())
-            })
-            .flatten();
+            }
+            _ => None,
+        };
         let share = self.engine.parent_throttle().share(&route.name);
         log_event!(
             info,
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -67,6 +67,13 @@
         request
     }
 
+    /// Returns a digest of everything that stays the same when a caller of a service sends the request
+    /// again.
+    pub fn fingerprint(&self, caller_service: &str) -> RequestFingerprint {
+        let path = self.path.as_str();
+        fingerprint(&self.method, path, caller_service, &self.body)
+    }
+
     /// Returns the id for log lines, `-` if the caller sent none.
     pub fn log_id(&self) -> &str {
         self.id.as_deref().unwrap_or("-")
@@ -155,7 +162,7 @@
 impl TargetCall<'_> {
     async fn run(&self) -> Result<TargetResponse, TargetRefusal> {
         self.check_target()?;
-        let fingerprint = self.fingerprint();
+        let fingerprint = self.request.fingerprint(&self.context.caller_service);
         if self.engine.crashes.is_blocked(&fingerprint) {
             let id = self.request.log_id();
             log_event!(warn, RequestBlocked, "id={id} request {fingerprint}");
@@ -385,17 +392,6 @@
         Err(self.may_have_run(RefusalReason::ConnectionLost))
     }
 
-    fn fingerprint(&self) -> RequestFingerprint {
-        let request = self.request;
-        let caller = &self.context.caller_service;
-        fingerprint(
-            &request.method,
-            request.path.as_str(),
-            caller,
-            &request.body,
-        )
-    }
-
     fn refuse(&self, reason: RefusalReason) -> TargetRefusal {
         TargetRefusal {
             outcome: CallOutcome::NotRun,
