Mark calls whose target ended together with its node

What callers saw: a request that crashed a target whose node was lost at the same time counted nowhere and was sent on. Cause: only the target's node counted crashes; the comment on CrashGuard said that the entry node counts for a lost node, but nothing did. Class: the only witness is lost with what it watches. Change: an entry node keeps calls whose node gave no answer, or that were dropped before it did, and marks them when the registry finds that the incarnation has ended without leaving. Both nodes name the crash by the incarnation, so it counts once. If only the node ended, the same incarnation comes back and nothing is marked.

--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -5,7 +5,9 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{InstanceId, InstanceRecord, InstanceState, NodeId, StartTimeMillis};
+use apricotfold_model::{
+    InstanceId, InstanceRecord, InstanceState, NodeId, StartTimeMillis, TargetIncarnation,
+};
 use smallvec::SmallVec;
 
 /// Time for which an instance is still used after its store entry lapsed. Leases expire while the
@@ -70,6 +72,8 @@
     /// Instances that have stated in answers that they leave. They are kept apart from the records,
     /// which may be replaced by records of the same instance that do not say so yet.
     departures: HashMap<NodeId, StatedDeparture>,
+    /// Ready instances that were replaced or dropped without having left.
+    ended: Vec<TargetIncarnation>,
 }
 
 impl InstanceRegistry {
@@ -115,6 +119,10 @@
         if known.record.is_equivalent(&record) {
             return false;
         }
+        let former = known.record.incarnation();
+        if known.record.state == InstanceState::Ready && former != record.incarnation() {
+            self.ended.push(former);
+        }
         if known.record.instance != record.instance {
             known.first_seen = now;
             known.answered = None;
@@ -204,11 +212,18 @@
             .map(|known| known.record.node.clone())
             .collect();
         for node in &expired {
-            self.known.remove(node);
+            let known = self.known.remove(node);
+            self.ended
+                .extend(known.map(|known| known.record.incarnation()));
         }
         expired
     }
 
+    /// Returns the incarnations that have ended without having left since the last call.
+    pub fn take_ended(&mut self) -> Vec<TargetIncarnation> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Returns the instances of a service that take new work, each with the duration for which it
     /// has been known.
     pub fn ready<'a>(
--- a/crates/apricotfold-policy/src/unanswered_runs.rs
+++ b/crates/apricotfold-policy/src/unanswered_runs.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UnansweredRuns {
     sent: HashMap<TargetIncarnation, Vec<SentRequest>>,
+    /// Incarnations that have crashed, with the time at which that was noticed.
+    crashed: HashMap<TargetIncarnation, Instant>,
     next: SentNumber,
 }
 
@@ -87,12 +89,26 @@
         }
     }
 
+    /// Records a request that another node's target may have received and whose node did not answer.
+    /// Returns whether the incarnation is known to have crashed.
+    pub fn record_unanswered(
+        &mut self,
+        incarnation: &TargetIncarnation,
+        fingerprint: RequestFingerprint,
+        now: Instant,
+    ) -> bool {
+        let number = self.begin(incarnation, fingerprint);
+        self.abandon(incarnation, number, now);
+        self.crashed.contains_key(incarnation)
+    }
+
     /// Returns the requests that may have caused the crash of an incarnation, and forgets them.
     pub fn take_suspects(
         &mut self,
         incarnation: &TargetIncarnation,
         now: Instant,
     ) -> Vec<RequestFingerprint> {
+        self.crashed.entry(incarnation.clone()).or_insert(now);
         let sent = self.sent.remove(incarnation).unwrap_or_default();
         let suspects = sent.into_iter().filter(|request| request.is_current(now));
         suspects.map(|request| request.fingerprint).collect()
@@ -104,6 +120,8 @@
             sent.retain(|request| request.is_current(now));
             !sent.is_empty()
         });
+        self.crashed
+            .retain(|_, noticed| now.saturating_duration_since(*noticed) < ABANDONED_RETENTION);
     }
 
     /// Number of requests that are remembered.
--- a/crates/apricotfold-policy/tests/unanswered_runs.rs
+++ b/crates/apricotfold-policy/tests/unanswered_runs.rs
@@ -34,6 +34,21 @@
     assert_eq!(runs.len(), 1);
 }
 
+/// Guards against a request that is given up only after its target's crash was noticed and is not
+/// suspect.
+#[test]
+fn given_up_after_crash() {
+    let now = Instant::now();
+    let mut runs = UnansweredRuns::default();
+    let target = incarnation(1);
+    assert!(!runs.record_unanswered(&target, "first".into(), now));
+    assert_eq!(runs.take_suspects(&target, now), ["first"]);
+    assert!(runs.record_unanswered(&target, "late".into(), now));
+    assert_eq!(runs.take_suspects(&target, now), ["late"]);
+    runs.prune(now + RETENTION);
+    assert!(!runs.record_unanswered(&target, "later".into(), now + RETENTION));
+}
+
 /// Guards against a crash that is blamed on requests of long ago, and against memory use that grows
 /// with every request that is given up.
 #[test]
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -155,6 +155,20 @@
         }
     }
 
+    /// Records a request that another node's target may have received and whose node did not answer.
+    /// Returns whether the target is known to have crashed.
+    pub fn record_unanswered(
+        &self,
+        incarnation: &TargetIncarnation,
+        fingerprint: RequestFingerprint,
+    ) -> bool {
+        let mut state = self.lock();
+        let now = Instant::now();
+        state
+            .unanswered
+            .record_unanswered(incarnation, fingerprint, now)
+    }
+
     /// Forgets requests that were given up too long ago to be suspect.
     pub fn prune(&self) {
         self.lock().unanswered.prune(Instant::now());
--- a/crates/apricotfold-proxy/src/entry_attempt.rs
+++ b/crates/apricotfold-proxy/src/entry_attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallOutcome, InstanceRecord, NodeId, RefusalReason, log_event};
+use apricotfold_model::{CallOutcome, InstanceRecord, RefusalReason, log_event};
 use apricotfold_policy::{AttemptEnd, InstanceReport};
 use http::header;
 
@@ -22,7 +22,7 @@
 /// attempt is dropped.
 struct AttemptGuard<'a> {
     call: &'a EntryCall<'a>,
-    node: NodeId,
+    record: &'a InstanceRecord,
     open: bool,
 }
 
@@ -34,12 +34,26 @@
         let route = &self.call.routed.route.name;
         let excluded = engine
             .selector()
-            .finish(&self.node, route, end, report, now);
+            .finish(&self.record.node, route, end, report, now);
         if excluded {
-            log_event!(warn, TargetQuarantined, "{} after {end:?}", self.node);
+            let node = &self.record.node;
+            log_event!(warn, TargetQuarantined, "{node} after {end:?}");
         }
         if report.is_some() {
-            engine.registry().record_answer(&self.node, now);
+            engine.registry().record_answer(&self.record.node, now);
+        } else if end == AttemptEnd::Lost {
+            self.record_unanswered();
+        }
+    }
+
+    /// Records that the node did not say what became of the request. It may have ended together with
+    /// its target, so that only this node can tell what the target was running.
+    fn record_unanswered(&self) {
+        let engine = self.call.engine;
+        let fingerprint = self.call.fingerprint();
+        let incarnation = self.record.incarnation();
+        if engine.crashes.record_unanswered(&incarnation, fingerprint) {
+            engine.record_crash(&incarnation);
         }
     }
 }
@@ -50,7 +64,9 @@
             let route = &self.call.routed.route.name;
             let end = AttemptEnd::Cancelled;
             let mut selector = self.call.engine.selector();
-            selector.finish(&self.node, route, end, None, Instant::now());
+            selector.finish(&self.record.node, route, end, None, Instant::now());
+            drop(selector);
+            self.record_unanswered();
         }
     }
 }
@@ -66,7 +82,7 @@
         let engine = self.engine;
         let guard = AttemptGuard {
             call: self,
-            node: chosen.record.node.clone(),
+            record: &chosen.record,
             open: true,
         };
         let context = self.context(chosen, hedge);
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -8,8 +8,8 @@
     log_event,
 };
 use apricotfold_policy::{
-    CallStanding, NestedCapacity, RetryDecision, RetryTracker, RunSummary, SelectedTarget,
-    SendOutcome, TargetCandidate, advise_retry_after,
+    CallStanding, NestedCapacity, RequestFingerprint, RetryDecision, RetryTracker, RunSummary,
+    SelectedTarget, SendOutcome, TargetCandidate, advise_retry_after,
 };
 use http::Response;
 use smallvec::SmallVec;
@@ -144,9 +144,12 @@
 
     /// Returns for how long the request is refused at all nodes because it has crashed targets.
     fn block_left(&self) -> Option<Duration> {
-        let engine = self.engine;
-        let fingerprint = || self.request.fingerprint(&engine.config.load().service);
-        engine.crashes.block_left(fingerprint)
+        self.engine.crashes.block_left(|| self.fingerprint())
+    }
+
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        let service = &self.engine.config.load().service;
+        self.request.fingerprint(service)
     }
 
     /// Counts the request in the retry budget of its service. If the parent request is a retry,
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -27,6 +27,10 @@
         for node in engine.registry().expire(now) {
             log_event!(info, InstanceChanged, "{node} is gone");
         }
+        let ended = engine.registry().take_ended();
+        for incarnation in &ended {
+            engine.record_crash(incarnation);
+        }
         let silence = engine.config.load().announce_interval * MAX_MISSED_ANNOUNCEMENTS;
         let incarnation = engine.current_incarnation();
         if engine.local().expire(silence, now) {
