--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -213,8 +213,9 @@
             .collect();
         for node in &expired {
             let known = self.known.remove(node);
+            let ready = known.filter(|known| known.record.state == InstanceState::Ready);
             self.ended
-                .extend(known.map(|known| known.record.incarnation()));
+                .extend(ready.map(|known| known.record.incarnation()));
         }
         expired
     }
--- a/crates/apricotfold-proxy/tests/crashing_requests.rs
+++ b/crates/apricotfold-proxy/tests/crashing_requests.rs
@@ -28,6 +28,9 @@
 /// Time for which a crashed target stays down.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
+/// Time after which the entry of a node that has ended is no longer in the store.
+const LAPSE_TIME: Duration = Duration::from_millis(6_500);
+
 /// Timeout of calls in milliseconds.
 const TIMEOUT: &str = "1500";
 
@@ -202,9 +205,9 @@
 async fn forgotten_by_restart() {
     let mut mesh = CrashMesh::start(3).await;
     mesh.crash(0, "/orders/crash").await;
-    tokio::time::sleep(STABLE_WINDOW).await;
     let client = mesh.clients[0].clone();
     mesh.nodes[0].kill_process().await;
+    tokio::time::sleep(LAPSE_TIME).await;
     mesh.nodes[0].start_process(&client).await;
     mesh.nodes[0].announce_current().await;
     mesh.crash(0, "/orders/crash").await;
