--- a/crates/apricotfold-proxy/tests/support/store.rs
+++ b/crates/apricotfold-proxy/tests/support/store.rs
@@ -18,13 +18,16 @@
 /// Interval at which watches check for changes.
 const WATCH_INTERVAL: Duration = Duration::from_millis(10);
 
-#[derive(Default)]
-struct StoreState {
+/// State of a store. A clone is a copy that the store can return to.
+#[derive(Clone, Default)]
+pub struct StoreState {
     revision: Revision,
     entries: BTreeMap<String, StoreEntry>,
     history: Vec<(Revision, WatchEvent)>,
     leases: HashMap<LeaseId, (Instant, Duration)>,
     next_lease: LeaseId,
+    /// Number of returns to an older copy.
+    epoch: u64,
 }
 
 impl StoreState {
@@ -158,6 +161,30 @@
         self.lock().put(key, text, 0);
     }
 
+    /// Returns a copy of the store.
+    pub fn take_copy(&self) -> StoreState {
+        self.lock().clone()
+    }
+
+    /// Returns to a copy: later changes, entries and leases are gone, and revisions and lease ids are
+    /// given out again. Leases of the copy run from now on. Open watches continue from where they are,
+    /// as far as the store can tell.
+    pub fn restore(&self, copy: &StoreState) {
+        let mut state = self.lock();
+        let epoch = state.epoch + 1;
+        *state = copy.clone();
+        state.epoch = epoch;
+        for (renewed, _) in state.leases.values_mut() {
+            *renewed = Instant::now();
+        }
+    }
+
+    /// Returns the text of an entry.
+    pub fn read(&self, key: &str) -> Option<String> {
+        let state = self.lock();
+        state.entries.get(key).map(|entry| entry.value.clone())
+    }
+
     fn lock(&self) -> MutexGuard<'_, StoreState> {
         self.state.lock().expect("no panic while locked")
     }
