Read and watch anew after the store has come back from an older copy

What operators saw on systems like this one: a confirmed change was not in force in time. Cause here: a watch goes on from a revision of the lost history; if the store has no reason to refuse it (no 410) and no call failed meanwhile, what was written below that revision is never delivered. Class: values of two histories compared as if they were of one. Change: EpochTracker compares the epoch in every answer. Late answers of a former epoch are errors, a watch ends, and the watchers read everything anew, without allowing stale data.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -180,6 +180,9 @@
     /// This node's registration expired or could not be written.
     #[strum(serialize = "AF5008", message = "registration lost")]
     RegistrationLost,
+    /// The store has come back from an older copy.
+    #[strum(serialize = "AF5009", message = "store restored")]
+    StoreRestored,
 }
 
 /// Logs an event at the given level; its code and message precede the formatted text.
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -22,7 +22,7 @@
 use crate::relay_poller::RelayPoller;
 use crate::settings_file::{SettingsReader, follow};
 use crate::status_server::{MetricsHandler, ReadyHandler};
-use crate::store_health::watch_keys;
+use crate::store_health::{follow_returns, watch_keys};
 use crate::table_cache::TableCache;
 use crate::table_watcher::TableWatcher;
 use crate::telemetry;
@@ -94,6 +94,7 @@
         config.caller_address,
         config.peer_address
     );
+    tokio::spawn(follow_returns(engine.clone(), adapters.store.clone()));
     let tables = TableWatcher::new(engine.clone(), adapters.store.clone());
     tokio::spawn(watch_keys(engine.clone(), tables));
     let entries = InstanceWatcher::new(engine.clone(), adapters.store.clone());
--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -7,7 +7,7 @@
 
 use apricotfold_model::log_event;
 use apricotfold_policy::{STORE_SILENCE, StoreContact};
-use apricotfold_store::StoreError;
+use apricotfold_store::{ConfigStore, StoreError};
 use futures_util::future::BoxFuture;
 use tokio::sync::watch;
 
@@ -34,6 +34,8 @@
     state: Mutex<HealthState>,
     /// Number of times at which the store became unavailable.
     losses: watch::Sender<u64>,
+    /// Number of returns of the store to an older copy.
+    returns: watch::Sender<u64>,
     available: watch::Sender<bool>,
 }
 
@@ -43,6 +45,7 @@
         Self {
             state: Mutex::default(),
             losses: watch::Sender::new(0),
+            returns: watch::Sender::new(0),
             available: watch::Sender::new(false),
         }
     }
@@ -87,6 +90,11 @@
         self.losses.subscribe()
     }
 
+    /// Subscribes to returns of the store to an older copy.
+    pub fn watch_returns(&self) -> watch::Receiver<u64> {
+        self.returns.subscribe()
+    }
+
     /// Waits until any task has reached the store, for at most `limit`. Renewals of the node's
     /// lease are cheap and show when the store is available again; a node without a lease makes
     /// none.
@@ -123,6 +131,21 @@
     }
 }
 
+/// Logs returns of the store to an older copy and passes them on to the tasks that call it.
+pub async fn follow_returns(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) {
+    let mut returns = store.watch_returns();
+    while returns.changed().await.is_ok() {
+        let count = *returns.borrow_and_update();
+        let version = engine.tables.version();
+        log_event!(
+            warn,
+            StoreRestored,
+            "return {count} from an older copy, own table {version}"
+        );
+        engine.store_health.returns.send_replace(count);
+    }
+}
+
 /// Longest wait for another task to reach an unavailable store.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -144,11 +167,17 @@
         // The sender lives as long as the engine, so waiting cannot fail.
         let _ = following.wait_for(|following| *following).await;
         let mut losses = engine.store_health.watch_losses();
+        let mut returns = engine.store_health.watch_returns();
         tokio::select! {
             Err(error) = follower.follow(&mut failures) => {
                 engine.store_health.record_failure(&error);
             }
             Ok(()) = losses.changed() => {}
+            Ok(()) = returns.changed() => {
+                // Nothing that was read before holds, and a stale read may still give it.
+                failures = failures.max(1);
+                continue;
+            }
             Ok(_) = following.wait_for(|following| !*following) => continue,
         }
         failures += 1;
--- a/crates/apricotfold-proxy/tests/support/store.rs
+++ b/crates/apricotfold-proxy/tests/support/store.rs
@@ -8,10 +8,12 @@
 
 use apricotfold_model::{RawRouteTable, StepError};
 use apricotfold_store::{
-    Compare, ConfigStore, LeaseId, RangeResponse, Revision, StoreEntry, StoreError, StoreFuture,
-    StoreTxn, StoreWrite, TxnResponse, WatchBatch, WatchEvent, WatchStream, WriteEffect,
+    Compare, ConfigStore, EpochTracker, LeaseId, RangeResponse, Revision, StoreEntry, StoreError,
+    StoreFuture, StoreTxn, StoreWrite, TxnResponse, WatchBatch, WatchEvent, WatchStream,
+    WriteEffect,
 };
 use futures_util::{FutureExt, StreamExt};
+use tokio::sync::watch;
 
 use super::protocol::TABLE_KEY;
 
@@ -82,6 +84,7 @@
     watches: Arc<()>,
     link: Arc<Mutex<ClientLink>>,
     stale_reads: Arc<AtomicUsize>,
+    epochs: Arc<EpochTracker>,
 }
 
 /// The network link of a client.
@@ -129,6 +132,7 @@
             watches: Arc::default(),
             link: Arc::default(),
             stale_reads: Arc::default(),
+            epochs: Arc::default(),
         })
     }
 
@@ -197,7 +201,8 @@
                 effect: WriteEffect::None,
             });
         }
-        self.lock().expire_leases();
+        let mut state = self.lock();
+        state.expire_leases();
         Ok(())
     }
 
@@ -205,7 +210,11 @@
         &self,
         run: impl FnOnce(&mut StoreState) -> T,
     ) -> StoreFuture<'_, T> {
-        let result = self.check().map(|()| run(&mut self.lock()));
+        let result = self.check().map(|()| {
+            let mut state = self.lock();
+            self.epochs.observe(state.epoch);
+            run(&mut state)
+        });
         std::future::ready(result).boxed()
     }
 }
@@ -301,6 +310,10 @@
         })
     }
 
+    fn watch_returns(&self) -> watch::Receiver<u64> {
+        self.epochs.watch_returns()
+    }
+
     fn watch<'a>(&'a self, prefix: &'a str, revision: Revision) -> StoreFuture<'a, WatchStream> {
         let prefix = prefix.to_owned();
         let start = (self.clone(), revision - 1);
@@ -326,6 +339,8 @@
                         }
                     };
                     if !batch.events.is_empty() {
+                        let epoch = store.lock().epoch;
+                        store.epochs.observe(epoch);
                         let revision = batch.revision;
                         let written = batch.events.iter().filter_map(|event| match event {
                             WatchEvent::Put(entry) => Some(entry),
--- a/crates/apricotfold-store/src/lib.rs
+++ b/crates/apricotfold-store/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`ConfigStore`] is the interface for all data that must be durable or agreed on, see
 //! `docs/design.md`, section 3. [`HttpStore`] implements it with etcd v3's public JSON protocol.
 
+mod epoch;
 mod http;
 mod txn;
 mod wire;
@@ -12,7 +13,9 @@
 use apricotfold_model::StepError;
 use futures_util::future::BoxFuture;
 use futures_util::stream::BoxStream;
+use tokio::sync::watch;
 
+pub use epoch::{EpochTracker, StoreEpoch};
 pub use http::HttpStore;
 pub use txn::{Compare, StoreTxn, StoreWrite, TxnResponse};
 
@@ -134,6 +137,14 @@
     /// Revokes a lease and deletes the keys attached to it.
     fn revoke(&self, lease: LeaseId) -> StoreFuture<'_, ()>;
 
-    /// Watches all keys that start with `prefix`, starting with the changes of `revision`.
+    /// Watches all keys that start with `prefix`, starting with the changes of `revision`. The stream
+    /// ends with an error if the store comes back from an older copy, as far as its answers show.
     fn watch<'a>(&'a self, prefix: &'a str, revision: Revision) -> StoreFuture<'a, WatchStream>;
+
+    /// Subscribes to the number of times that the store has come back from an older copy, as far as
+    /// its answers have shown. What was read, written or granted before is then to be read, written or
+    /// granted anew. The default is for stores that do not say so.
+    fn watch_returns(&self) -> watch::Receiver<u64> {
+        watch::channel(0).1
+    }
 }
