Write a node's entry again after the store has come back from an older copy

What callers would see: an instance that has left is used again, or one that runs is not used. Cause: a node takes its entry as written while its lease can be renewed. After the return the entry may be an older one, or gone, while the lease has outlived the copy or its id belongs to another node by now. Class: the success of one call taken as proof of another's effect. Change: Registration subscribes to returns, drops lease and revision, and writes again; a step whose own calls showed the return is repeated at once. What was written is kept for the record of an instance that has left. Evidence: restored_store::{lost_departure, lost_marks, reissued_lease} failed (entries older or missing after 2.5 s) and pass.

--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -9,6 +9,7 @@
 use apricotfold_store::{
     Compare, ConfigStore, LeaseId, Revision, StoreEntry, StoreError, StoreTxn,
 };
+use tokio::sync::watch;
 
 use crate::engine::Engine;
 use crate::store_health::retry_pause;
@@ -50,7 +51,10 @@
     store: Arc<dyn ConfigStore>,
     lease: Option<(LeaseId, Duration)>,
     written: Option<NodeEntry>,
+    /// Whether the store may have lost what was written, because it came back from an older copy.
+    outdated: bool,
     revision: Revision,
+    returns: watch::Receiver<u64>,
     failures: usize,
 }
 
@@ -59,9 +63,11 @@
     pub fn new(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) -> Self {
         Self {
             engine,
+            returns: store.watch_returns(),
             store,
             lease: None,
             written: None,
+            outdated: false,
             revision: 0,
             failures: 0,
         }
@@ -70,18 +76,34 @@
     /// Runs until the process ends.
     pub async fn run(mut self) {
         let mut changes = self.engine.registration.subscribe();
+        let mut returns = self.returns.clone();
         loop {
             let pause = self.step().await;
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 Ok(()) = changes.changed() => {}
+                Ok(()) = returns.changed() => {}
             }
         }
     }
 
+    /// Forgets lease and revision if the store has come back from an older copy: it may give out both
+    /// again. What was written is kept, because it says what has left.
+    fn check_returns(&mut self) {
+        if self.returns.has_changed().unwrap_or(false) {
+            self.returns.mark_unchanged();
+            self.lease = None;
+            self.outdated = true;
+            self.revision = 0;
+        }
+    }
+
     /// Writes the entry or renews its lease, and returns the time until the next step.
     async fn step(&mut self) -> Duration {
+        self.check_returns();
         match self.sync_entry().await {
+            // A call may have used a lease or a revision from before.
+            Ok(()) if self.returns.has_changed().unwrap_or(false) => Duration::ZERO,
             Ok(()) => {
                 self.failures = 0;
                 RENEWAL_INTERVAL
@@ -119,7 +141,8 @@
 
     /// Returns whether the entry in the store already says what other nodes need to know.
     fn is_written(&self, wanted: &NodeEntry) -> bool {
-        let Some(written) = &self.written else {
+        let written = self.written.as_ref().filter(|_| !self.outdated);
+        let Some(written) = written else {
             return false;
         };
         let same_record = match (&written.record, &wanted.record) {
@@ -217,6 +240,7 @@
             );
         }
         self.written = Some(entry);
+        self.outdated = false;
         Ok(())
     }
 
