Ask peers for a newer table after a start and after a return of the store

What callers would see: a process that starts just after the store has come back from an older copy serves an older table than its peers, until the operator writes again. Cause: a node that follows the store asks no peer while the store answers, so nothing tells a new process the lowest version that it may serve. Class: one source is trusted because it answers. Change: for five seconds after the start and after a return, a node asks two random peers every 0.7 s for a newer table and for nothing else. With the same versions the answer is empty; without a table of its own a node waits for the store's first, so that peers send only what differs.

--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -35,6 +35,10 @@
 /// reaches a node well within the seconds that operators wait for it.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time from the start until the first exchange, and until the next try while the store's table is on its
+/// way.
+const FIRST_EXCHANGE: Duration = Duration::from_millis(200);
+
 /// Number of peers contacted in each interval.
 const PEERS_PER_EXCHANGE: usize = 2;
 
@@ -58,6 +62,9 @@
     table_version: TableVersion,
     /// Digest of the instances known to the node.
     digest: u64,
+    /// Whether the node asks for nothing but a newer table.
+    #[serde(default)]
+    table_only: bool,
     record: Option<InstanceRecord>,
     /// Empty; earlier releases, which share crash counts here, need it.
     #[serde(skip_deserializing)]
@@ -101,20 +108,38 @@
     }
 }
 
-/// Exchanges state with random peers while the store does not respond.
+/// Time after the start, and after a return of the store to an older copy, for which peers are asked for a
+/// newer table: the store may not have the newest one, and a node that has just started has no other.
+const DOUBT_PERIOD: Duration = Duration::from_secs(5);
+
+/// Exchanges state with random peers while the store does not respond, and asks them for a newer table
+/// while the store may have an older one.
 pub async fn run(engine: Arc<Engine>) {
+    let mut returns = engine.store_health.watch_returns();
+    let mut doubted = Instant::now();
+    let mut pause = FIRST_EXCHANGE;
     loop {
-        tokio::time::sleep(EXCHANGE_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            // The sender lives as long as the engine.
+            Ok(()) = returns.changed() => doubted = Instant::now(),
+        }
+        pause = EXCHANGE_INTERVAL;
         let silent = engine
             .store_health
             .age()
             .is_none_or(|age| age > STORE_SILENCE);
-        if !silent {
+        let table_only = !silent;
+        if table_only && doubted.elapsed() > DOUBT_PERIOD {
             continue;
         }
-        let peers = choose_peers(&engine);
-        for address in peers {
-            if let Err(cause) = exchange(&engine, address, &|_| {}).await {
+        if table_only && engine.tables.version() == 0 {
+            // The store's table is on its way; with it, peers send only what differs.
+            pause = FIRST_EXCHANGE;
+            continue;
+        }
+        for address in choose_peers(&engine) {
+            if let Err(cause) = timed_exchange(&engine, address, table_only, &|_| {}).await {
                 log_event!(debug, ExchangeFailed, "{address}: {cause}");
             }
         }
@@ -143,9 +168,9 @@
     address: SocketAddr,
     progress: ProgressReport<'_>,
 ) -> eyre::Result<ExchangeResponse> {
-    let answer = timed_exchange(engine, address, progress).await?;
+    let answer = timed_exchange(engine, address, false, progress).await?;
     if answer.table.is_some() && engine.tables.transfer_base() == 0 {
-        return timed_exchange(engine, address, progress).await;
+        return timed_exchange(engine, address, false, progress).await;
     }
     Ok(answer)
 }
@@ -153,10 +178,11 @@
 async fn timed_exchange(
     engine: &Arc<Engine>,
     address: SocketAddr,
+    table_only: bool,
     progress: ProgressReport<'_>,
 ) -> eyre::Result<ExchangeResponse> {
     let started = Instant::now();
-    let answer = request_exchange(engine, address, progress).await;
+    let answer = request_exchange(engine, address, table_only, progress).await;
     telemetry::record_exchange(answer.is_ok(), started.elapsed());
     answer
 }
@@ -164,12 +190,14 @@
 async fn request_exchange(
     engine: &Arc<Engine>,
     address: SocketAddr,
+    table_only: bool,
     progress: ProgressReport<'_>,
 ) -> eyre::Result<ExchangeResponse> {
     let message = ExchangeRequest {
         node: engine.node(),
         table_version: engine.tables.transfer_base(),
         digest: engine.registry().digest(),
+        table_only,
         record: engine.local_record(),
         crashes: BTreeMap::new(),
     };
@@ -310,14 +338,17 @@
     let records = {
         let registry = engine.registry();
         let digest = registry.digest();
-        (digest != asked.digest).then(|| {
+        let differs = !asked.table_only && digest != asked.digest;
+        differs.then(|| {
             engine
                 .instance_list
                 .compressed(digest, || registry.confirmed().cloned().collect())
         })
     };
-    engine.record_poll();
-    if engine.follows_store() {
+    if !asked.table_only {
+        engine.record_poll();
+    }
+    if engine.follows_store() && !asked.table_only {
         engine.probe_store(MAX_CONTACT_AGE);
     }
     let store_age = engine.store_health.age();
