Remember which instances have left when the store lists them again

What callers would see: calls for an instance that has left, refused by its node or lost if that is gone too. Cause: a record that says "gone" removes the instance, and with it what its order is compared with; a listing of an older copy, in which it is ready, adds it again. Class: a deletion that leaves nothing to recognise the deleted by. Evidence: instance_registry::returned_entry failed (1 ready instance after the listing) and passes, with the restarted node and the later incarnation in it.

--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -65,6 +65,21 @@
     }
 }
 
+/// An instance whose record said that it leaves or has left, with the process of its node that said so. The
+/// store may come back from a copy in which it is ready.
+#[derive(Clone, Debug)]
+struct LeftInstance {
+    born: StartTimeMillis,
+    node_start: u64,
+    noticed: Instant,
+}
+
+impl LeftInstance {
+    fn concerns(&self, record: &InstanceRecord) -> bool {
+        (record.born, record.node_start) <= (self.born, self.node_start)
+    }
+}
+
 /// Keeps one instance per node and decides for how long it is used.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceRegistry {
@@ -72,6 +87,8 @@
     /// Instances that have stated in answers that they leave. They are kept apart from the records,
     /// which may be replaced by records of the same instance that do not say so yet.
     departures: HashMap<NodeId, StatedDeparture>,
+    /// Latest instance of each node whose record said that it leaves or has left.
+    left: HashMap<NodeId, LeftInstance>,
     /// Ready instances that were replaced or dropped without having left.
     ended: Vec<TargetIncarnation>,
 }
@@ -91,6 +108,9 @@
     }
 
     fn merge(&mut self, record: InstanceRecord, lapsed: Option<Instant>, now: Instant) -> bool {
+        if record.state != InstanceState::Ready {
+            self.record_left(&record, now);
+        }
         let Some(known) = self.known.get_mut(&record.node) else {
             if record.state == InstanceState::Gone {
                 return false;
@@ -132,6 +152,20 @@
         true
     }
 
+    fn record_left(&mut self, record: &InstanceRecord, now: Instant) {
+        let known = self.left.get(&record.node);
+        let later = LeftInstance {
+            born: record.born,
+            node_start: record.node_start,
+            noticed: now,
+        };
+        // An earlier process or incarnation changes nothing.
+        let order = (later.born, later.node_start);
+        if known.is_none_or(|known| (known.born, known.node_start) <= order) {
+            self.left.insert(record.node.clone(), later);
+        }
+    }
+
     /// Records that the store no longer has an entry for a node. A draining instance is dropped at
     /// once, a ready one after a grace period unless its entry returns or its node answers. Returns
     /// whether an instance was dropped.
@@ -205,6 +239,8 @@
         self.departures.retain(|_, departure| {
             now.saturating_duration_since(departure.stated) < DEPARTURE_MEMORY
         });
+        self.left
+            .retain(|_, left| now.saturating_duration_since(left.noticed) < DEPARTURE_MEMORY);
         let expired: ChangedNodes = self
             .known
             .values()
@@ -236,7 +272,10 @@
             let record = &known.record;
             let departed = known.departed_until.is_some_and(|until| until > now);
             let stated = self.departures.get(&record.node);
-            let leaving = departed || stated.is_some_and(|stated| stated.concerns(record));
+            let left = self.left.get(&record.node);
+            let leaving = departed
+                || stated.is_some_and(|stated| stated.concerns(record))
+                || left.is_some_and(|left| left.concerns(record));
             let ready = record.state == InstanceState::Ready && !leaving;
             let usable = record.service == service && ready;
             let age = now.saturating_duration_since(known.first_seen);
--- a/crates/apricotfold-policy/tests/instance_registry.rs
+++ b/crates/apricotfold-policy/tests/instance_registry.rs
@@ -111,6 +111,30 @@
     assert_eq!(registry.expire(now + Duration::from_secs(3)).len(), 1);
 }
 
+/// Guards against an instance that has left and counts as ready again because the store came back from an
+/// older copy, and against never using a later incarnation, or one whose node was only restarted.
+#[test]
+fn returned_entry() {
+    let now = Instant::now();
+    let minute = Duration::from_mins(1);
+    for left in [InstanceState::Gone, InstanceState::Draining] {
+        let mut registry = InstanceRegistry::default();
+        registry.apply_entry(record(1, 1, InstanceState::Ready, 1), now);
+        registry.apply_entry(record(1, 1, left, 2), now);
+        registry.lapse_entry(&node(), now);
+        assert_eq!(ready(&registry, now), 0, "{left}");
+        registry.apply_listing(vec![record(1, 1, InstanceState::Ready, 1)], now + minute);
+        assert_eq!(ready(&registry, now + minute), 0, "{left}");
+        registry.apply_peer_record(record(1, 1, InstanceState::Ready, 1), now + minute);
+        assert_eq!(ready(&registry, now + minute), 0, "{left}");
+        let mut restarted = registry.clone();
+        restarted.apply_entry(record(1, 2, InstanceState::Ready, 3), now + minute);
+        assert_eq!(ready(&restarted, now + minute), 1, "{left}");
+        registry.apply_entry(record(2, 1, InstanceState::Ready, 1), now + minute);
+        assert_eq!(ready(&registry, now + minute), 1, "{left}");
+    }
+}
+
 fn records() -> impl Strategy<Value = Vec<InstanceRecord>> {
     let states = prop_oneof![
         Just(InstanceState::Ready),
