Read a relay slot back after the store has come back from an older copy

What operators would see: after a restore, relays that have lost their slots go on as relays, renew leases that are another holder's, and cannot write: their writes compare the slot's revision. Cause: the renewal of a lease is taken as proof that the slot is held. Relays that watch notice the interruption; the others, three of four data centres, make nothing but renewals. Change: HttpStore compares the cluster's id in the headers, which etcd changes with a restore, and a slot written before a return is read back with the next renewal; if it is not this node's, the slot is lost and the node contends again. The store stand-in changes its id with a restore.

--- a/crates/apricotfold-node/src/store_session.rs
+++ b/crates/apricotfold-node/src/store_session.rs
@@ -1,8 +1,8 @@
 //! Executes the control plane's store requests, each in a task of its own.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use apricotfold_control::{
@@ -35,6 +35,17 @@
     store: Arc<dyn ConfigStore>,
     inputs: LoopSender,
     lost: Arc<AtomicBool>,
+    slot: Arc<Mutex<WrittenSlot>>,
+}
+
+/// The relay slot that this node has written last.
+#[derive(Debug, Default)]
+struct WrittenSlot {
+    key: String,
+    value: String,
+    /// Number of returns of the store to an older copy when the slot was last known to be there. After
+    /// another one, it may be gone, and a lease of the same id may belong to another holder.
+    returns: u64,
 }
 
 impl StoreSession {
@@ -49,6 +60,7 @@
                 store: Arc::new(HttpStore::new(&config.store, config.local_address())?),
                 inputs,
                 lost: Arc::new(AtomicBool::new(false)),
+                slot: Arc::default(),
             },
             watches: HashMap::new(),
         })
@@ -107,7 +119,8 @@
             }
             StoreRequest::RenewSlot { lease } => {
                 node_metrics::record_store_call("keep-alive");
-                if self.store.keep_alive(lease).await?.is_zero() {
+                let left = self.store.keep_alive(lease).await?;
+                if left.is_zero() || !self.confirm_slot(lease).await? {
                     StoreReply::SlotLost
                 } else {
                     StoreReply::SlotRenewed
@@ -147,7 +160,12 @@
             .when(Compare::Absent {
                 key: key.to_owned(),
             })
-            .put_leased(key, value, lease);
+            .put_leased(key, value.clone(), lease);
+        *self.lock_slot() = WrittenSlot {
+            key: key.to_owned(),
+            value,
+            returns: self.returns(),
+        };
         node_metrics::record_store_call("commit");
         match self.store.commit(&txn).await {
             Ok(answer) if answer.succeeded => Ok(StoreReply::SlotAcquired {
@@ -164,6 +182,35 @@
         }
     }
 
+    fn lock_slot(&self) -> MutexGuard<'_, WrittenSlot> {
+        self.slot.lock().expect("no panic while locked")
+    }
+
+    fn returns(&self) -> u64 {
+        *self.store.watch_returns().borrow()
+    }
+
+    /// Reads the slot back if the store has come back from an older copy since it was written. Returns
+    /// whether this node still holds it.
+    async fn confirm_slot(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        let returns = self.returns();
+        let (key, value) = {
+            let slot = self.lock_slot();
+            if slot.returns == returns {
+                return Ok(true);
+            }
+            (slot.key.clone(), slot.value.clone())
+        };
+        node_metrics::record_store_call("get");
+        let answer = self.store.get(&key).await?;
+        let mut entries = answer.entries.iter();
+        let held = entries.any(|entry| entry.lease == lease && entry.value == value);
+        if held {
+            self.lock_slot().returns = returns;
+        }
+        Ok(held)
+    }
+
     async fn read_slot(&self, key: &str, lease: LeaseId) -> Result<StoreReply, StoreError> {
         node_metrics::record_store_call("get");
         let answer = self.store.get(key).await?;
--- a/crates/apricotfold-standins/src/store/key_space.rs
+++ b/crates/apricotfold-standins/src/store/key_space.rs
@@ -44,6 +44,8 @@
     pub(super) entries: BTreeMap<Bytes, KeyEntry>,
     pub(super) leases: LeaseTable,
     revision: Revision,
+    /// Id of the cluster, which is another one after each restore.
+    cluster_id: i64,
     history: VecDeque<WatchEvent>,
     history_bytes: usize,
     /// Events up to and including this revision are no longer in the history.
@@ -58,6 +60,7 @@
             entries: BTreeMap::new(),
             leases: LeaseTable::new(last_lease),
             revision: FIRST_REVISION,
+            cluster_id: 1,
             history: VecDeque::new(),
             history_bytes: 0,
             compacted_up_to: 0,
@@ -73,7 +76,13 @@
     /// Response header with the current revision.
     #[must_use]
     pub fn header(&self) -> ResponseHeader {
-        ResponseHeader::at(self.revision)
+        self.header_at(self.revision)
+    }
+
+    /// Response header with a revision of this store.
+    #[must_use]
+    pub fn header_at(&self, revision: Revision) -> ResponseHeader {
+        ResponseHeader::at(revision, self.cluster_id)
     }
 
     /// Reads a key or a range.
@@ -162,7 +171,7 @@
         self.entries.insert(request.key.clone(), entry.clone());
         self.record(EventType::Put, entry);
         PutResponse {
-            header: ResponseHeader::at(revision),
+            header: self.header_at(revision),
             prev_kv: previous.filter(|_| request.prev_kv),
         }
     }
@@ -197,7 +206,7 @@
             self.remove_entry(entry, revision);
         }
         DeleteRangeResponse {
-            header: ResponseHeader::at(revision),
+            header: self.header_at(revision),
             deleted: i64::try_from(deleted.len()).unwrap_or(i64::MAX),
             prev_kvs: if request.prev_kv { deleted } else { Vec::new() },
         }
@@ -362,6 +371,7 @@
     /// up to it can no longer be watched.
     pub fn restore(&mut self, snapshot: StoreSnapshot, now: Instant) {
         self.revision = snapshot.revision;
+        self.cluster_id += 1;
         self.compacted_up_to = snapshot.revision;
         self.history.clear();
         self.history_bytes = 0;
--- a/crates/apricotfold-standins/src/store/message.rs
+++ b/crates/apricotfold-standins/src/store/message.rs
@@ -68,9 +68,9 @@
 impl ResponseHeader {
     /// Header at `revision`, as a store with a single member returns it.
     #[must_use]
-    pub fn at(revision: Revision) -> Self {
+    pub fn at(revision: Revision, cluster_id: i64) -> Self {
         Self {
-            cluster_id: 1,
+            cluster_id,
             member_id: 1,
             revision,
             raft_term: 1,
--- a/crates/apricotfold-standins/src/store/service.rs
+++ b/crates/apricotfold-standins/src/store/service.rs
@@ -13,7 +13,8 @@
 use super::key_range::KeyRange;
 use super::key_space::KeySpace;
 use super::message::{
-    LeaseResponse, LeaseRevokeResponse, Revision, StoreSnapshot, StreamResult, WatchEvent,
+    LeaseResponse, LeaseRevokeResponse, ResponseHeader, Revision, StoreSnapshot, StreamResult,
+    WatchEvent,
 };
 use super::meter::{CallCounts, RateLimit};
 
@@ -267,6 +268,11 @@
         self.service.revision()
     }
 
+    /// Response header with a revision of the store.
+    pub fn header_at(&self, revision: Revision) -> ResponseHeader {
+        self.service.lock().key_space.header_at(revision)
+    }
+
     /// Waits for a change of the store or its faults, or until the given time.
     pub async fn wait(&mut self, until: Option<Instant>) {
         wait_for_change(&mut self.changes, until).await;
--- a/crates/apricotfold-standins/src/store/watch_stream.rs
+++ b/crates/apricotfold-standins/src/store/watch_stream.rs
@@ -57,7 +57,8 @@
             Phase::Ended => None,
             Phase::Created => {
                 self.phase = Phase::Streaming;
-                Some(line(self.opened, |response| response.created = true))
+                let header = self.guard.header_at(self.opened);
+                Some(line(header, |response| response.created = true))
             }
             Phase::Streaming => Some(self.next_event().await),
         }
@@ -77,7 +78,8 @@
                 }
                 WatchStep::Compacted(oldest) => {
                     self.phase = Phase::Ended;
-                    return line(self.guard.revision(), |response| {
+                    let header = self.guard.header_at(self.guard.revision());
+                    return line(header, |response| {
                         response.canceled = true;
                         response.compact_revision = oldest;
                     });
@@ -93,13 +95,14 @@
     /// Sets the header to the last revision reported, even if the store is already at a newer one, so
     /// that a client can resume from the header or from the last event.
     fn report(&self, events: Vec<WatchEvent>) -> io::Result<Bytes> {
-        line(self.next - 1, |response| response.events = events)
+        let header = self.guard.header_at(self.next - 1);
+        line(header, |response| response.events = events)
     }
 }
 
-fn line(revision: Revision, fill: impl FnOnce(&mut WatchResponse)) -> io::Result<Bytes> {
+fn line(header: ResponseHeader, fill: impl FnOnce(&mut WatchResponse)) -> io::Result<Bytes> {
     let mut result = WatchResponse {
-        header: ResponseHeader::at(revision),
+        header,
         created: false,
         canceled: false,
         compact_revision: 0,
--- a/crates/apricotfold-store/src/epoch.rs
+++ b/crates/apricotfold-store/src/epoch.rs
@@ -31,6 +31,16 @@
         true
     }
 
+    /// Records the identity of the store's history in an answer, which is another one after each return
+    /// but does not rise.
+    pub fn observe_identity(&self, stated: StoreEpoch) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let former = known.replace(stated);
+        if former.is_some_and(|former| former != stated) {
+            self.returns.send_modify(|returns| *returns += 1);
+        }
+    }
+
     /// Subscribes to the number of returns that the answers have shown.
     pub fn watch_returns(&self) -> watch::Receiver<u64> {
         self.returns.subscribe()
--- a/crates/apricotfold-store/src/http.rs
+++ b/crates/apricotfold-store/src/http.rs
@@ -11,14 +11,15 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use smallvec::SmallVec;
+use tokio::sync::watch;
 
 use crate::wire::{
-    self, WireKeepAlive, WireLease, WireRange, WireTxn, WireWatch, get_request, list_request,
-    txn_request, watch_request,
+    self, WireAnyHeader, WireKeepAlive, WireLease, WireRange, WireTxn, WireWatch, get_request,
+    list_request, txn_request, watch_request,
 };
 use crate::{
-    ConfigStore, LeaseId, RangeResponse, Revision, StoreEntry, StoreError, StoreFuture, StoreTxn,
-    TxnResponse, WatchBatch, WatchStream, WriteEffect,
+    ConfigStore, EpochTracker, LeaseId, RangeResponse, Revision, StoreEntry, StoreError,
+    StoreFuture, StoreTxn, TxnResponse, WatchBatch, WatchStream, WriteEffect,
 };
 
 /// Idle time after which a pooled connection is closed. It is below the idle timeout of common
@@ -31,6 +32,7 @@
     endpoints: SmallVec<[CompactString; 2]>,
     timeout: Duration,
     current: AtomicUsize,
+    epochs: EpochTracker,
 }
 
 impl HttpStore {
@@ -52,6 +54,7 @@
             endpoints: config.endpoints.clone(),
             timeout: config.timeout,
             current: AtomicUsize::new(0),
+            epochs: EpochTracker::default(),
         })
     }
 
@@ -116,6 +119,11 @@
             .bytes()
             .await
             .map_err(|error| self.fail(step, error.into(), WriteEffect::Unknown))?;
+        // A header that cannot be read fails the call below, too, if the call needs it.
+        let header: WireAnyHeader = serde_json::from_slice(&bytes).unwrap_or_default();
+        if let Some(cluster) = header.cluster_id() {
+            self.epochs.observe_identity(cluster);
+        }
         serde_json::from_slice(&bytes)
             .map_err(|error| self.fail(step, error.into(), WriteEffect::Unknown))
     }
@@ -196,6 +204,10 @@
     fn watch<'a>(&'a self, prefix: &'a str, revision: Revision) -> StoreFuture<'a, WatchStream> {
         Box::pin(self.open_watch(watch_request(prefix, revision)))
     }
+
+    fn watch_returns(&self) -> watch::Receiver<u64> {
+        self.epochs.watch_returns()
+    }
 }
 
 fn watch_error(peer: &CompactString, cause: eyre::Report) -> StoreError {
--- a/crates/apricotfold-store/src/wire.rs
+++ b/crates/apricotfold-store/src/wire.rs
@@ -94,6 +94,20 @@
     }
 }
 
+/// Reads an id that does not fit a signed number, given as text or as a number.
+fn read_id<'de, D: serde::Deserializer<'de>>(reader: D) -> Result<u64, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Id {
+        Text(String),
+        Plain(u64),
+    }
+    match Id::deserialize(reader)? {
+        Id::Text(text) => text.parse().map_err(serde::de::Error::custom),
+        Id::Plain(id) => Ok(id),
+    }
+}
+
 /// Deserializes base64-encoded UTF-8 text.
 fn read_text<'de, D: serde::Deserializer<'de>>(reader: D) -> Result<String, D::Error> {
     let encoded = String::deserialize(reader)?;
@@ -107,6 +121,32 @@
 pub struct WireHeader {
     #[serde(deserialize_with = "read_number")]
     pub revision: Revision,
+    /// Id of the cluster; etcd gives another one to a cluster that is restored from a snapshot.
+    #[serde(deserialize_with = "read_id")]
+    pub cluster_id: u64,
+}
+
+/// The header of a response of any kind, which for lease renewals is in the result.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct WireAnyHeader {
+    pub header: WireHeader,
+    pub result: WireHeaderResult,
+}
+
+/// See [`WireAnyHeader`].
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct WireHeaderResult {
+    pub header: WireHeader,
+}
+
+impl WireAnyHeader {
+    /// Returns the cluster's id, if the response states one.
+    pub fn cluster_id(&self) -> Option<u64> {
+        let stated = self.header.cluster_id.max(self.result.header.cluster_id);
+        (stated != 0).then_some(stated)
+    }
 }
 
 /// A key-value pair with its revisions and lease.
--- a/crates/apricotfold-store/tests/store_epochs.rs
+++ b/crates/apricotfold-store/tests/store_epochs.rs
@@ -18,3 +18,14 @@
     assert!(tracker.observe(5));
     assert!(!returns.has_changed().expect("a tracker"));
 }
+
+/// Guards against a return that is missed because the identity of the new history is a lower number.
+#[test]
+fn identity_changes() {
+    let tracker = EpochTracker::default();
+    let returns = tracker.watch_returns();
+    for (identity, count) in [(9, 0), (9, 0), (3, 1), (3, 1), (9, 2)] {
+        tracker.observe_identity(identity);
+        assert_eq!(*returns.borrow(), count, "{identity}");
+    }
+}
--- a/tests/testsuite/store_outage.rs
+++ b/tests/testsuite/store_outage.rs
@@ -3,12 +3,17 @@
 use std::time::Duration;
 
 use apricotfold_schema::settings::StoreFault;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use serde_json::json;
 
 use crate::support::{
     CONVERGENCE_LIMIT, FORMATION_LIMIT, almanac, applied_versions, calendar_mesh,
 };
 
+/// Time within which relays notice that they have lost their slots, and take them again.
+const SLOT_LIMIT: Duration = Duration::from_secs(10);
+
 /// Returns an outage that lasts longer than any test.
 fn outage() -> StoreFault {
     StoreFault {
@@ -134,3 +139,56 @@
     mesh.wait_version(1, CONVERGENCE_LIMIT).await?;
     Ok(())
 }
+
+/// Guards against a relay whose slot and lease are lost when the store is restored, and that renews a
+/// lease which the store has given to another holder since.
+#[tokio::test]
+async fn reissued_slot_lease() -> eyre::Result<()> {
+    let mesh = calendar_mesh(|builder| builder).await?;
+    assert_eq!(mesh.publish(&almanac(), &[]).await?.code, 0);
+    mesh.wait_version(1, CONVERGENCE_LIMIT).await?;
+    let admin = |call: &str| format!("{}/admin/{call}", mesh.store_url);
+    let mut snapshot = mesh.get_json(&admin("snapshot")).await;
+    let slots = slot_leases(&snapshot);
+    assert!(!slots.is_empty(), "no relay: {snapshot}");
+    let entries = snapshot["kvs"].as_array_mut().expect("entries");
+    entries.retain(|entry| !is_slot(entry));
+    snapshot["leases"] = json!([]);
+    let restore = mesh.client.post(admin("restore")).json(&snapshot);
+    restore.send().await?.error_for_status()?;
+    for lease in &slots {
+        let url = format!("{}/v3/lease/grant", mesh.store_url);
+        let grant = mesh
+            .client
+            .post(url)
+            .json(&json!({"TTL": "60", "ID": lease}));
+        grant.send().await?.error_for_status()?;
+    }
+    let end = tokio::time::Instant::now() + SLOT_LIMIT;
+    loop {
+        let held = slot_leases(&mesh.get_json(&admin("snapshot")).await).len();
+        if held >= slots.len() {
+            break;
+        }
+        let now = tokio::time::Instant::now();
+        assert!(now < end, "{held} of {} slots are held again", slots.len());
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    Ok(())
+}
+
+/// Returns whether an entry of a snapshot is a relay slot.
+fn is_slot(entry: &serde_json::Value) -> bool {
+    let key = entry["key"].as_str().unwrap_or_default();
+    let key = STANDARD.decode(key).unwrap_or_default();
+    key.starts_with(b"/apricotfold/relays/")
+}
+
+/// Returns the leases of the relay slots in a snapshot.
+fn slot_leases(snapshot: &serde_json::Value) -> Vec<String> {
+    let entries = snapshot["kvs"].as_array().expect("entries").iter();
+    let slots = entries.filter(|entry| is_slot(entry));
+    slots
+        .map(|entry| entry["lease"].as_str().unwrap_or_default().to_owned())
+        .collect()
+}
