Pass a mark on as cleared if the request was answered here since

What callers could see: a popular request refused at some nodes for longer than needed. Cause: a node that hears late of a crash, and has answered the request since, cleared the mark for itself and passed it on as it came, so others heard of the clearance only by comparing digests. Change: merging returns the mark as it is known now, and that is passed on. Found by reading; crash_guard::answers_clear_earlier_crashes checks the returned mark, which the former code did not have.

--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -139,14 +139,14 @@
         self.marks.iter().all(|mark| mark.is_expired(now))
     }
 
-    /// Adds a mark or merges it into the known one of the same crash. Returns whether that is news.
-    fn merge(&mut self, mark: CrashMark) -> bool {
+    /// Adds a mark or merges it into the known one of the same crash. Returns the result if it is news.
+    fn merge(&mut self, mark: CrashMark) -> Option<CrashMark> {
         let mut known = self.marks.iter_mut();
         if let Some(known) = known.find(|known| known.crash == mark.crash) {
             let news = mark.cleared && !known.cleared;
             known.cleared |= mark.cleared;
             known.observed = known.observed.min(mark.observed);
-            return news;
+            return news.then(|| known.clone());
         }
         if self.marks.len() >= MAX_MARKS {
             // What is cleared tells least, then what is oldest.
@@ -154,13 +154,11 @@
                 let known = &self.marks[*index];
                 (!known.cleared, known.observed)
             });
-            let Some(first) = first.filter(|index| self.marks[*index].cleared) else {
-                return false;
-            };
+            let first = first.filter(|index| self.marks[*index].cleared)?;
             self.marks.remove(first);
         }
-        self.marks.push(mark);
-        true
+        self.marks.push(mark.clone());
+        Some(mark)
     }
 }
 
@@ -176,17 +174,17 @@
 }
 
 impl CrashGuard {
-    /// Merges a mark that this node or another one made. Returns whether that is news. A request that
-    /// was answered here since the crash is cleared of it at once.
+    /// Merges a mark that this node or another one made. Returns the mark to pass on if that is news. A
+    /// request that was answered here since the crash is cleared of it at once.
     pub fn merge(
         &mut self,
         fingerprint: &RequestFingerprint,
         mark: CrashMark,
         now: SystemTime,
-    ) -> bool {
+    ) -> Option<CrashMark> {
         let now = unix_millis(now);
         if mark.is_expired(now) {
-            return false;
+            return None;
         }
         if !self.entries.contains_key(fingerprint) {
             self.make_room(now);
--- a/crates/apricotfold-policy/tests/crash_guard.rs
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -9,7 +9,8 @@
 const POISON: RequestFingerprint = RequestFingerprint::const_new("p");
 
 fn record(guard: &mut CrashGuard, crash: &str, now: SystemTime) -> bool {
-    guard.merge(&POISON, CrashMark::new(crash.into(), now), now)
+    let mark = CrashMark::new(crash.into(), now);
+    guard.merge(&POISON, mark, now).is_some()
 }
 
 /// Guards against a request that crashes one target after the other, against a block after a single
@@ -63,7 +64,11 @@
     assert!(!guard.is_blocked(&POISON, later));
     // Heard of late: the crash was before the answer.
     let late = CrashMark::new("c@1".into(), now);
-    guard.merge(&POISON, late, later);
+    let merged = guard.merge(&POISON, late, later);
+    assert!(
+        merged.is_some_and(|mark| mark.cleared),
+        "passed on as cleared"
+    );
     assert_eq!(guard.blocked(later), 0);
     let after = later + Duration::from_secs(1);
     for (crash, blocked) in [("d@1", false), ("e@1", false), ("f@1", true)] {
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -36,10 +36,10 @@
         mark: &CrashMark,
         now: SystemTime,
     ) -> bool {
-        if !self.guard.merge(fingerprint, mark.clone(), now) {
+        let Some(merged) = self.guard.merge(fingerprint, mark.clone(), now) else {
             return false;
-        }
-        self.add_news(fingerprint, mark.clone());
+        };
+        self.add_news(fingerprint, merged);
         true
     }
 
