Compare marks of crashes with another data centre, too

By reading, not shown by a run: a node passes news on to one node of another data centre, and compared digests within its own only, so with the store away a small data centre could miss a mark that no message happened to reach. Now both are asked.

--- a/crates/apricotfold-proxy/src/crash_gossip.rs
+++ b/crates/apricotfold-proxy/src/crash_gossip.rs
@@ -28,7 +28,7 @@
 /// each node hears the same news from several others.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
-/// Interval at which a node compares its evidence with another one's while that is likely to differ.
+/// Interval at which a node compares its evidence with others' while that is likely to differ.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time after a node's start, and after the latest news, for which evidence is likely to differ.
@@ -96,9 +96,10 @@
     }
 }
 
-/// Compares evidence with one other node. Both then know what either knew.
+/// Compares evidence with a node of the own data centre and one of another. Both then know what either
+/// knew.
 fn compare(engine: &Arc<Engine>) {
-    for address in choose_peers(engine, [1, 0]) {
+    for address in choose_peers(engine, [1, 1]) {
         let engine = engine.clone();
         tokio::spawn(async move {
             if let Err(cause) = compare_with(&engine, address).await {
