--- a/crates/apricotfold-proxy/tests/restored_store.rs
+++ b/crates/apricotfold-proxy/tests/restored_store.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use support::store::MemoryStore;
+use support::store::{MemoryStore, StoreState};
 use support::{TestNode, table, wait_within};
 
 /// Time within which the nodes must have the store's state right after its return: operators expect a
@@ -26,6 +26,17 @@
     TestNode::start(name, &store.other_client()).await
 }
 
+/// Starts a node with version 1, and takes a copy of the store once the node has written its entry.
+async fn settled_node() -> (Arc<MemoryStore>, TestNode, StoreState) {
+    let store = MemoryStore::default().other_client();
+    store.publish(&named(1));
+    let node = start("a", &store).await;
+    node.wait_for(|| serves(&node, 1)).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let copy = store.take_copy();
+    (store, node, copy)
+}
+
 async fn serves(node: &TestNode, version: u64) -> bool {
     let path = format!("/pages-{version}/x");
     node.call("GET", &path, "1000").await.status == 200
@@ -47,12 +58,7 @@
 /// written before the store had given out that revision again.
 #[tokio::test(flavor = "multi_thread")]
 async fn reissued_revisions() {
-    let store = MemoryStore::default().other_client();
-    store.publish(&named(1));
-    let node = start("a", &store).await;
-    node.wait_for(|| serves(&node, 1)).await;
-    tokio::time::sleep(SETTLE_TIME).await;
-    let copy = store.take_copy();
+    let (store, node, copy) = settled_node().await;
     for version in 2..=6 {
         store.publish(&named(version));
     }
@@ -66,12 +72,7 @@
 /// its peers have a newer one.
 #[tokio::test(flavor = "multi_thread")]
 async fn start_after_return() {
-    let store = MemoryStore::default().other_client();
-    store.publish(&named(1));
-    let node = start("a", &store).await;
-    node.wait_for(|| serves(&node, 1)).await;
-    tokio::time::sleep(SETTLE_TIME).await;
-    let copy = store.take_copy();
+    let (store, node, copy) = settled_node().await;
     store.publish(&named(2));
     node.wait_for(|| serves(&node, 2)).await;
     store.restore(&copy);
@@ -83,12 +84,7 @@
 /// takes the lost state for written.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_departure() {
-    let store = MemoryStore::default().other_client();
-    store.publish(&named(1));
-    let node = start("a", &store).await;
-    node.wait_for(|| serves(&node, 1)).await;
-    tokio::time::sleep(SETTLE_TIME).await;
-    let copy = store.take_copy();
+    let (store, node, copy) = settled_node().await;
     node.announce(2, "draining").await;
     node.wait_for(|| async { is_announced(&store, "a", "draining") })
         .await;
@@ -105,12 +101,7 @@
 /// Guards against marks of crashes that are lost although the node's lease has outlived the return.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_marks() {
-    let store = MemoryStore::default().other_client();
-    store.publish(&named(1));
-    let node = start("a", &store).await;
-    node.wait_for(|| serves(&node, 1)).await;
-    tokio::time::sleep(SETTLE_TIME).await;
-    let copy = store.take_copy();
+    let (store, node, copy) = settled_node().await;
     let is_marked = || async {
         let entry = store.read("apricotfold/nodes/a");
         entry.is_some_and(|entry| entry.contains("observed"))
@@ -126,12 +117,7 @@
 /// given to another node since.
 #[tokio::test(flavor = "multi_thread")]
 async fn reissued_lease() {
-    let store = MemoryStore::default().other_client();
-    store.publish(&named(1));
-    let first = start("a", &store).await;
-    first.wait_for(|| serves(&first, 1)).await;
-    tokio::time::sleep(SETTLE_TIME).await;
-    let copy = store.take_copy();
+    let (store, _first, copy) = settled_node().await;
     let second = start("b", &store).await;
     second.wait_for(|| serves(&second, 1)).await;
     tokio::time::sleep(SETTLE_TIME).await;
