Let counted crashes go on after a request was cleared of eight

What callers of apricotfold-node could see: a popular request that was in flight at eight crashes, was cleared of them and then begins to crash targets is never stopped. Change: the latest eight numbers up to the count stand for crashes, in CrashGuard::merge_count, where the other decisions are; marks that are cleared make room. Evidence: crash_guard::counts_go_on_after_clearance failed with the daemon's numbering moved there as it was (not blocked at the 14th), and passes; the four tests of poison_request pass.

--- a/crates/apricotfold-node/src/state.rs
+++ b/crates/apricotfold-node/src/state.rs
@@ -8,7 +8,7 @@
 use apricotfold_model::{MeshSnapshot, NodeConfig, ProfileLimits, TargetState, log_event};
 use apricotfold_policy::{CountedLosses, CrashGuard, CrashId, CrashMark, RequestFingerprint};
 use arc_swap::ArcSwap;
-use compact_str::{CompactString, ToCompactString};
+use compact_str::CompactString;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::sync::{broadcast, watch};
@@ -27,8 +27,6 @@
 /// closed.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Largest crash count of a request that is told apart from smaller ones; it is blocked long before.
-const MAX_CRASH_COUNT: u32 = 8;
 /// Largest request body for which responses are recorded.
 const MAX_RECORDED_BODY_BYTES: usize = 64 * 1024;
 /// Crash reports that are queued for the control plane.
@@ -238,12 +236,10 @@
         crashes.record_answer(&fingerprint, SystemTime::now());
     }
 
-    /// Merges the number of crashes that all nodes have seen for a request. Each number up to it
-    /// stands for one crash.
+    /// Merges the number of crashes that all nodes have seen for a request.
     pub fn merge_crashes(&self, fingerprint: &RequestFingerprint, count: u32) {
-        for number in 1..=count.min(MAX_CRASH_COUNT) {
-            self.merge_crash(fingerprint, number.to_compact_string());
-        }
+        let mut crashes = self.crashes.lock().expect("no panic while locked");
+        crashes.merge_count(fingerprint, count, SystemTime::now());
     }
 
     /// Merges a crash during which a request was in flight.
--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use smallvec::SmallVec;
 
 /// Identifies equal requests: a digest of the method, the path, and the body digest or idempotency
@@ -40,7 +40,7 @@
 const MAX_ENTRIES: usize = 4_096;
 
 /// Maximum number of crashes that are remembered for a request.
-const MAX_MARKS: usize = 8;
+const MAX_MARKS: u32 = 8;
 
 /// Time for which the answer to a request is remembered.
 const ANSWER_RETENTION: Duration = Duration::from_secs(10);
@@ -148,7 +148,7 @@
             known.observed = known.observed.min(mark.observed);
             return news.then(|| known.clone());
         }
-        if self.marks.len() >= MAX_MARKS {
+        if self.marks.len() >= MAX_MARKS as usize {
             // What is cleared tells least, then what is oldest.
             let first = (0..self.marks.len()).min_by_key(|index| {
                 let known = &self.marks[*index];
@@ -196,6 +196,16 @@
         known.merge(CrashMark { cleared, ..mark })
     }
 
+    /// Merges the number of crashes that nodes have counted for a request. Each of the latest numbers up to
+    /// it stands for one crash.
+    pub fn merge_count(&mut self, fingerprint: &RequestFingerprint, count: u32, now: SystemTime) {
+        let first = count.saturating_sub(MAX_MARKS) + 1;
+        for number in first..=count {
+            let mark = CrashMark::new(number.to_compact_string(), now);
+            self.merge(fingerprint, mark, now);
+        }
+    }
+
     /// Records that a target ran the request to its end, which shows that the crashes before were a
     /// coincidence. A frequent request is in flight at most crashes; its answers distinguish it from
     /// one that crashes every target. Returns the marks that it is cleared of.
--- a/crates/apricotfold-policy/tests/crash_guard.rs
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -77,6 +77,26 @@
     }
 }
 
+/// Guards against a request that is never blocked because it was cleared of as many counted crashes as are
+/// remembered, and against cleared ones that count again when a count is repeated.
+#[test]
+fn counts_go_on_after_clearance() {
+    let now = SystemTime::now();
+    let mut guard = CrashGuard::default();
+    for count in 1..=12 {
+        let later = now + Duration::from_secs(u64::from(count));
+        guard.merge_count(&POISON, count, later);
+        guard.record_answer(&POISON, later);
+        guard.merge_count(&POISON, count, later);
+        assert_eq!(guard.blocked(later), 0, "{count}");
+    }
+    let later = now + Duration::from_mins(1);
+    guard.merge_count(&POISON, 13, later);
+    assert!(!guard.is_blocked(&POISON, later));
+    guard.merge_count(&POISON, 14, later);
+    assert!(guard.is_blocked(&POISON, later));
+}
+
 /// Guards against nodes that disagree for good: marks that arrive in another order, or several times,
 /// and a clearance that arrives before or after them.
 #[test]
