--- a/crates/apricotfold-model/src/lib.rs
+++ b/crates/apricotfold-model/src/lib.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod snapshot;
 mod table_delta;
+mod wall_clock;
 
 pub use bundle::{BundleError, MAX_BUNDLE_BYTES, ProfileBundle};
 pub use entry::{
@@ -56,6 +57,7 @@
 };
 pub use snapshot::{ActiveRoute, InactiveRoute, MeshSnapshot, MissingDependency, SnapshotInput};
 pub use table_delta::{RouteKey, TableDelta};
+pub use wall_clock::{SystemClock, WallClock};
 
 /// Re-exported for the expansion of [`log_event!`].
 #[doc(hidden)]
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime};
 
-use apricotfold_model::{TargetIncarnation, log_event};
+use apricotfold_model::{TargetIncarnation, WallClock, log_event};
 use apricotfold_policy::{
     CrashEvidence, CrashGuard, CrashMark, RequestFingerprint, SentNumber, UnansweredRuns,
 };
@@ -69,8 +69,9 @@
 }
 
 /// Shares the crash guard among tasks and keeps the marks that this node publishes.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct CrashTracker {
+    clock: Arc<dyn WallClock>,
     state: Arc<Mutex<TrackerState>>,
     /// Notified when there is news for other nodes.
     news: watch::Sender<()>,
@@ -118,13 +119,22 @@
 }
 
 impl CrashTracker {
+    /// Creates a tracker that knows no crashes.
+    pub fn new(clock: Arc<dyn WallClock>) -> Self {
+        Self {
+            clock,
+            state: Arc::default(),
+            news: watch::Sender::default(),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, TrackerState> {
         self.state.lock().expect("no panic while locked")
     }
 
     /// Returns whether a request is refused because it has crashed targets.
     pub fn is_blocked(&self, fingerprint: &RequestFingerprint) -> bool {
-        self.lock().guard.is_blocked(fingerprint, SystemTime::now())
+        self.lock().guard.is_blocked(fingerprint, self.clock.now())
     }
 
     /// Returns for how long a request is refused because it has crashed targets; `None` if it is not.
@@ -135,7 +145,7 @@
         }
         let fingerprint = fingerprint();
         let state = self.lock();
-        state.guard.block_left(&fingerprint, SystemTime::now())
+        state.guard.block_left(&fingerprint, self.clock.now())
     }
 
     /// Records that a request is sent to a target.
@@ -176,7 +186,7 @@
 
     fn record_answer(&self, fingerprint: &RequestFingerprint) {
         let mut state = self.lock();
-        let cleared = state.guard.record_answer(fingerprint, SystemTime::now());
+        let cleared = state.guard.record_answer(fingerprint, self.clock.now());
         if cleared.is_empty() {
             return;
         }
@@ -196,7 +206,7 @@
     /// answered. Returns whether any of that is news.
     pub fn record_crash(&self, incarnation: &TargetIncarnation) -> bool {
         let mut state = self.lock();
-        let now = SystemTime::now();
+        let now = self.clock.now();
         let suspects = state.unanswered.take_suspects(incarnation, Instant::now());
         let mark = CrashMark::new(incarnation.to_compact_string(), now);
         let mut news = false;
@@ -232,7 +242,7 @@
     /// Takes over the marks that an earlier process of this node has left in the store.
     pub fn adopt(&self, evidence: &CrashEvidence) {
         let mut state = self.lock();
-        let now = SystemTime::now();
+        let now = self.clock.now();
         for (fingerprint, mark) in each_mark(evidence) {
             state.learn(fingerprint, mark, now);
             state.keep_own(fingerprint, mark.clone(), now);
@@ -243,7 +253,7 @@
     /// Merges what another node knows. `origin` is for log lines.
     pub fn merge(&self, origin: &str, evidence: &CrashEvidence) {
         let mut state = self.lock();
-        let now = SystemTime::now();
+        let now = self.clock.now();
         let mut news = false;
         for (fingerprint, mark) in each_mark(evidence) {
             if state.learn(fingerprint, mark, now) {
@@ -278,7 +288,7 @@
 
     /// Returns what this node knows, as far as it is shared.
     pub fn evidence(&self) -> CrashEvidence {
-        self.lock().guard.evidence(MAX_SHARED, SystemTime::now())
+        self.lock().guard.evidence(MAX_SHARED, self.clock.now())
     }
 
     /// Returns what this node knows and another one does not.
@@ -317,7 +327,7 @@
     /// Returns the number of requests with known crashes, and of those that are blocked.
     pub fn sizes(&self) -> (usize, usize) {
         let state = self.lock();
-        (state.guard.len(), state.guard.blocked(SystemTime::now()))
+        (state.guard.len(), state.guard.blocked(self.clock.now()))
     }
 }
 
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -8,7 +8,7 @@
 
 use apricotfold_model::{
     DataCentreName, InstanceAnnouncement, InstanceRecord, InstanceState, NodeId, ProfileLimits,
-    ProxyConfig, ServiceName, TargetIncarnation, log_event, saturating_millis,
+    ProxyConfig, ServiceName, TargetIncarnation, WallClock, log_event, saturating_millis,
 };
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, DeadlineQueue, InstanceRegistry, InstanceReport,
@@ -127,7 +127,12 @@
 impl Engine {
     /// Creates the state of a proxy that has just started. A seed of 0 in the settings selects a
     /// random one.
-    pub fn new(config: ProxyConfig, protocol: Arc<dyn CallProtocol>, tables: TableCache) -> Self {
+    pub fn new(
+        config: ProxyConfig,
+        protocol: Arc<dyn CallProtocol>,
+        tables: TableCache,
+        clock: Arc<dyn WallClock>,
+    ) -> Self {
         let seed = if config.seed == 0 {
             random_seed(&config.node)
         } else {
@@ -136,7 +141,7 @@
         let limits = AdmissionLimits::new(&TARGET_LIMITS, 0);
         let link_meter = LinkMeter::new(config.link_rate);
         Self {
-            crashes: CrashTracker::default(),
+            crashes: CrashTracker::new(clock.clone()),
             config: ArcSwap::from_pointee(config),
             protocol,
             tables,
@@ -161,7 +166,7 @@
             rate_limits: Mutex::default(),
             pace: AtomicU32::new(DEFAULT_PACE),
             target_down: AtomicBool::new(false),
-            node_start: AtomicU64::new(unix_millis()),
+            node_start: AtomicU64::new(unix_millis(clock.now())),
             ready: AtomicBool::new(false),
         }
     }
@@ -467,10 +472,8 @@
     mutex.lock().expect("no panic while locked")
 }
 
-fn unix_millis() -> u64 {
-    let age = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+fn unix_millis(time: SystemTime) -> u64 {
+    let age = time.duration_since(UNIX_EPOCH).unwrap_or_default();
     saturating_millis(age)
 }
 
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{ProxyConfig, log_event};
+use apricotfold_model::{ProxyConfig, WallClock, log_event};
 use apricotfold_store::ConfigStore;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -47,6 +47,8 @@
     pub tables: Arc<dyn TableSource>,
     /// Client of the store.
     pub store: Arc<dyn ConfigStore>,
+    /// Time of day of the instance.
+    pub clock: Arc<dyn WallClock>,
 }
 
 /// Serves until SIGTERM or SIGINT, then drains. `settings` is the reader of the settings file with
@@ -62,7 +64,12 @@
 ) -> eyre::Result<()> {
     let metrics = telemetry::install()?;
     let tables = TableCache::new(adapters.tables);
-    let engine = Arc::new(Engine::new(config.clone(), adapters.calls, tables));
+    let engine = Arc::new(Engine::new(
+        config.clone(),
+        adapters.calls,
+        tables,
+        adapters.clock,
+    ));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let announcements = AnnounceHandler::new(engine.clone(), adapters.announcements);
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of these helpers")]
 
 pub mod caller;
+pub mod clock;
 pub mod protocol;
 pub mod store;
 pub mod target;
@@ -22,6 +23,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use caller::exchange;
+use clock::JumpingClock;
 use protocol::{TestAnnouncements, TestCalls, TestTables};
 use store::{ClientLink, MemoryStore};
 use target::ScriptedTarget;
@@ -40,6 +42,8 @@
     pub name: String,
     pub config: ProxyConfig,
     pub target: ScriptedTarget,
+    /// Time of day of the node's instance.
+    pub clock: Arc<JumpingClock>,
     /// Start time of the target's current incarnation.
     born: AtomicU64,
     /// Runtime of a proxy that can be killed.
@@ -137,11 +141,13 @@
         store: &Arc<MemoryStore>,
     ) -> Self {
         let name = config.node.to_string();
-        tokio::spawn(serve(config.clone(), store.clone()));
+        let clock = Arc::new(JumpingClock::default());
+        tokio::spawn(serve(config.clone(), store.clone(), clock.clone()));
         let node = Self {
             name,
             config,
             target,
+            clock,
             born: AtomicU64::new(1),
             process: None,
         };
@@ -156,6 +162,7 @@
             name: name.to_owned(),
             config: config(name, target.address),
             target,
+            clock: Arc::default(),
             born: AtomicU64::new(1),
             process: None,
         };
@@ -171,7 +178,8 @@
             .enable_all()
             .build()
             .expect("a runtime");
-        process.spawn(serve(self.config.clone(), store.clone()));
+        let clock = self.clock.clone();
+        process.spawn(serve(self.config.clone(), store.clone(), clock));
         self.process = Some(process);
         self.wait_listening().await;
     }
@@ -257,6 +265,14 @@
         assert_eq!(answer.status, 200);
     }
 
+    /// Tells the proxy that an incarnation of the target leaves.
+    pub async fn leave_as(&self, instance: &str, born: u64) {
+        let body = serde_json::json!({"instance": instance, "born": born}).to_string();
+        let address = self.config.announce_address;
+        let answer = exchange(address, "POST", "/leave", &[], &body).await;
+        assert_eq!(answer.status, 200);
+    }
+
     /// Waits until the proxy is ready and a call reaches a target.
     pub async fn wait_serving(&self) {
         self.wait_for(|| async {
@@ -317,12 +333,13 @@
 }
 
 /// Runs a proxy until it ends.
-async fn serve(config: ProxyConfig, store: Arc<MemoryStore>) {
+async fn serve(config: ProxyConfig, store: Arc<MemoryStore>, clock: Arc<JumpingClock>) {
     let adapters = PlatformAdapters {
         calls: Arc::new(TestCalls),
         announcements: Arc::new(TestAnnouncements),
         tables: Arc::new(TestTables),
         store,
+        clock,
     };
     let name = config.node.clone();
     if let Err(error) = run_proxy(config, adapters, None).await {
--- a/crates/apricotfold-proxy/tests/support/protocol.rs
+++ b/crates/apricotfold-proxy/tests/support/protocol.rs
@@ -92,6 +92,7 @@
 #[derive(serde::Deserialize)]
 struct TestLeave {
     instance: String,
+    born: Option<u64>,
 }
 
 pub struct TestAnnouncements;
@@ -117,7 +118,7 @@
                 let raw: TestLeave = parse_json(&text)?;
                 Ok(AnnounceMessage::Leave {
                     instance: raw.instance.into(),
-                    born: None,
+                    born: raw.born,
                 })
             }
             _ => Ok(AnnounceMessage::Unknown),
--- a/crates/apricotfold-proxy/tests/support/store.rs
+++ b/crates/apricotfold-proxy/tests/support/store.rs
@@ -165,6 +165,11 @@
         self.lock().put(key, text, 0);
     }
 
+    /// Removes a key, as the end of its lease does.
+    pub fn remove(&self, key: &str) {
+        self.lock().delete(key);
+    }
+
     /// Returns a copy of the store.
     pub fn take_copy(&self) -> StoreState {
         self.lock().clone()
