Order records of instances by epoch and life instead of start times

After a clock was set back, the target stayed unused until the former entry lapsed, or for ten minutes if it had left.

Change: a node's process has an epoch, which starts from the first revision of the store that it reads and rises above the one in the former entry (the transaction that finds it) and above what any peer knows (the answer to an exchange names it, AF5010). Within a process, incarnations of the target are numbered as they are taken on. LocalInstance no longer takes a lower start time for an earlier incarnation: one that goes on announcing itself for 0.5 s while the known one is silent is the latest; what left never returns, by identity. A new incarnation no longer inherits that an earlier one of its id was draining (restored_drain). The seed of a proxy comes from the system's random numbers, not from the time.

Ruled out: a hybrid clock (the start time, raised above what peers know) needs the same refutation and still lets a clock that was set forward decide; an epoch from a counter in the store alone costs one more write a start and fails without the store.

The field node-start keeps its name on the wire, for nodes of earlier releases.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -183,6 +183,9 @@
     /// The store has come back from an older copy.
     #[strum(serialize = "AF5009", message = "store restored")]
     StoreRestored,
+    /// Another node knows an earlier process of this node under a number that is not below its own.
+    #[strum(serialize = "AF5010", message = "epoch raised")]
+    EpochRaised,
 }
 
 /// Logs an event at the given level; its code and message precede the formatted text.
--- a/crates/apricotfold-model/src/instance.rs
+++ b/crates/apricotfold-model/src/instance.rs
@@ -10,9 +10,16 @@
 
 /// Id of an instance. A restarted target usually gets a new id, but may reuse the old one.
 pub type InstanceId = CompactString;
-/// Start time of a target in milliseconds since the Unix epoch. It orders the successive processes
-/// that use the same id or address.
+/// Start time of a target in milliseconds since the Unix epoch, by its own clock. It distinguishes
+/// the processes that use the same id; it does not order them, because the clock may be set back
+/// between two starts.
 pub type StartTimeMillis = u64;
+/// Number of a node's process, which is higher than that of any earlier process of the node. It
+/// starts from a revision of the store and rises above what other nodes know.
+pub type NodeEpoch = u64;
+/// Number of a target's incarnation, counted by the node's process in the order in which it takes
+/// them on.
+pub type TargetLife = u32;
 /// Sequence number of an announcement; increases from the start of a target until it exits.
 pub type AnnouncementNumber = u64;
 
@@ -98,10 +105,13 @@
     pub node: NodeId,
     /// Address at which the node accepts calls for the target.
     pub address: SocketAddr,
-    /// Start time of the node's process in milliseconds since the Unix epoch. A node that shuts
-    /// down announces that its instance accepts no more calls; only a later process of the node can
-    /// revoke that.
-    pub node_start: u64,
+    /// Number of the node's process. A node that shuts down announces that its instance accepts no
+    /// more calls; only a later process of the node can revoke that.
+    #[serde(rename = "node-start")]
+    pub node_epoch: NodeEpoch,
+    /// Number of the target's incarnation within the node's process; 0 from earlier releases.
+    #[serde(default)]
+    pub life: TargetLife,
     /// Data centre of the node and the target.
     pub data_centre: DataCentreName,
     /// Id of the target.
@@ -134,11 +144,18 @@
     }
 
     /// Key by which the records of a node are ordered; the record with the highest key is in force.
-    /// A later start of the target takes precedence over an earlier one, and then a later process
-    /// of the node. Within the same target and node processes, the state only advances.
+    /// A later process of the node takes precedence over an earlier one, and then a later
+    /// incarnation of the target. Within the same incarnation, the state only advances.
+    #[must_use]
+    pub fn order(&self) -> (NodeEpoch, TargetLife, InstanceState, AnnouncementNumber) {
+        (self.node_epoch, self.life, self.state, self.number)
+    }
+
+    /// Returns the node's process and the target's incarnation within it, which together order the
+    /// incarnations beside a node.
     #[must_use]
-    pub fn order(&self) -> (StartTimeMillis, u64, InstanceState, AnnouncementNumber) {
-        (self.born, self.node_start, self.state, self.number)
+    pub fn life_order(&self) -> (NodeEpoch, TargetLife) {
+        (self.node_epoch, self.life)
     }
 
     /// Returns whether two records are equivalent for target selection. Sequence number and warm-up
--- a/crates/apricotfold-model/src/lib.rs
+++ b/crates/apricotfold-model/src/lib.rs
@@ -35,8 +35,8 @@
     PublishId, RegionName, SecretName, ServiceName,
 };
 pub use instance::{
-    AnnouncementNumber, InstanceAnnouncement, InstanceId, InstanceRecord, InstanceState,
-    StartTimeMillis, TargetIncarnation,
+    AnnouncementNumber, InstanceAnnouncement, InstanceId, InstanceRecord, InstanceState, NodeEpoch,
+    StartTimeMillis, TargetIncarnation, TargetLife,
 };
 pub use millis::saturating_millis;
 pub use outcome::{CallOutcome, RefusalReason, headers};
--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{
-    InstanceId, InstanceRecord, InstanceState, NodeId, StartTimeMillis, TargetIncarnation,
+    InstanceId, InstanceRecord, InstanceState, NodeEpoch, NodeId, StartTimeMillis,
+    TargetIncarnation, TargetLife,
 };
 use smallvec::SmallVec;
 
@@ -69,14 +70,13 @@
 /// store may come back from a copy in which it is ready.
 #[derive(Clone, Debug)]
 struct LeftInstance {
-    born: StartTimeMillis,
-    node_start: u64,
+    order: (NodeEpoch, TargetLife),
     noticed: Instant,
 }
 
 impl LeftInstance {
     fn concerns(&self, record: &InstanceRecord) -> bool {
-        (record.born, record.node_start) <= (self.born, self.node_start)
+        record.life_order() <= self.order
     }
 }
 
@@ -154,14 +154,13 @@
 
     fn record_left(&mut self, record: &InstanceRecord, now: Instant) {
         let known = self.left.get(&record.node);
-        let later = LeftInstance {
-            born: record.born,
-            node_start: record.node_start,
-            noticed: now,
-        };
+        let order = record.life_order();
         // An earlier process or incarnation changes nothing.
-        let order = (later.born, later.node_start);
-        if known.is_none_or(|known| (known.born, known.node_start) <= order) {
+        if known.is_none_or(|known| known.order <= order) {
+            let later = LeftInstance {
+                order,
+                noticed: now,
+            };
             self.left.insert(record.node.clone(), later);
         }
     }
@@ -256,6 +255,20 @@
         expired
     }
 
+    /// Returns the epoch that the node of a record must exceed for the record to count, or `None` if it
+    /// counts. The node may have started without reading what its former process had written.
+    #[must_use]
+    pub fn refuting_epoch(&self, record: &InstanceRecord) -> Option<NodeEpoch> {
+        let known = self.known.get(&record.node);
+        let known = known.map(|known| known.record.life_order());
+        let later = known.filter(|known| *known > record.life_order());
+        let left = self.left.get(&record.node);
+        let left =
+            left.filter(|left| record.state == InstanceState::Ready && left.concerns(record));
+        let left = left.map(|left| left.order);
+        later.max(left).map(|(epoch, _)| epoch)
+    }
+
     /// Returns the incarnations that have ended without having left since the last call.
     pub fn take_ended(&mut self) -> Vec<TargetIncarnation> {
         std::mem::take(&mut self.ended)
@@ -299,7 +312,7 @@
         self.confirmed().fold(0, |sum: u64, record| {
             let mut hasher = DefaultHasher::new();
             let (state, slots) = (record.state, record.slots);
-            let life = (&record.instance, record.born, record.node_start);
+            let life = (&record.instance, record.born, record.life_order());
             (&record.node, life, &record.service, state, slots).hash(&mut hasher);
             sum.wrapping_add(hasher.finish())
         })
--- a/crates/apricotfold-policy/src/local_instance.rs
+++ b/crates/apricotfold-policy/src/local_instance.rs
@@ -2,7 +2,18 @@
 
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{InstanceAnnouncement, InstanceId, InstanceState, StartTimeMillis};
+use apricotfold_model::{
+    InstanceAnnouncement, InstanceId, InstanceState, StartTimeMillis, TargetIncarnation, TargetLife,
+};
+use smallvec::SmallVec;
+
+/// Time for which an incarnation that does not seem to be the latest has to go on announcing itself
+/// until it is taken for the latest. Announcements that were delayed together arrive together.
+const SUCCESSION_TIME: Duration = Duration::from_millis(500);
+
+/// Number of former incarnations that are remembered. Announcements are delayed by seconds, in which
+/// a target starts a few times at most.
+const MAX_FORMER: usize = 8;
 
 /// Effect of an announcement on the known state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,17 +26,39 @@
     Outdated,
 }
 
+/// Incarnation that announces itself although another one seems to be the latest.
+#[derive(Clone, Debug)]
+struct SuccessorCandidate {
+    incarnation: TargetIncarnation,
+    first_heard: Instant,
+}
+
+/// An incarnation that this node has known.
+#[derive(Clone, Debug)]
+struct FormerIncarnation {
+    incarnation: TargetIncarnation,
+    /// Whether it drained or left, so that it never takes work again.
+    departed: bool,
+}
+
 /// Tracks the target of this node by its announcements.
 ///
 /// Announcements can arrive late and out of order, from an earlier incarnation of the target or
 /// from another target that used the same address before. A target that drains or has left never
 /// becomes ready again within the same incarnation, because callers were notified that it receives
 /// no more work.
+///
+/// The start times that targets announce are those of clocks that may be set back, so a lower one
+/// only calls for evidence: the incarnation that goes on announcing itself while the other one is
+/// silent is the latest.
 #[derive(Clone, Debug, Default)]
 pub struct LocalInstance {
     current: Option<InstanceAnnouncement>,
+    life: TargetLife,
     last_announced: Option<Instant>,
-    departed: Option<(InstanceId, StartTimeMillis)>,
+    /// Latest former incarnations, oldest first.
+    former: SmallVec<[FormerIncarnation; MAX_FORMER]>,
+    candidate: Option<SuccessorCandidate>,
     unconfirmed: Option<InstanceAnnouncement>,
 }
 
@@ -60,30 +93,21 @@
         announcement: InstanceAnnouncement,
         now: Instant,
     ) -> AnnouncementEffect {
-        if self.is_past(&announcement.instance, announcement.born) {
-            return AnnouncementEffect::Outdated;
-        }
-        let Some(known) = &mut self.current else {
-            self.last_announced = Some(now);
-            self.current = Some(announcement);
-            return AnnouncementEffect::Changed;
+        let incarnation = announcement.incarnation();
+        let current = self.current.as_mut();
+        let Some(known) = current.filter(|known| known.incarnation() == incarnation) else {
+            return self.announce_other(announcement, now);
         };
-        let same_life = known.instance == announcement.instance && known.born == announcement.born;
-        if !same_life && announcement.born <= known.born {
-            return AnnouncementEffect::Outdated;
-        }
-        if same_life && announcement.number <= known.number {
+        if announcement.number <= known.number {
             return AnnouncementEffect::Outdated;
         }
-        if same_life && announcement.state < known.state {
+        self.last_announced = Some(now);
+        if announcement.state < known.state {
             // The target still runs, but its state does not go back.
-            self.last_announced = Some(now);
             known.number = announcement.number;
             return AnnouncementEffect::Outdated;
         }
-        self.last_announced = Some(now);
-        let changed = !same_life
-            || known.service != announcement.service
+        let changed = known.service != announcement.service
             || known.slots != announcement.slots
             || known.state != announcement.state;
         *known = announcement;
@@ -94,6 +118,74 @@
         }
     }
 
+    /// Takes on another incarnation if it is the latest.
+    fn announce_other(
+        &mut self,
+        announcement: InstanceAnnouncement,
+        now: Instant,
+    ) -> AnnouncementEffect {
+        let incarnation = announcement.incarnation();
+        if self.has_departed(&incarnation) {
+            return AnnouncementEffect::Outdated;
+        }
+        if !self.is_later(&incarnation) && !self.has_succeeded(&incarnation, now) {
+            return AnnouncementEffect::Outdated;
+        }
+        if let Some(former) = self.current.take() {
+            self.remember(former.incarnation(), former.state != InstanceState::Ready);
+        }
+        self.former
+            .retain(|former| former.incarnation != incarnation);
+        self.candidate = None;
+        self.life += 1;
+        self.last_announced = Some(now);
+        self.current = Some(announcement);
+        AnnouncementEffect::Changed
+    }
+
+    /// Returns whether an incarnation started after all that are known, by its own word.
+    fn is_later(&self, incarnation: &TargetIncarnation) -> bool {
+        let current = self.current.iter().map(|known| known.born);
+        let departed = self.former.iter().filter(|former| former.departed);
+        let mut starts = current.chain(departed.map(|former| former.incarnation.born));
+        let is_former = |former: &FormerIncarnation| former.incarnation == *incarnation;
+        let same_start = |start| start == incarnation.born && self.current.is_none();
+        starts.all(|start| start < incarnation.born || same_start(start))
+            && (self.current.is_none() || !self.former.iter().any(is_former))
+    }
+
+    /// Returns whether an incarnation has gone on announcing itself since the current one fell silent.
+    fn has_succeeded(&mut self, incarnation: &TargetIncarnation, now: Instant) -> bool {
+        let last = self.last_announced.filter(|_| self.current.is_some());
+        let known = self.candidate.as_ref();
+        let known = known.filter(|known| known.incarnation == *incarnation);
+        let known = known.filter(|known| last.is_none_or(|last| last < known.first_heard));
+        let Some(known) = known else {
+            self.candidate = Some(SuccessorCandidate {
+                incarnation: incarnation.clone(),
+                first_heard: now,
+            });
+            return false;
+        };
+        now.saturating_duration_since(known.first_heard) >= SUCCESSION_TIME
+    }
+
+    /// Remembers an incarnation that is no longer the current one.
+    fn remember(&mut self, incarnation: TargetIncarnation, departed: bool) {
+        let mut former = self.former.iter_mut();
+        if let Some(known) = former.find(|former| former.incarnation == incarnation) {
+            known.departed |= departed;
+            return;
+        }
+        if self.former.len() == MAX_FORMER {
+            self.former.remove(0);
+        }
+        self.former.push(FormerIncarnation {
+            incarnation,
+            departed,
+        });
+    }
+
     /// Records that an incarnation of the target states in an answer that it leaves. Returns whether
     /// that is news.
     pub fn drain(&mut self, instance: &str, born: StartTimeMillis) -> bool {
@@ -115,13 +207,17 @@
             .as_ref()
             .filter(|known| known.instance == *instance);
         let born = born.or_else(|| known.map(|known| known.born)).unwrap_or(0);
-        if self.is_past(instance, born) {
-            return false;
-        }
-        self.departed = Some((instance.clone(), born));
         let ends = known.is_some_and(|known| known.born <= born);
-        if ends {
-            self.current = None;
+        let incarnation = TargetIncarnation {
+            instance: instance.clone(),
+            born,
+        };
+        let is_former = |former: &FormerIncarnation| former.incarnation == incarnation;
+        // A late message of a former incarnation does not concern the current one.
+        let ends = ends && !self.former.iter().any(is_former);
+        self.remember(incarnation, true);
+        if ends && let Some(current) = self.current.take() {
+            self.remember(current.incarnation(), true);
         }
         ends
     }
@@ -138,7 +234,10 @@
             InstanceState::Ready => {}
             InstanceState::Draining => {
                 let known = self.current.as_mut();
-                if let Some(known) = known.filter(|known| known.instance == *instance) {
+                let same = |known: &&mut InstanceAnnouncement| {
+                    known.instance == *instance && known.born == born
+                };
+                if let Some(known) = known.filter(same) {
                     known.state = known.state.max(state);
                 }
             }
@@ -162,7 +261,7 @@
         };
         if target.state != InstanceState::Ready {
             // A delayed announcement must not bring it back.
-            self.departed = Some((target.instance, target.born));
+            self.remember(target.incarnation(), true);
         }
         true
     }
@@ -173,12 +272,15 @@
         self.current.as_ref()
     }
 
-    /// Returns whether an incarnation is the one that left, or an earlier one.
-    fn is_past(&self, instance: &InstanceId, born: StartTimeMillis) -> bool {
-        self.departed
-            .as_ref()
-            .is_some_and(|(departed, departed_born)| {
-                born < *departed_born || (born == *departed_born && departed == instance)
-            })
+    /// Number of the current incarnation, or of the last one, in the order in which this node has
+    /// taken them on; 0 if it has known none.
+    #[must_use]
+    pub fn life(&self) -> TargetLife {
+        self.life
+    }
+
+    fn has_departed(&self, incarnation: &TargetIncarnation) -> bool {
+        let mut departed = self.former.iter().filter(|former| former.departed);
+        departed.any(|former| former.incarnation == *incarnation)
     }
 }
--- a/crates/apricotfold-policy/tests/instance_registry.rs
+++ b/crates/apricotfold-policy/tests/instance_registry.rs
@@ -8,11 +8,15 @@
 
 const SERVICE: &str = "parish-desk";
 
-fn record(born: u64, node_start: u64, state: InstanceState, number: u64) -> InstanceRecord {
+/// Returns a record of a target's incarnation, whose number is also its start time, within a process
+/// of its node.
+fn record(life: u32, node_epoch: u64, state: InstanceState, number: u64) -> InstanceRecord {
+    let born = u64::from(life);
     InstanceRecord {
         node: "poa-a-1".into(),
         address: ([10, 0, 0, 1], 80).into(),
-        node_start,
+        node_epoch,
+        life,
         data_centre: "poa-a".into(),
         instance: format!("i-{born}").into(),
         born,
@@ -141,8 +145,8 @@
         Just(InstanceState::Draining),
         Just(InstanceState::Gone)
     ];
-    let one = (1..4_u64, 1..3_u64, states, 1..6_u64)
-        .prop_map(|(born, start, state, number)| record(born, start, state, number));
+    let one = (1..4_u32, 1..3_u64, states, 1..6_u64)
+        .prop_map(|(life, epoch, state, number)| record(life, epoch, state, number));
     prop::collection::vec(one, 1..30)
 }
 
@@ -163,13 +167,56 @@
                 newest = (record.state != InstanceState::Gone).then_some(record);
             }
             // A record that differs only in its announcement number need not replace the known one.
-            let said = |record: &InstanceRecord| (record.born, record.node_start, record.state);
+            let said = |record: &InstanceRecord| (record.life, record.node_epoch, record.state);
             let known = registry.record("poa-a-1").map(said);
             prop_assert_eq!(known, newest.as_ref().map(said));
         }
     }
 }
 
+/// Guards against a target that is not used, or is taken for an earlier one, because its clock was set
+/// back before its start, and against a delayed record of the one before.
+#[test]
+fn start_time_set_back() {
+    let now = Instant::now();
+    let mut registry = InstanceRegistry::default();
+    let set_back = |mut record: InstanceRecord| {
+        record.born = 1;
+        record.instance = "i-set-back".into();
+        record
+    };
+    registry.apply_entry(record(5, 1, InstanceState::Ready, 9), now);
+    registry.apply_entry(record(5, 1, InstanceState::Gone, 9), now);
+    let successor = set_back(record(6, 1, InstanceState::Ready, 1));
+    assert!(registry.apply_entry(successor, now));
+    assert_eq!(ready(&registry, now), 1);
+    assert!(!registry.apply_entry(record(5, 1, InstanceState::Ready, 10), now));
+    let restarted = set_back(record(1, 2, InstanceState::Ready, 1));
+    assert!(registry.apply_entry(restarted, now));
+    assert_eq!(ready(&registry, now), 1);
+}
+
+/// Guards against a node whose record does not count for minutes because it started without reading
+/// what its former process had written.
+#[test]
+fn refuted_epoch() {
+    let now = Instant::now();
+    let mut registry = InstanceRegistry::default();
+    let restarted = record(1, 0, InstanceState::Ready, 1);
+    assert_eq!(registry.refuting_epoch(&restarted), None);
+    registry.apply_entry(record(2, 7, InstanceState::Ready, 4), now);
+    assert_eq!(registry.refuting_epoch(&restarted), Some(7));
+    registry.apply_entry(record(2, 7, InstanceState::Draining, 5), now);
+    registry.lapse_entry(&node(), now);
+    assert_eq!(registry.refuting_epoch(&restarted), Some(7));
+    let again = record(2, 7, InstanceState::Ready, 1);
+    assert_eq!(registry.refuting_epoch(&again), Some(7));
+    let raised = record(1, 8, InstanceState::Ready, 1);
+    assert_eq!(registry.refuting_epoch(&raised), None);
+    assert!(registry.apply_entry(raised, now));
+    assert_eq!(ready(&registry, now), 1);
+}
+
 /// Guards against an instance that has stated its departure and is used again because its record
 /// lapses, returns, or is written anew by a restarted node, and against a successor that is not used.
 #[test]
--- a/crates/apricotfold-policy/tests/local_instance.rs
+++ b/crates/apricotfold-policy/tests/local_instance.rs
@@ -100,6 +100,76 @@
     assert_eq!(state(&local), None);
 }
 
+/// Guards against a target that is never taken on because its clock was set back, under its former id
+/// or another, and against a single delayed announcement that is taken for such a target.
+#[test]
+fn start_time_set_back() {
+    let start = Instant::now();
+    let after = |millis| start + Duration::from_millis(millis);
+    for id in ["i-1", "i-2"] {
+        let mut local = LocalInstance::default();
+        local.announce(announcement("i-1", 100, 7, InstanceState::Ready), start);
+        let first = local.announce(announcement(id, 50, 1, InstanceState::Ready), after(400));
+        assert_eq!(first, AnnouncementEffect::Outdated, "{id}");
+        // The known one still announces itself.
+        local.announce(
+            announcement("i-1", 100, 8, InstanceState::Ready),
+            after(1_500),
+        );
+        let late = local.announce(announcement(id, 50, 2, InstanceState::Ready), after(1_900));
+        assert_eq!(late, AnnouncementEffect::Outdated, "{id}");
+        let soon = local.announce(announcement(id, 50, 3, InstanceState::Ready), after(1_950));
+        assert_eq!(soon, AnnouncementEffect::Outdated, "{id}");
+        let next = local.announce(announcement(id, 50, 4, InstanceState::Ready), after(3_400));
+        assert_eq!(next, AnnouncementEffect::Changed, "{id}");
+        assert_eq!(local.life(), 2, "{id}");
+        let delayed = local.announce(
+            announcement("i-1", 100, 9, InstanceState::Ready),
+            after(3_500),
+        );
+        assert_eq!(delayed, AnnouncementEffect::Outdated, "{id}");
+        assert!(!local.leave(&"i-1".into(), Some(100)), "{id}");
+        assert_eq!(state(&local), Some(InstanceState::Ready), "{id}");
+    }
+}
+
+/// Guards against a target that left and whose successor, with a clock that was set back, is never
+/// taken on, and against the one that left taking its place.
+#[test]
+fn set_back_after_departure() {
+    let start = Instant::now();
+    let after = |millis| start + Duration::from_millis(millis);
+    let mut local = LocalInstance::default();
+    local.announce(announcement("i-1", 100, 7, InstanceState::Ready), start);
+    assert!(local.leave(&"i-1".into(), None));
+    for (number, millis, effect) in [
+        (1, 100, AnnouncementEffect::Outdated),
+        (2, 1_600, AnnouncementEffect::Changed),
+        (3, 3_100, AnnouncementEffect::Repeated),
+    ] {
+        let said = announcement("i-1", 50, number, InstanceState::Ready);
+        assert_eq!(local.announce(said, after(millis)), effect);
+    }
+    for millis in [3_200, 4_000, 5_000] {
+        let said = announcement("i-1", 100, millis, InstanceState::Ready);
+        let late = local.announce(said, after(millis));
+        assert_eq!(late, AnnouncementEffect::Outdated);
+    }
+}
+
+/// Guards against a new target that is taken for draining because an earlier incarnation of its id was
+/// when the node's former process ended.
+#[test]
+fn restored_drain() {
+    let now = Instant::now();
+    let mut local = LocalInstance::default();
+    local.announce(announcement("i-1", 2, 1, InstanceState::Ready), now);
+    local.restore_state(&"i-1".into(), 1, InstanceState::Draining);
+    assert_eq!(state(&local), Some(InstanceState::Ready));
+    local.restore_state(&"i-1".into(), 2, InstanceState::Draining);
+    assert_eq!(state(&local), Some(InstanceState::Draining));
+}
+
 #[derive(Clone, Debug)]
 enum LocalStep {
     Announce(u64, u64, bool),
@@ -148,6 +218,40 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(500))]
+
+    /// Guards against an incarnation that takes work again after it has announced that it is leaving,
+    /// whatever start times targets announce and however long announcements take.
+    #[test]
+    fn leaving_is_final_at_any_time(steps in steps(), pauses in prop::collection::vec(0..900_u64, 40)) {
+        let mut now = Instant::now();
+        let mut local = LocalInstance::default();
+        let mut leaving = std::collections::BTreeSet::new();
+        for (step, pause) in steps.into_iter().zip(pauses) {
+            now += Duration::from_millis(pause);
+            let former = local.current().map(|target| (target.born, target.state));
+            match step {
+                LocalStep::Announce(born, number, draining) => {
+                    let said = if draining { InstanceState::Draining } else { InstanceState::Ready };
+                    local.announce(announcement("i-1", born, number, said), now);
+                }
+                LocalStep::Leave(born) => {
+                    local.leave(&"i-1".into(), Some(born));
+                    leaving.insert(born);
+                }
+            }
+            if let Some((born, InstanceState::Draining)) = former {
+                leaving.insert(born);
+            }
+            if let Some(target) = local.current() {
+                let taken = target.state == InstanceState::Ready && leaving.contains(&target.born);
+                prop_assert!(!taken, "incarnation {} takes work", target.born);
+            }
+        }
+    }
+}
+
 /// Guards against a target that has stated its departure in an answer and becomes ready again by an
 /// announcement that was under way, also long after its last one.
 #[test]
--- a/crates/apricotfold-policy/tests/relay_choice.rs
+++ b/crates/apricotfold-policy/tests/relay_choice.rs
@@ -9,7 +9,8 @@
     InstanceRecord {
         node: format!("{data_centre}-{index}").into(),
         address: ([10, 0, 0, 1], 80).into(),
-        node_start: 1,
+        node_epoch: 1,
+        life: 1,
         data_centre: data_centre.into(),
         instance: format!("i-{index}").into(),
         born: 1,
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -1,20 +1,22 @@
 //! State shared by the proxy's tasks.
 
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::hash::{BuildHasher, RandomState};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use apricotfold_model::{
-    DataCentreName, InstanceAnnouncement, InstanceRecord, InstanceState, NodeId, ProfileLimits,
-    ProxyConfig, ServiceName, TargetIncarnation, WallClock, log_event, saturating_millis,
+    DataCentreName, InstanceAnnouncement, InstanceRecord, InstanceState, NodeEpoch, NodeId,
+    ProfileLimits, ProxyConfig, ServiceName, TargetIncarnation, WallClock, log_event,
+    saturating_millis,
 };
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, DeadlineQueue, InstanceRegistry, InstanceReport,
     LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, ParentThrottle, RetryBudget,
     RetryDetector, TargetSelector, TrafficSplit,
 };
+use apricotfold_store::Revision;
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
 
@@ -120,7 +122,8 @@
     /// Service time that the local target reported last, in percent of its usual one.
     pace: AtomicU32,
     target_down: AtomicBool,
-    node_start: AtomicU64,
+    /// Number of this process; 0 until the store or a peer has answered.
+    node_epoch: AtomicU64,
     ready: AtomicBool,
 }
 
@@ -131,7 +134,7 @@
         config: ProxyConfig,
         protocol: Arc<dyn CallProtocol>,
         tables: TableCache,
-        clock: Arc<dyn WallClock>,
+        clock: &Arc<dyn WallClock>,
     ) -> Self {
         let seed = if config.seed == 0 {
             random_seed(&config.node)
@@ -166,7 +169,7 @@
             rate_limits: Mutex::default(),
             pace: AtomicU32::new(DEFAULT_PACE),
             target_down: AtomicBool::new(false),
-            node_start: AtomicU64::new(unix_millis(clock.now())),
+            node_epoch: AtomicU64::new(0),
             ready: AtomicBool::new(false),
         }
     }
@@ -296,21 +299,20 @@
         let (effect, former) = {
             let mut local = self.local();
             let former = local.current().cloned();
-            let born = announcement.born;
-            let mut known = local.current().into_iter();
-            if known.any(|target| target.instance == instance && target.born < born) {
-                // What an earlier incarnation stated does not bind the new one.
-                self.rate_limits().forget(&instance);
-            }
             (local.announce(announcement, Instant::now()), former)
         };
         if effect == AnnouncementEffect::Changed
             && let Some(former) = former
-            && former.state == InstanceState::Ready
             && former.incarnation() != incarnation
         {
-            // It ended without notice.
-            self.record_crash(&former.incarnation());
+            if former.instance == instance {
+                // What an earlier incarnation stated does not bind the new one.
+                self.rate_limits().forget(&instance);
+            }
+            if former.state == InstanceState::Ready {
+                // It ended without notice.
+                self.record_crash(&former.incarnation());
+            }
         }
         match effect {
             AnnouncementEffect::Changed => {
@@ -369,7 +371,8 @@
         Some(InstanceRecord {
             node: config.node.clone(),
             address: config.peer_address,
-            node_start: self.node_start.load(Ordering::Relaxed),
+            node_epoch: self.node_epoch.load(Ordering::Relaxed),
+            life: local.life(),
             data_centre: config.data_centre.clone(),
             instance: target.instance.clone(),
             born: target.born,
@@ -387,13 +390,21 @@
         self.local().current().map(|target| target.state)
     }
 
-    /// Raises the start time of this process above that of an earlier process of the node, whose
-    /// clock may have been ahead.
-    pub fn raise_node_start(&self, earlier: u64) {
-        let own = self.node_start.load(Ordering::Relaxed);
-        if earlier > own {
-            self.node_start.store(earlier + 1, Ordering::Relaxed);
-        }
+    /// Starts the number of this process from a revision of the store, unless it has one. Revisions
+    /// grow with each change, so it exceeds those of earlier processes unless the store was read
+    /// from an older copy.
+    pub fn start_epoch(&self, revision: Revision) {
+        let revision = u64::try_from(revision).unwrap_or(0);
+        let order = Ordering::Relaxed;
+        // If it fails, the process already has a number.
+        let _ = self.node_epoch.compare_exchange(0, revision, order, order);
+    }
+
+    /// Raises the number of this process above one that an earlier process of the node has used.
+    /// Returns whether it had to be raised.
+    pub fn raise_epoch(&self, earlier: NodeEpoch) -> bool {
+        let raised = earlier.saturating_add(1);
+        self.node_epoch.fetch_max(raised, Ordering::Relaxed) < raised
     }
 
     /// Returns the load, expected waits and pace of the local target.
@@ -472,18 +483,7 @@
     mutex.lock().expect("no panic while locked")
 }
 
-fn unix_millis(time: SystemTime) -> u64 {
-    let age = time.duration_since(UNIX_EPOCH).unwrap_or_default();
-    saturating_millis(age)
-}
-
-/// Returns a seed that differs between nodes and between starts. Instances may start at the same
-/// moment and with equal process ids, so neither suffices alone.
+/// Returns a seed that differs between nodes and between starts.
 fn random_seed(node: &NodeId) -> u64 {
-    let age = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let mut hasher = DefaultHasher::new();
-    (node, age, std::process::id()).hash(&mut hasher);
-    hasher.finish()
+    RandomState::new().hash_one(node)
 }
--- a/crates/apricotfold-proxy/src/instance_watcher.rs
+++ b/crates/apricotfold-proxy/src/instance_watcher.rs
@@ -58,6 +58,7 @@
         telemetry::count_store_call("list", listing.is_ok());
         let listing = listing?;
         self.engine.store_health.record_answer("list");
+        self.engine.start_epoch(listing.revision);
         *failures = 0;
         self.apply_listing(&listing);
         let mut revision = listing.revision;
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -6,7 +6,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{InstanceRecord, NodeId, TableVersion, log_event, saturating_millis};
+use apricotfold_model::{
+    InstanceRecord, NodeEpoch, NodeId, TableVersion, log_event, saturating_millis,
+};
 use apricotfold_policy::STORE_SILENCE;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
@@ -84,6 +86,9 @@
     /// Compressed list of the instances that the store has, as far as the peer knows, if the digests
     /// differ.
     records: Option<String>,
+    /// Epoch that the node must exceed for its record to count, as far as the peer knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    refuting_epoch: Option<NodeEpoch>,
     /// Empty; earlier releases, which share crash counts here, need it.
     #[serde(skip_deserializing)]
     crashes: BTreeMap<NodeId, u32>,
@@ -263,6 +268,16 @@
 }
 
 fn apply_answer(engine: &Engine, answer: &ExchangeResponse, address: SocketAddr) {
+    if let Some(epoch) = answer.refuting_epoch
+        && engine.raise_epoch(epoch)
+    {
+        log_event!(
+            warn,
+            EpochRaised,
+            "{address} knows a process of this node with epoch {epoch}"
+        );
+        engine.change_registration();
+    }
     if let Some(transfer) = &answer.table {
         apply_table(engine, transfer, address);
     }
@@ -322,9 +337,11 @@
         log_event!(warn, ExchangeFailed, "invalid exchange request from a peer");
         return empty_response(StatusCode::BAD_REQUEST);
     };
+    let mut refuting_epoch = None;
     if let Some(record) = asked.record
         && record.node == asked.node
     {
+        refuting_epoch = engine.registry().refuting_epoch(&record);
         let (node, instance) = (record.node.clone(), record.instance.clone());
         if engine.registry().apply_peer_record(record, Instant::now()) {
             log_event!(
@@ -357,6 +374,7 @@
         store_age_ms: store_age.map(saturating_millis),
         table: cached.transfer_from(asked.table_version),
         records,
+        refuting_epoch,
         crashes: BTreeMap::new(),
     };
     telemetry::count_exchange_parts(answer.table.is_some(), answer.records.is_some());
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -258,7 +258,7 @@
         };
         self.engine.crashes.adopt(&entry.crash_marks);
         if let Some(record) = entry.record {
-            self.engine.raise_node_start(record.node_start);
+            self.engine.raise_epoch(record.node_epoch);
             let (instance, born) = (&record.instance, record.born);
             if let Some(state) = entry.announced {
                 self.engine.local().restore_state(instance, born, state);
--- a/crates/apricotfold-proxy/src/table_watcher.rs
+++ b/crates/apricotfold-proxy/src/table_watcher.rs
@@ -95,6 +95,7 @@
         let answer = answer?;
         telemetry::record_table_read(started.elapsed());
         self.engine.store_health.record_answer("get");
+        self.engine.start_epoch(answer.revision);
         if let Some(entry) = answer.entries.first() {
             self.engine.tables.update(&entry.value);
         }
