Tell the age of crashes instead of their time of day

Cause: marks of crashes bore the time of day of the node that noticed them, and others compared it with their own: a clock that was behind made marks expired at once or cleared by earlier answers, one that was set forward ended every block.

Change: a mark is shared with its age and dated by the receiver's steady clock. A node writes its stored marks again when their age is a minute out of date and drops those that are older than ten minutes, so a block outlives its time by a minute at most. Marks of earlier releases count as new; earlier releases take marks of this one for expired.

--- a/crates/apricotfold-node/src/state.rs
+++ b/crates/apricotfold-node/src/state.rs
@@ -203,7 +203,7 @@
         let fingerprint = fingerprint(request);
         log_event!(warn, TargetGone, "connection lost in request {fingerprint}");
         let crashes = self.crashes.lock().expect("no panic while locked");
-        if crashes.is_recently_answered(&fingerprint, SystemTime::now()) {
+        if crashes.is_recently_answered(&fingerprint, Instant::now()) {
             return;
         }
         drop(crashes);
@@ -221,7 +221,7 @@
     /// is computed only while crashes are known, since it needs a digest over the body.
     pub fn is_poison(&self, request: &BufferedRequest) -> bool {
         let crashes = self.crashes.lock().expect("no panic while locked");
-        !crashes.is_empty() && crashes.is_blocked(&fingerprint(request), SystemTime::now())
+        !crashes.is_empty() && crashes.is_blocked(&fingerprint(request), Instant::now())
     }
 
     /// Records that a target answered a request, which clears the request of earlier crashes and of
@@ -233,20 +233,20 @@
         }
         let fingerprint = fingerprint(request);
         let mut crashes = self.crashes.lock().expect("no panic while locked");
-        crashes.record_answer(&fingerprint, SystemTime::now());
+        crashes.record_answer(&fingerprint, Instant::now());
     }
 
     /// Merges the number of crashes that all nodes have seen for a request.
     pub fn merge_crashes(&self, fingerprint: &RequestFingerprint, count: u32) {
         let mut crashes = self.crashes.lock().expect("no panic while locked");
-        crashes.merge_count(fingerprint, count, SystemTime::now());
+        crashes.merge_count(fingerprint, count, Instant::now());
     }
 
     /// Merges a crash during which a request was in flight.
     pub fn merge_crash(&self, fingerprint: &RequestFingerprint, crash: CrashId) {
-        let now = SystemTime::now();
+        let now = Instant::now();
         let mut crashes = self.crashes.lock().expect("no panic while locked");
-        crashes.merge(fingerprint, CrashMark::new(crash, now), now);
+        crashes.merge(fingerprint, CrashMark::new(crash), now);
     }
 
     /// Returns a random number from the generator seeded with `seed`.
--- a/crates/apricotfold-policy/src/crash.rs
+++ b/crates/apricotfold-policy/src/crash.rs
@@ -2,8 +2,9 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
+use apricotfold_model::saturating_millis;
 use compact_str::{CompactString, ToCompactString};
 use smallvec::SmallVec;
 
@@ -15,9 +16,6 @@
 /// ended.
 pub type CrashId = CompactString;
 
-/// Time of a crash in milliseconds since the Unix epoch.
-pub type CrashTimeMillis = u64;
-
 /// Crashes during which one request was in flight.
 pub type CrashMarks = SmallVec<[CrashMark; 2]>;
 
@@ -35,6 +33,10 @@
 /// records.
 const ENTRY_LIFETIME: Duration = Duration::from_mins(10);
 
+/// Time after which stored marks are written again: readers date them by the age that is written, so a
+/// request may be blocked for as much longer.
+const MARK_REFRESH: Duration = Duration::from_mins(1);
+
 /// Maximum number of entries. A crash adds one for each request in flight, about 12, so this covers
 /// some 300 crashes within the lifetime.
 const MAX_ENTRIES: usize = 4_096;
@@ -48,15 +50,21 @@
 /// Maximum number of answered fingerprints in each generation of [`RecentAnswers`].
 const MAX_ANSWERED: usize = 4_096;
 
-/// A crash during which a request was in flight. Marks only gain information, so nodes can merge
-/// them in any order and any number of times.
+/// A crash during which a request was in flight, as shared with other nodes. Marks only gain
+/// information, so nodes can merge them in any order and any number of times.
+///
+/// Marks tell the age of a crash instead of its time, because the clocks of nodes differ and jump.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct CrashMark {
     /// The crash.
     pub crash: CrashId,
-    /// When the crash was first noticed.
-    pub observed: CrashTimeMillis,
+    /// Time in milliseconds since the crash was first noticed, when this was sent.
+    #[serde(default)]
+    pub age_ms: u64,
+    /// 0; earlier releases, which share the time of day of a crash here, need it.
+    #[serde(skip_deserializing)]
+    observed: u64,
     /// Whether a later answer to the request has shown that it did not cause the crash.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub cleared: bool,
@@ -65,16 +73,71 @@
 impl CrashMark {
     /// Creates the mark of a crash that is noticed now.
     #[must_use]
-    pub fn new(crash: CrashId, now: SystemTime) -> Self {
+    pub fn new(crash: CrashId) -> Self {
         Self {
             crash,
-            observed: unix_millis(now),
+            age_ms: 0,
+            observed: 0,
             cleared: false,
         }
     }
 
-    fn is_expired(&self, now: CrashTimeMillis) -> bool {
-        Duration::from_millis(now.saturating_sub(self.observed)) >= ENTRY_LIFETIME
+    /// Sets the age of the crash.
+    #[must_use]
+    pub fn with_age(self, age: Duration) -> Self {
+        Self {
+            age_ms: saturating_millis(age),
+            ..self
+        }
+    }
+
+    /// Returns the age of the crash when the mark was sent.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms)
+    }
+
+    /// Returns whether the crash is too long ago to be remembered.
+    #[must_use]
+    pub fn is_expired(&self) -> bool {
+        self.age() >= ENTRY_LIFETIME
+    }
+}
+
+/// A crash mark with the time of this node's steady clock at which the crash was noticed.
+#[derive(Clone, Debug)]
+pub struct ObservedMark {
+    /// The crash.
+    pub crash: CrashId,
+    observed: Instant,
+    cleared: bool,
+}
+
+impl ObservedMark {
+    /// Dates a mark that arrives now.
+    #[must_use]
+    pub fn new(mark: CrashMark, now: Instant) -> Self {
+        let observed = now.checked_sub(mark.age()).unwrap_or(now);
+        Self {
+            crash: mark.crash,
+            observed,
+            cleared: mark.cleared,
+        }
+    }
+
+    /// Returns the mark as it is shared now.
+    #[must_use]
+    pub fn to_mark(&self, now: Instant) -> CrashMark {
+        let mut mark = CrashMark::new(self.crash.clone())
+            .with_age(now.saturating_duration_since(self.observed));
+        mark.cleared = self.cleared;
+        mark
+    }
+
+    /// Returns whether the crash is too long ago to be remembered.
+    #[must_use]
+    pub fn is_expired(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.observed) >= ENTRY_LIFETIME
     }
 }
 
@@ -82,17 +145,18 @@
 /// recording an answer costs one insertion.
 #[derive(Clone, Debug, Default)]
 struct RecentAnswers {
-    recent: HashMap<RequestFingerprint, CrashTimeMillis>,
-    older: HashMap<RequestFingerprint, CrashTimeMillis>,
-    rotated: CrashTimeMillis,
+    recent: HashMap<RequestFingerprint, Instant>,
+    older: HashMap<RequestFingerprint, Instant>,
+    rotated: Option<Instant>,
 }
 
 impl RecentAnswers {
-    fn record(&mut self, fingerprint: &RequestFingerprint, now: CrashTimeMillis) {
-        let age = Duration::from_millis(now.saturating_sub(self.rotated));
+    fn record(&mut self, fingerprint: &RequestFingerprint, now: Instant) {
+        let rotated = *self.rotated.get_or_insert(now);
+        let age = now.saturating_duration_since(rotated);
         if age >= ANSWER_RETENTION || self.recent.len() >= MAX_ANSWERED {
             self.older = std::mem::take(&mut self.recent);
-            self.rotated = now;
+            self.rotated = Some(now);
         }
         if let Some(answered) = self.recent.get_mut(fingerprint) {
             *answered = now;
@@ -102,21 +166,17 @@
     }
 
     /// Returns the time of the latest answer, if it is within [`ANSWER_RETENTION`].
-    fn latest(
-        &self,
-        fingerprint: &RequestFingerprint,
-        now: CrashTimeMillis,
-    ) -> Option<CrashTimeMillis> {
+    fn latest(&self, fingerprint: &RequestFingerprint, now: Instant) -> Option<Instant> {
         let recent = self.recent.get(fingerprint);
         let answered = *recent.or_else(|| self.older.get(fingerprint))?;
-        let age = Duration::from_millis(now.saturating_sub(answered));
+        let age = now.saturating_duration_since(answered);
         (age < ANSWER_RETENTION).then_some(answered)
     }
 }
 
 #[derive(Clone, Debug, Default)]
 struct CrashEntry {
-    marks: CrashMarks,
+    marks: SmallVec<[ObservedMark; 2]>,
 }
 
 impl CrashEntry {
@@ -125,22 +185,21 @@
         self.marks.iter().filter(|mark| !mark.cleared).count()
     }
 
-    fn latest(&self) -> CrashTimeMillis {
-        let observed = self.marks.iter().map(|mark| mark.observed);
-        observed.max().unwrap_or_default()
+    fn latest(&self) -> Option<Instant> {
+        self.marks.iter().map(|mark| mark.observed).max()
     }
 
     /// Sort key for eviction and for sharing: the entry with the highest key is kept and shared first.
-    fn rank(&self) -> (bool, CrashTimeMillis) {
+    fn rank(&self) -> (bool, Option<Instant>) {
         (self.suspect_count() >= BLOCK_AFTER, self.latest())
     }
 
-    fn is_expired(&self, now: CrashTimeMillis) -> bool {
+    fn is_expired(&self, now: Instant) -> bool {
         self.marks.iter().all(|mark| mark.is_expired(now))
     }
 
     /// Adds a mark or merges it into the known one of the same crash. Returns the result if it is news.
-    fn merge(&mut self, mark: CrashMark) -> Option<CrashMark> {
+    fn merge(&mut self, mark: ObservedMark) -> Option<ObservedMark> {
         let mut known = self.marks.iter_mut();
         if let Some(known) = known.find(|known| known.crash == mark.crash) {
             let news = mark.cleared && !known.cleared;
@@ -165,8 +224,8 @@
 /// Knows which requests were in flight when targets crashed, at this node and at others, and which
 /// of them must not run again.
 ///
-/// Time is the time of day, because nodes compare the times of crashes and answers. Clocks that
-/// differ by some seconds only delay when a request is cleared.
+/// Time is this node's steady clock. Marks of other nodes are dated by their age, so what a message
+/// takes makes a crash seem later, which only delays when a request is cleared.
 #[derive(Clone, Debug, Default)]
 pub struct CrashGuard {
     entries: HashMap<RequestFingerprint, CrashEntry>,
@@ -180,12 +239,12 @@
         &mut self,
         fingerprint: &RequestFingerprint,
         mark: CrashMark,
-        now: SystemTime,
+        now: Instant,
     ) -> Option<CrashMark> {
-        let now = unix_millis(now);
-        if mark.is_expired(now) {
+        if mark.is_expired() {
             return None;
         }
+        let mark = ObservedMark::new(mark, now);
         if !self.entries.contains_key(fingerprint) {
             self.make_room(now);
         }
@@ -193,15 +252,16 @@
         let cleared = mark.cleared || answered.is_some_and(|answered| answered > mark.observed);
         let known = self.entries.entry(fingerprint.clone()).or_default();
         known.marks.retain(|known| !known.is_expired(now));
-        known.merge(CrashMark { cleared, ..mark })
+        let merged = known.merge(ObservedMark { cleared, ..mark })?;
+        Some(merged.to_mark(now))
     }
 
     /// Merges the number of crashes that nodes have counted for a request. Each of the latest numbers up to
     /// it stands for one crash.
-    pub fn merge_count(&mut self, fingerprint: &RequestFingerprint, count: u32, now: SystemTime) {
+    pub fn merge_count(&mut self, fingerprint: &RequestFingerprint, count: u32, now: Instant) {
         let first = count.saturating_sub(MAX_MARKS) + 1;
         for number in first..=count {
-            let mark = CrashMark::new(number.to_compact_string(), now);
+            let mark = CrashMark::new(number.to_compact_string());
             self.merge(fingerprint, mark, now);
         }
     }
@@ -209,12 +269,8 @@
     /// Records that a target ran the request to its end, which shows that the crashes before were a
     /// coincidence. A frequent request is in flight at most crashes; its answers distinguish it from
     /// one that crashes every target. Returns the marks that it is cleared of.
-    pub fn record_answer(
-        &mut self,
-        fingerprint: &RequestFingerprint,
-        now: SystemTime,
-    ) -> CrashMarks {
-        self.answers.record(fingerprint, unix_millis(now));
+    pub fn record_answer(&mut self, fingerprint: &RequestFingerprint, now: Instant) -> CrashMarks {
+        self.answers.record(fingerprint, now);
         let Some(known) = self.entries.get_mut(fingerprint) else {
             return CrashMarks::new();
         };
@@ -222,38 +278,33 @@
         suspect
             .map(|mark| {
                 mark.cleared = true;
-                mark.clone()
+                mark.to_mark(now)
             })
             .collect()
     }
 
     /// Returns whether the request was answered within the last few seconds.
     #[must_use]
-    pub fn is_recently_answered(&self, fingerprint: &RequestFingerprint, now: SystemTime) -> bool {
-        let answered = self.answers.latest(fingerprint, unix_millis(now));
-        answered.is_some()
+    pub fn is_recently_answered(&self, fingerprint: &RequestFingerprint, now: Instant) -> bool {
+        self.answers.latest(fingerprint, now).is_some()
     }
 
     /// Returns whether the request must be refused with `poison-request`.
     #[must_use]
-    pub fn is_blocked(&self, fingerprint: &RequestFingerprint, now: SystemTime) -> bool {
+    pub fn is_blocked(&self, fingerprint: &RequestFingerprint, now: Instant) -> bool {
         self.block_left(fingerprint, now).is_some()
     }
 
     /// Returns for how long the request must be refused, unless it is cleared; `None` if it may run.
     #[must_use]
-    pub fn block_left(
-        &self,
-        fingerprint: &RequestFingerprint,
-        now: SystemTime,
-    ) -> Option<Duration> {
+    pub fn block_left(&self, fingerprint: &RequestFingerprint, now: Instant) -> Option<Duration> {
         let known = self.entries.get(fingerprint)?;
         let limit = if self.is_recently_answered(fingerprint, now) {
             BLOCK_ANSWERED_AFTER
         } else {
             BLOCK_AFTER
         };
-        let age = Duration::from_millis(unix_millis(now).saturating_sub(known.latest()));
+        let age = now.saturating_duration_since(known.latest()?);
         let left = ENTRY_LIFETIME.saturating_sub(age);
         (!left.is_zero() && known.suspect_count() >= limit).then_some(left)
     }
@@ -261,8 +312,7 @@
     /// Returns the evidence on at most `limit` requests for other nodes, blocked requests first, then
     /// those with the latest crashes. Nodes with the same information return the same.
     #[must_use]
-    pub fn evidence(&self, limit: usize, now: SystemTime) -> CrashEvidence {
-        let now = unix_millis(now);
+    pub fn evidence(&self, limit: usize, now: Instant) -> CrashEvidence {
         let valid = self
             .entries
             .iter()
@@ -273,7 +323,10 @@
         });
         let shared = ranked.into_iter().take(limit);
         shared
-            .map(|(fingerprint, known)| (fingerprint.clone(), known.marks.clone()))
+            .map(|(fingerprint, known)| {
+                let marks = known.marks.iter().map(|mark| mark.to_mark(now));
+                (fingerprint.clone(), marks.collect())
+            })
             .collect()
     }
 
@@ -285,8 +338,7 @@
 
     /// Number of requests that are blocked unless they were answered within the last few seconds.
     #[must_use]
-    pub fn blocked(&self, now: SystemTime) -> usize {
-        let now = unix_millis(now);
+    pub fn blocked(&self, now: Instant) -> usize {
         let blocked =
             |known: &&CrashEntry| !known.is_expired(now) && known.suspect_count() >= BLOCK_AFTER;
         self.entries.values().filter(blocked).count()
@@ -300,7 +352,7 @@
 
     /// Makes room for an entry by dropping expired entries, then the oldest one. Blocked ones are
     /// dropped last, because they protect targets.
-    fn make_room(&mut self, now: CrashTimeMillis) {
+    fn make_room(&mut self, now: Instant) {
         if self.entries.len() < MAX_ENTRIES {
             return;
         }
@@ -321,8 +373,18 @@
     }
 }
 
-/// Returns a time in milliseconds since the Unix epoch; 0 for times before it.
-fn unix_millis(time: SystemTime) -> CrashTimeMillis {
-    let age = time.duration_since(UNIX_EPOCH).unwrap_or_default();
-    apricotfold_model::saturating_millis(age)
+/// Returns whether stored evidence still tells the crashes and, within a minute, their age.
+#[must_use]
+pub fn is_current_evidence(written: &CrashEvidence, wanted: &CrashEvidence) -> bool {
+    let is_same = |(known, mark): (&CrashMark, &CrashMark)| {
+        let aged = mark.age().saturating_sub(known.age());
+        known.crash == mark.crash && known.cleared == mark.cleared && aged < MARK_REFRESH
+    };
+    written.len() == wanted.len()
+        && written.iter().zip(wanted).all(|(known, wanted)| {
+            let ((request, known), (wanted_request, marks)) = (known, wanted);
+            request == wanted_request
+                && known.len() == marks.len()
+                && known.iter().zip(marks).all(is_same)
+        })
 }
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -1,8 +1,8 @@
 //! Decisions of the call path as state machines without I/O.
 //!
 //! No code in this crate opens a socket, reads a clock or blocks: time is passed in as
-//! [`std::time::Instant`] or, where nodes compare times, as [`std::time::SystemTime`], and random
-//! numbers are drawn from a seeded generator, so that every decision can be reproduced in a test.
+//! [`std::time::Instant`], and random numbers are drawn from a seeded generator, so that every decision
+//! can be reproduced in a test.
 //! The node daemon carries the decisions out. See
 //! `docs/design.md`, sections 2.1 and 6.
 //!
@@ -68,7 +68,8 @@
 pub use claims::{ClaimBatch, ClaimRequest, ClaimTicket};
 pub use counted_losses::CountedLosses;
 pub use crash::{
-    CrashEvidence, CrashGuard, CrashId, CrashMark, CrashMarks, CrashTimeMillis, RequestFingerprint,
+    CrashEvidence, CrashGuard, CrashId, CrashMark, CrashMarks, ObservedMark, RequestFingerprint,
+    is_current_evidence,
 };
 pub use deadline_queue::{DeadlineQueue, ExpectedWaits, priority_index};
 pub use direct_fallback::{DirectFallback, STORE_SILENCE, StoreContact};
--- a/crates/apricotfold-policy/tests/crash_guard.rs
+++ b/crates/apricotfold-policy/tests/crash_guard.rs
@@ -1,15 +1,17 @@
 //! Blocking of requests that crash targets.
 
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
-use apricotfold_policy::{CountedLosses, CrashGuard, CrashMark, RequestFingerprint};
+use apricotfold_policy::{
+    CountedLosses, CrashEvidence, CrashGuard, CrashMark, RequestFingerprint, is_current_evidence,
+};
 
 const LIFETIME: Duration = Duration::from_mins(10);
 const ALMOST: Duration = Duration::from_millis(599_999);
 const POISON: RequestFingerprint = RequestFingerprint::const_new("p");
 
-fn record(guard: &mut CrashGuard, crash: &str, now: SystemTime) -> bool {
-    let mark = CrashMark::new(crash.into(), now);
+fn record(guard: &mut CrashGuard, crash: &str, now: Instant) -> bool {
+    let mark = CrashMark::new(crash.into());
     guard.merge(&POISON, mark, now).is_some()
 }
 
@@ -17,7 +19,7 @@
 /// crash, which may be a coincidence, and against a block that never ends.
 #[test]
 fn second_crash_blocks_for_ten_minutes() {
-    let now = SystemTime::now();
+    let now = Instant::now();
     let mut guard = CrashGuard::default();
     assert!(record(&mut guard, "a@1", now));
     assert!(!guard.is_blocked(&POISON, now));
@@ -37,7 +39,7 @@
 /// than once, and against a repetition that prolongs a block.
 #[test]
 fn same_crash_counts_once() {
-    let now = SystemTime::now();
+    let now = Instant::now();
     let mut guard = CrashGuard::default();
     assert!(record(&mut guard, "a@1", now));
     for second in 0..5 {
@@ -55,7 +57,7 @@
 /// and against answers that clear a request of later crashes.
 #[test]
 fn answers_clear_earlier_crashes() {
-    let now = SystemTime::now();
+    let now = Instant::now();
     let later = now + Duration::from_secs(1);
     let mut guard = CrashGuard::default();
     record(&mut guard, "a@1", now);
@@ -63,7 +65,7 @@
     assert_eq!(guard.record_answer(&POISON, later).len(), 2);
     assert!(!guard.is_blocked(&POISON, later));
     // Heard of late: the crash was before the answer.
-    let late = CrashMark::new("c@1".into(), now);
+    let late = CrashMark::new("c@1".into()).with_age(Duration::from_secs(1));
     let merged = guard.merge(&POISON, late, later);
     assert!(
         merged.is_some_and(|mark| mark.cleared),
@@ -81,7 +83,7 @@
 /// remembered, and against cleared ones that count again when a count is repeated.
 #[test]
 fn counts_go_on_after_clearance() {
-    let now = SystemTime::now();
+    let now = Instant::now();
     let mut guard = CrashGuard::default();
     for count in 1..=12 {
         let later = now + Duration::from_secs(u64::from(count));
@@ -101,12 +103,10 @@
 /// and a clearance that arrives before or after them.
 #[test]
 fn merges_commute() {
-    let now = SystemTime::now();
-    let mark = CrashMark::new("a@1".into(), now);
-    let cleared = CrashMark {
-        cleared: true,
-        ..mark.clone()
-    };
+    let now = Instant::now();
+    let mark = CrashMark::new("a@1".into());
+    let mut cleared = mark.clone();
+    cleared.cleared = true;
     let orders = [
         [&mark, &cleared, &mark],
         [&cleared, &mark, &mark],
@@ -123,18 +123,73 @@
     assert!(states.iter().all(|state| *state == states[0]));
 }
 
+/// Guards against a block that lasts longer at a node that hears of the crashes late, and against marks
+/// that become younger when they are passed on.
+#[test]
+fn age_travels() {
+    let start = Instant::now();
+    let mut first = CrashGuard::default();
+    record(&mut first, "a@1", start);
+    record(&mut first, "b@1", start);
+    let later = start + LIFETIME / 2;
+    let mut second = CrashGuard::default();
+    for mark in first
+        .evidence(10, later)
+        .remove(&POISON)
+        .unwrap_or_default()
+    {
+        assert_eq!(mark.age(), LIFETIME / 2);
+        second.merge(&POISON, mark, later);
+    }
+    assert!(second.is_blocked(&POISON, later));
+    assert!(!second.is_blocked(&POISON, start + LIFETIME));
+    let expired = first.evidence(10, start + ALMOST).remove(&POISON);
+    for mut mark in expired.unwrap_or_default() {
+        mark.age_ms += 1;
+        assert!(second.merge(&POISON, mark, later).is_none());
+    }
+}
+
+/// Guards against stored marks whose age is out of date for more than a minute, and against an entry that
+/// is written anew with each check.
+#[test]
+fn stored_age() {
+    let start = Instant::now();
+    let mut guard = CrashGuard::default();
+    record(&mut guard, "a@1", start);
+    let written = guard.evidence(10, start);
+    let soon = guard.evidence(10, start + Duration::from_secs(59));
+    assert!(is_current_evidence(&written, &soon));
+    let later = guard.evidence(10, start + Duration::from_mins(1));
+    assert!(!is_current_evidence(&written, &later));
+    guard.record_answer(&POISON, start);
+    assert!(!is_current_evidence(&written, &guard.evidence(10, start)));
+    assert!(!is_current_evidence(&written, &CrashEvidence::new()));
+}
+
+/// Guards against marks of earlier releases, which tell the time of day, that cannot be read, and against
+/// marks that earlier releases cannot read.
+#[test]
+fn earlier_releases() {
+    let text = r#"{"crash":"a@1","observed":1796476215040}"#;
+    let mark: CrashMark = serde_json::from_str(text).expect("a mark");
+    assert_eq!(mark, CrashMark::new("a@1".into()));
+    let written = serde_json::to_value(&mark).expect("a value");
+    assert_eq!(written["observed"], 0);
+}
+
 /// Guards against memory use that grows with every crash, and against many crashes that evict a
 /// blocked request or keep it from other nodes.
 #[test]
 fn size_is_bounded_and_blocks_outlive_floods() {
-    let mut now = SystemTime::now();
+    let mut now = Instant::now();
     let mut guard = CrashGuard::default();
     for crash in 0..20 {
         record(&mut guard, &format!("a@{crash}"), now);
     }
     for index in 0..5_000 {
         now += Duration::from_millis(1);
-        let mark = CrashMark::new("b@1".into(), now);
+        let mark = CrashMark::new("b@1".into());
         guard.merge(&format!("f{index}").into(), mark, now);
     }
     assert_eq!(guard.len(), 4_096);
--- a/crates/apricotfold-proxy/src/crash_tracker.rs
+++ b/crates/apricotfold-proxy/src/crash_tracker.rs
@@ -2,11 +2,12 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
-use apricotfold_model::{TargetIncarnation, WallClock, log_event};
+use apricotfold_model::{TargetIncarnation, log_event};
 use apricotfold_policy::{
-    CrashEvidence, CrashGuard, CrashMark, RequestFingerprint, SentNumber, UnansweredRuns,
+    CrashEvidence, CrashGuard, CrashMark, ObservedMark, RequestFingerprint, SentNumber,
+    UnansweredRuns,
 };
 use compact_str::ToCompactString;
 use tokio::sync::watch;
@@ -23,19 +24,14 @@
     guard: CrashGuard,
     unanswered: UnansweredRuns,
     /// Marks of crashes that this node noticed, oldest first.
-    own: Vec<(RequestFingerprint, CrashMark)>,
+    own: Vec<(RequestFingerprint, ObservedMark)>,
     /// Marks that were not passed on yet.
     news: CrashEvidence,
 }
 
 impl TrackerState {
     /// Merges a mark, and keeps it as news if it is. Returns whether it is.
-    fn learn(
-        &mut self,
-        fingerprint: &RequestFingerprint,
-        mark: &CrashMark,
-        now: SystemTime,
-    ) -> bool {
+    fn learn(&mut self, fingerprint: &RequestFingerprint, mark: &CrashMark, now: Instant) -> bool {
         let Some(merged) = self.guard.merge(fingerprint, mark.clone(), now) else {
             return false;
         };
@@ -49,13 +45,14 @@
         marks.push(mark);
     }
 
-    fn keep_own(&mut self, fingerprint: &RequestFingerprint, mark: CrashMark, now: SystemTime) {
-        let is_known = |(request, known): &(RequestFingerprint, CrashMark)| {
+    fn keep_own(&mut self, fingerprint: &RequestFingerprint, mark: CrashMark, now: Instant) {
+        let is_known = |(request, known): &(RequestFingerprint, ObservedMark)| {
             request == fingerprint && known.crash == mark.crash
         };
         if self.own.iter().any(is_known) {
             return;
         }
+        let mark = ObservedMark::new(mark, now);
         self.own.push((fingerprint.clone(), mark));
         if self.own.len() <= MAX_OWN_MARKS {
             return;
@@ -69,9 +66,8 @@
 }
 
 /// Shares the crash guard among tasks and keeps the marks that this node publishes.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct CrashTracker {
-    clock: Arc<dyn WallClock>,
     state: Arc<Mutex<TrackerState>>,
     /// Notified when there is news for other nodes.
     news: watch::Sender<()>,
@@ -119,22 +115,13 @@
 }
 
 impl CrashTracker {
-    /// Creates a tracker that knows no crashes.
-    pub fn new(clock: Arc<dyn WallClock>) -> Self {
-        Self {
-            clock,
-            state: Arc::default(),
-            news: watch::Sender::default(),
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, TrackerState> {
         self.state.lock().expect("no panic while locked")
     }
 
     /// Returns whether a request is refused because it has crashed targets.
     pub fn is_blocked(&self, fingerprint: &RequestFingerprint) -> bool {
-        self.lock().guard.is_blocked(fingerprint, self.clock.now())
+        self.lock().guard.is_blocked(fingerprint, Instant::now())
     }
 
     /// Returns for how long a request is refused because it has crashed targets; `None` if it is not.
@@ -145,7 +132,7 @@
         }
         let fingerprint = fingerprint();
         let state = self.lock();
-        state.guard.block_left(&fingerprint, self.clock.now())
+        state.guard.block_left(&fingerprint, Instant::now())
     }
 
     /// Records that a request is sent to a target.
@@ -186,7 +173,7 @@
 
     fn record_answer(&self, fingerprint: &RequestFingerprint) {
         let mut state = self.lock();
-        let cleared = state.guard.record_answer(fingerprint, self.clock.now());
+        let cleared = state.guard.record_answer(fingerprint, Instant::now());
         if cleared.is_empty() {
             return;
         }
@@ -206,9 +193,9 @@
     /// answered. Returns whether any of that is news.
     pub fn record_crash(&self, incarnation: &TargetIncarnation) -> bool {
         let mut state = self.lock();
-        let now = self.clock.now();
-        let suspects = state.unanswered.take_suspects(incarnation, Instant::now());
-        let mark = CrashMark::new(incarnation.to_compact_string(), now);
+        let now = Instant::now();
+        let suspects = state.unanswered.take_suspects(incarnation, now);
+        let mark = CrashMark::new(incarnation.to_compact_string());
         let mut news = false;
         for fingerprint in &suspects {
             if !state.learn(fingerprint, &mark, now) {
@@ -228,13 +215,15 @@
         news
     }
 
-    /// Returns the marks for this node's entry in the store.
+    /// Returns the marks for this node's entry in the store. Expired ones are dropped.
     pub fn own_marks(&self) -> CrashEvidence {
-        let state = self.lock();
+        let mut state = self.lock();
+        let now = Instant::now();
+        state.own.retain(|(_, mark)| !mark.is_expired(now));
         let mut evidence = CrashEvidence::new();
         for (fingerprint, mark) in &state.own {
             let marks = evidence.entry(fingerprint.clone()).or_default();
-            marks.push(mark.clone());
+            marks.push(mark.to_mark(now));
         }
         evidence
     }
@@ -242,7 +231,7 @@
     /// Takes over the marks that an earlier process of this node has left in the store.
     pub fn adopt(&self, evidence: &CrashEvidence) {
         let mut state = self.lock();
-        let now = self.clock.now();
+        let now = Instant::now();
         for (fingerprint, mark) in each_mark(evidence) {
             state.learn(fingerprint, mark, now);
             state.keep_own(fingerprint, mark.clone(), now);
@@ -253,7 +242,7 @@
     /// Merges what another node knows. `origin` is for log lines.
     pub fn merge(&self, origin: &str, evidence: &CrashEvidence) {
         let mut state = self.lock();
-        let now = self.clock.now();
+        let now = Instant::now();
         let mut news = false;
         for (fingerprint, mark) in each_mark(evidence) {
             if state.learn(fingerprint, mark, now) {
@@ -288,7 +277,7 @@
 
     /// Returns what this node knows, as far as it is shared.
     pub fn evidence(&self) -> CrashEvidence {
-        self.lock().guard.evidence(MAX_SHARED, self.clock.now())
+        self.lock().guard.evidence(MAX_SHARED, Instant::now())
     }
 
     /// Returns what this node knows and another one does not.
@@ -327,7 +316,7 @@
     /// Returns the number of requests with known crashes, and of those that are blocked.
     pub fn sizes(&self) -> (usize, usize) {
         let state = self.lock();
-        (state.guard.len(), state.guard.blocked(self.clock.now()))
+        (state.guard.len(), state.guard.blocked(Instant::now()))
     }
 }
 
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -84,6 +84,8 @@
 pub struct Engine {
     /// Validated settings, replaced when the settings file changes.
     pub config: ArcSwap<ProxyConfig>,
+    /// Time of day of the instance, which no decision may use.
+    pub clock: Arc<dyn WallClock>,
     /// Translation to and from the platform's headers and statuses.
     pub protocol: Arc<dyn CallProtocol>,
     /// Newest route table.
@@ -134,7 +136,7 @@
         config: ProxyConfig,
         protocol: Arc<dyn CallProtocol>,
         tables: TableCache,
-        clock: &Arc<dyn WallClock>,
+        clock: Arc<dyn WallClock>,
     ) -> Self {
         let seed = if config.seed == 0 {
             random_seed(&config.node)
@@ -144,8 +146,9 @@
         let limits = AdmissionLimits::new(&TARGET_LIMITS, 0);
         let link_meter = LinkMeter::new(config.link_rate);
         Self {
-            crashes: CrashTracker::new(clock.clone()),
+            crashes: CrashTracker::default(),
             config: ArcSwap::from_pointee(config),
+            clock,
             protocol,
             tables,
             admission: AdmissionController::with_rule(Box::new(DeadlineQueue::new(limits))),
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceRecord, InstanceState, log_event};
-use apricotfold_policy::CrashEvidence;
+use apricotfold_policy::{CrashEvidence, is_current_evidence};
 use apricotfold_store::{
     Compare, ConfigStore, LeaseId, Revision, StoreEntry, StoreError, StoreTxn,
 };
@@ -150,7 +150,7 @@
             (None, None) => true,
             _ => false,
         };
-        let same_marks = written.crash_marks == wanted.crash_marks;
+        let same_marks = is_current_evidence(&written.crash_marks, &wanted.crash_marks);
         same_record && written.announced == wanted.announced && same_marks
     }
 
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -68,7 +68,7 @@
         config.clone(),
         adapters.calls,
         tables,
-        &adapters.clock,
+        adapters.clock,
     ));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
