Order the lines of a request by causes, and show clocks that differ

Cause: apricotfold trace sorted lines by ts, so lines of nodes whose clocks differ or jump were in a wrong order, without a word.

Change: proxies log up=, the time since their start, beside ts. trace dates lines by the process's first ts and up, orders them by what caused what (lines of a node, what the entry node says of other nodes, calls before the request that they serve), and says by how much clocks contradict that. A node logs jumps of its time of day (AF1013), and apricotfold_clock_offset_seconds tells how far it is ahead of the median of the peers that it exchanges state with. None of it is used by a decision.

Result: request_trace::{skewed_clocks, restarted_process} and clock_watch are new and pass; one_path passes unchanged but for the type of the result.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -45,6 +45,9 @@
     /// A connection ended with an error.
     #[strum(serialize = "AF1012", message = "connection failed")]
     ConnectionFailed,
+    /// The time of day jumped against the steady clock.
+    #[strum(serialize = "AF1013", message = "clock jumped")]
+    ClockJumped,
     /// A profile version took effect on this node.
     #[strum(serialize = "AF2001", message = "version applied")]
     VersionApplied,
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod balancer;
 mod budget;
 mod claims;
+mod clock_watch;
 mod counted_losses;
 mod crash;
 mod deadline_queue;
@@ -66,6 +67,7 @@
 };
 pub use budget::{CallBudgets, RetryBudget};
 pub use claims::{ClaimBatch, ClaimRequest, ClaimTicket};
+pub use clock_watch::{JumpDetector, OffsetMillis, PeerOffsets};
 pub use counted_losses::CountedLosses;
 pub use crash::{
     CrashEvidence, CrashGuard, CrashId, CrashMark, CrashMarks, ObservedMark, RequestFingerprint,
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -13,8 +13,8 @@
 };
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, DeadlineQueue, InstanceRegistry, InstanceReport,
-    LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, ParentThrottle, RetryBudget,
-    RetryDetector, TargetSelector, TrafficSplit,
+    LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, ParentThrottle, PeerOffsets,
+    RetryBudget, RetryDetector, TargetSelector, TrafficSplit,
 };
 use apricotfold_store::Revision;
 use arc_swap::ArcSwap;
@@ -121,6 +121,7 @@
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     local: Mutex<LocalInstance>,
     rate_limits: Mutex<NamedLimits>,
+    clock_offsets: Mutex<PeerOffsets>,
     /// Service time that the local target reported last, in percent of its usual one.
     pace: AtomicU32,
     target_down: AtomicBool,
@@ -170,6 +171,7 @@
             budgets: Mutex::default(),
             local: Mutex::default(),
             rate_limits: Mutex::default(),
+            clock_offsets: Mutex::default(),
             pace: AtomicU32::new(DEFAULT_PACE),
             target_down: AtomicBool::new(false),
             node_epoch: AtomicU64::new(0),
@@ -201,6 +203,11 @@
         lock(&self.rate_limits)
     }
 
+    /// Locks the offsets of other nodes' clocks.
+    pub fn clock_offsets(&self) -> MutexGuard<'_, PeerOffsets> {
+        lock(&self.clock_offsets)
+    }
+
     /// Records that another node polls this one.
     pub fn record_poll(&self) {
         *lock(&self.polled) = Some(Instant::now());
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::log_event;
+use apricotfold_policy::JumpDetector;
 
 use crate::engine::Engine;
 use crate::telemetry;
@@ -21,9 +22,17 @@
 
 /// Runs until the process ends.
 pub async fn run_housekeeping(engine: Arc<Engine>) {
+    let mut jumps = JumpDetector::default();
     loop {
         tokio::time::sleep(INTERVAL).await;
         let now = Instant::now();
+        if let Some(jump) = jumps.observe(now, engine.clock.now()) {
+            log_event!(
+                warn,
+                ClockJumped,
+                "by {jump} ms against the steady clock, or the instance was suspended"
+            );
+        }
         for node in engine.registry().expire(now) {
             log_event!(info, InstanceChanged, "{node} is gone");
         }
@@ -62,6 +71,7 @@
         suspects: suspects as u64,
         blocked: blocked as u64,
         ready: engine.is_ready(),
+        clock_offset: engine.clock_offsets().own_offset(Instant::now()),
     };
     telemetry::publish_state(&metrics);
 }
--- a/crates/apricotfold-proxy/src/log_output.rs
+++ b/crates/apricotfold-proxy/src/log_output.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use apricotfold_model::{EventCode, NodeId, event_message};
+use apricotfold_model::{EventCode, NodeId, WallClock, event_message};
 use compact_str::CompactString;
 
 use crate::telemetry;
@@ -67,21 +67,22 @@
     }
 }
 
-/// Sends the process's log lines to `log`. Each line starts with its time, level and node, so that
-/// the lines of several nodes can be merged in order.
-pub fn install(log: &BoundedLog, node: NodeId) {
+/// Sends the process's log lines to `log`. Each line starts with its time of day, the time since the
+/// process started, its level and node. The time of day may jump; the time since the start orders the
+/// lines of a process.
+pub fn install(log: &BoundedLog, node: NodeId, clock: Arc<dyn WallClock>) {
+    let started = Instant::now();
     let filter = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(filter)
         .target(env_logger::Target::Pipe(Box::new(log.clone())))
         .format(move |line, record| {
-            let time = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default();
+            let time = clock.now().duration_since(UNIX_EPOCH).unwrap_or_default();
             let (seconds, millis) = (time.as_secs(), time.subsec_millis());
+            let up = started.elapsed().as_secs_f64();
             let (level, text) = (record.level(), record.args());
             writeln!(
                 line,
-                "ts={seconds}.{millis:03} level={level} node={node} {text}"
+                "ts={seconds}.{millis:03} up={up:.3} level={level} node={node} {text}"
             )
         })
         .init();
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use apricotfold_model::{
     InstanceRecord, NodeEpoch, NodeId, TableVersion, log_event, saturating_millis,
@@ -89,6 +89,9 @@
     /// Epoch that the node must exceed for its record to count, as far as the peer knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     refuting_epoch: Option<NodeEpoch>,
+    /// The peer and its time of day in milliseconds since the Unix epoch, for display only.
+    #[serde(default)]
+    clock: Option<(NodeId, u64)>,
     /// Empty; earlier releases, which share crash counts here, need it.
     #[serde(skip_deserializing)]
     crashes: BTreeMap<NodeId, u32>,
@@ -206,10 +209,17 @@
         record: engine.local_record(),
         crashes: BTreeMap::new(),
     };
-    let limit = Instant::now() + EXCHANGE_TIMEOUT;
+    let (started, sent) = (Instant::now(), engine.clock.now());
+    let limit = started + EXCHANGE_TIMEOUT;
     let body = open_post(engine, address, EXCHANGE_HEADER, &message).await?;
     let body = tokio::time::timeout_at(limit.into(), read_body(body, progress)).await??;
     let answer: ExchangeResponse = serde_json::from_slice(&body)?;
+    if let Some((peer, millis)) = &answer.clock {
+        let theirs = UNIX_EPOCH + Duration::from_millis(*millis);
+        let now = Instant::now();
+        let mut offsets = engine.clock_offsets();
+        offsets.record(peer, theirs, sent, now - started, now);
+    }
     apply_answer(engine, &answer, address);
     Ok(answer)
 }
@@ -375,12 +385,18 @@
         table: cached.transfer_from(asked.table_version),
         records,
         refuting_epoch,
+        clock: Some((engine.node(), unix_millis(engine.clock.now()))),
         crashes: BTreeMap::new(),
     };
     telemetry::count_exchange_parts(answer.table.is_some(), answer.records.is_some());
     json_response(&answer)
 }
 
+fn unix_millis(time: SystemTime) -> u64 {
+    let age = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    saturating_millis(age)
+}
+
 /// Encodes the answer to a message of a peer.
 pub fn json_response(answer: &impl Serialize) -> Response<ResponseBody> {
     match serde_json::to_vec(answer) {
--- a/crates/apricotfold-proxy/src/telemetry.rs
+++ b/crates/apricotfold-proxy/src/telemetry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use apricotfold_model::{CallOutcome, RefusalReason, WorkClass};
+use apricotfold_policy::OffsetMillis;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -99,6 +100,9 @@
     gauge!("apricotfold_suspect_requests").set(to_float(state.suspects));
     gauge!("apricotfold_blocked_requests").set(to_float(state.blocked));
     gauge!("apricotfold_ready").set(f64::from(u8::from(state.ready)));
+    if let Some(offset) = state.clock_offset {
+        gauge!("apricotfold_clock_offset_seconds").set(to_seconds(offset));
+    }
 }
 
 /// Values for [`publish_state`].
@@ -121,6 +125,16 @@
     pub blocked: u64,
     /// Whether the node is ready for callers.
     pub ready: bool,
+    /// How far the node's clock is ahead of the median of its peers' clocks; `None` if unknown.
+    pub clock_offset: Option<OffsetMillis>,
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "gauges are floating-point numbers"
+)]
+fn to_seconds(millis: OffsetMillis) -> f64 {
+    millis as f64 / 1_000.0
 }
 
 #[expect(
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -1,18 +1,18 @@
 //! `apricotfold trace ID FILE...`
 
-use apricotfold::{CommandError, ExitKind, TraceLine, trace_request};
+use apricotfold::{ClockSkew, CommandError, ExitKind, TraceLine, trace_request};
 use compact_str::CompactString;
 use serde_json::json;
 
 use super::output::{CommandReport, CommandResult, error_document};
 
-/// Prints the log lines about a request, sorted by the nodes' clocks, with the time since the first
-/// one.
+/// Prints the log lines about a request in the order of causes, with the time since the first one, and
+/// which clocks contradict them.
 pub fn run(id: &CompactString, files: &[CompactString]) -> CommandResult {
     let logs: Result<Vec<String>, CommandError> = files.iter().map(read_log).collect();
-    let lines = trace_request(&logs?, id);
-    let mut document = json!({"id": id, "lines": lines});
-    if lines.is_empty() {
+    let trace = trace_request(&logs?, id);
+    let mut document = json!({"id": id, "lines": trace.lines, "clocks": trace.skews});
+    if trace.lines.is_empty() {
         let message = format!("no log line about request {id} in {} files", files.len());
         document["error"] = error_document(&CommandError::bad_input(message.clone()));
         return Ok(CommandReport::with_exit(
@@ -21,8 +21,11 @@
             document,
         ));
     }
-    let start = lines.iter().find_map(|line| line.time).unwrap_or_default();
-    let text: Vec<String> = lines.iter().map(|line| format_line(line, start)).collect();
+    let mut times = trace.times.iter();
+    let start = times.find_map(|time| *time).unwrap_or_default();
+    let lines = trace.lines.iter().zip(&trace.times);
+    let lines = lines.map(|(line, time)| format_line(line, *time, start));
+    let text: Vec<String> = lines.chain(trace.skews.iter().map(format_skew)).collect();
     Ok(CommandReport::done(text.join("\n"), document))
 }
 
@@ -34,9 +37,17 @@
     Ok(String::from_utf8_lossy(&bytes).into_owned())
 }
 
-fn format_line(line: &TraceLine, start: f64) -> String {
-    let time = line
-        .time
-        .map_or("?".to_owned(), |time| format!("+{:.3}", time - start));
+fn format_line(line: &TraceLine, time: Option<f64>, start: f64) -> String {
+    let time = time.map_or("?".to_owned(), |time| format!("+{:.3}", time - start));
     format!("{time} {} {}", line.node, line.text)
 }
+
+fn format_skew(skew: &ClockSkew) -> String {
+    let (node, reference, seconds) = (&skew.node, &skew.reference, skew.ahead.abs());
+    let side = if skew.ahead > 0.0 {
+        "ahead of"
+    } else {
+        "behind"
+    };
+    format!("clocks: {node} is at least {seconds:.3} s {side} {reference}")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 mod publish;
 mod store_retry;
 mod trace;
+mod trace_order;
 mod view;
 
 pub use differences::{Difference, content_differences};
@@ -22,5 +23,6 @@
     next_version,
 };
 pub use store_retry::{StoreRetry, jitter_delay};
-pub use trace::{TraceLine, trace_request};
+pub use trace::{RequestTrace, TraceLine, trace_request};
+pub use trace_order::ClockSkew;
 pub use view::{HeadRecord, ProfileView, read_bundle, read_candidate, read_entry, read_view};
