--- a/crates/apricotfold-control/tests/failure_detector.rs
+++ b/crates/apricotfold-control/tests/failure_detector.rs
@@ -65,6 +65,29 @@
     }
 }
 
+/// Guards against members that stay gone because their clocks were set back before they were started
+/// again, so that their incarnations begin below the former ones.
+#[test]
+fn clocks_set_back() {
+    let mut mesh = Mesh::new(8);
+    let names = mesh.start_many(10, ("north", "n-a"));
+    mesh.run(secs(6));
+    let restarted = &names[4..8];
+    for node in restarted {
+        mesh.kill(node);
+    }
+    mesh.run(secs(1));
+    for node in restarted {
+        mesh.start(node, ("north", "n-a"), 0, &["n-a-01", "n-a-03"]);
+    }
+    mesh.run(secs(8));
+    assert_live(&mesh, &names, 10, "after the return");
+    for node in restarted {
+        let incarnation = mesh.cores[node].incarnation();
+        assert!(incarnation > 1000, "{node} {incarnation}");
+    }
+}
+
 /// Guards against a live node that stays gone because its monitors cannot reach it, and against a
 /// suspicion and a refutation every second while the link is broken.
 #[test]
--- a/crates/apricotfold-standins/src/store/service.rs
+++ b/crates/apricotfold-standins/src/store/service.rs
@@ -1,9 +1,10 @@
 //! Shared store: the state behind a lock, with notification of waiting calls and watches.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use apricotfold_model::{ScriptedStoreFault, StoreStandinConfig};
+use rand::RngExt;
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -347,11 +348,8 @@
     serde_json::to_vec(response).map_err(|error| GatewayError::InvalidArgument(error.to_string()))
 }
 
-/// Generated lease ids start at the wall-clock time, so that a restarted store does not reuse the ids
-/// of an earlier run.
+/// Generated lease ids start at a random number, so that a restarted store does not reuse the ids of an
+/// earlier run.
 fn initial_lease_id() -> i64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    i64::try_from(since_epoch.as_micros()).unwrap_or_default()
+    rand::rng().random_range(1..i64::MAX / 2)
 }
--- a/src/trace_order.rs
+++ b/src/trace_order.rs
@@ -156,13 +156,13 @@
             Some((index, SteadyTime { seconds, ..end }))
         });
         let starts = starts.flat_map(move |(entry, start)| {
-            let caused = (0..self.lines.len()).filter(move |index| {
+            let lines = (0..self.lines.len()).filter(move |index| {
                 let rest = self.lines[*index]
                     .id
                     .strip_prefix(self.lines[entry].id.as_str());
                 rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
             });
-            caused.filter_map(move |index| Some((start, self.times[index]?)))
+            lines.filter_map(move |index| Some((start, self.times[index]?)))
         });
         causes.chain(starts)
     }
