Wait for all listeners of a killed process, and name the parts of a clock reading

The harness waited only for the peer listener to close, so the successor could find another address in use and end. The clock in an exchange is a struct with names instead of a pair.

--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -89,14 +89,23 @@
     /// Epoch that the node must exceed for its record to count, as far as the peer knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     refuting_epoch: Option<NodeEpoch>,
-    /// The peer and its time of day in milliseconds since the Unix epoch, for display only.
+    /// The peer's time of day; `None` from earlier releases.
     #[serde(default)]
-    clock: Option<(NodeId, u64)>,
+    clock: Option<ClockReading>,
     /// Empty; earlier releases, which share crash counts here, need it.
     #[serde(skip_deserializing)]
     crashes: BTreeMap<NodeId, u32>,
 }
 
+/// Time of day of a node, which others only display.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ClockReading {
+    node: NodeId,
+    /// Milliseconds since the Unix epoch.
+    unix_ms: u64,
+}
+
 /// Compressed list of instances, which is created once for all nodes that ask for the same one.
 #[derive(Debug, Default)]
 pub struct InstanceList(Mutex<Option<(u64, String)>>);
@@ -214,11 +223,11 @@
     let body = open_post(engine, address, EXCHANGE_HEADER, &message).await?;
     let body = tokio::time::timeout_at(limit.into(), read_body(body, progress)).await??;
     let answer: ExchangeResponse = serde_json::from_slice(&body)?;
-    if let Some((peer, millis)) = &answer.clock {
-        let theirs = UNIX_EPOCH + Duration::from_millis(*millis);
+    if let Some(reading) = &answer.clock {
+        let theirs = UNIX_EPOCH + Duration::from_millis(reading.unix_ms);
         let now = Instant::now();
         let mut offsets = engine.clock_offsets();
-        offsets.record(peer, theirs, sent, now - started, now);
+        offsets.record(&reading.node, theirs, sent, now - started, now);
     }
     apply_answer(engine, &answer, address);
     Ok(answer)
@@ -385,7 +394,10 @@
         table: cached.transfer_from(asked.table_version),
         records,
         refuting_epoch,
-        clock: Some((engine.node(), unix_millis(engine.clock.now()))),
+        clock: Some(ClockReading {
+            node: engine.node(),
+            unix_ms: unix_millis(engine.clock.now()),
+        }),
         crashes: BTreeMap::new(),
     };
     telemetry::count_exchange_parts(answer.table.is_some(), answer.records.is_some());
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -184,14 +184,24 @@
         self.wait_listening().await;
     }
 
-    /// Kills the proxy's process.
+    /// Kills the proxy's process and waits until it has closed all its listeners, since its successor
+    /// cannot open them before.
     pub async fn kill_process(&mut self) {
         self.process
             .take()
             .expect("a process")
             .shutdown_background();
-        self.wait_for(|| async { !TcpListenerProbe::open(self.config.peer_address).await })
-            .await;
+        let config = &self.config;
+        let addresses = [
+            config.announce_address,
+            config.ready_address,
+            config.peer_address,
+            config.caller_address,
+        ];
+        for address in addresses {
+            self.wait_for(|| async { !TcpListenerProbe::open(address).await })
+                .await;
+        }
     }
 
     /// Returns the id of the target's current incarnation.
