Pass the clock to apricotfold-node, and name the parts of sorted trace lines

Only names and borders change: NodeState takes a WallClock for its first incarnation, CauseGraph::sort returns a struct, and one function tells the calls of a request.

--- a/crates/apricotfold-node/src/main.rs
+++ b/crates/apricotfold-node/src/main.rs
@@ -33,7 +33,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use apricotfold_model::{Distribution, NodeConfig, log_event};
+use apricotfold_model::{Distribution, NodeConfig, SystemClock, log_event};
 use apricotfold_store::HttpStore;
 
 use crate::args::Invocation;
@@ -78,7 +78,7 @@
 async fn run(config: NodeConfig) -> eyre::Result<()> {
     let metrics = node_metrics::install()?;
     let distribution = config.distribution;
-    let state = NodeState::new(config)?;
+    let state = NodeState::new(config, &SystemClock)?;
     let store = Arc::new(HttpStore::new(
         &state.config.store,
         state.config.local_address(),
--- a/crates/apricotfold-node/src/state.rs
+++ b/crates/apricotfold-node/src/state.rs
@@ -2,10 +2,12 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use apricotfold_control::RelayInfo;
-use apricotfold_model::{MeshSnapshot, NodeConfig, ProfileLimits, TargetState, log_event};
+use apricotfold_model::{
+    MeshSnapshot, NodeConfig, ProfileLimits, TargetState, WallClock, log_event,
+};
 use apricotfold_policy::{CountedLosses, CrashGuard, CrashId, CrashMark, RequestFingerprint};
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
@@ -54,7 +56,8 @@
     /// Validated settings.
     pub config: NodeConfig,
     /// Start time in milliseconds since the Unix epoch; distinguishes the processes that have run
-    /// under the same node id.
+    /// under the same node id. The control plane raises its copy above that of a former process, in
+    /// case the clock was set back.
     pub incarnation: u64,
     /// Seed of random decisions, from the settings or else the incarnation.
     pub seed: u64,
@@ -95,7 +98,7 @@
     /// # Errors
     ///
     /// Returns an error when the HTTP client cannot be set up.
-    pub fn new(config: NodeConfig) -> eyre::Result<Arc<Self>> {
+    pub fn new(config: NodeConfig, clock: &dyn WallClock) -> eyre::Result<Arc<Self>> {
         let client = reqwest::Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
             .local_address(config.local_address())
@@ -105,7 +108,8 @@
             .retry(reqwest::retry::never())
             .no_proxy()
             .build()?;
-        let incarnation = SystemTime::now()
+        let incarnation = clock
+            .now()
             .duration_since(UNIX_EPOCH)
             .map_or(1, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
         let seed = if config.seed == 0 {
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -55,13 +55,16 @@
         .map(TraceLine::from)
         .collect();
     let steady = steady_times(&lines);
-    let graph = CauseGraph::new(&lines, &steady);
-    let (order, skews, shifts) = graph.sort();
-    let shifted = |index: &usize| steady[*index].map(|time| time.seconds + shifts[time.clock]);
+    let sorted = CauseGraph::new(&lines, &steady).sort();
+    let shifted = |index: &usize| {
+        let time = steady[*index];
+        time.map(|time| time.seconds + sorted.shifts[time.clock])
+    };
+    let order = &sorted.order;
     RequestTrace {
         times: order.iter().map(shifted).collect(),
         lines: order.iter().map(|index| lines[*index].clone()).collect(),
-        skews,
+        skews: sorted.skews,
     }
 }
 
@@ -129,7 +132,7 @@
 }
 
 /// Returns whether an id is a request's, or that of a call made to serve it.
-fn is_part(found: &str, id: &str) -> bool {
+pub(crate) fn is_part(found: &str, id: &str) -> bool {
     let rest = found.strip_prefix(id);
     rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
 }
--- a/src/trace_order.rs
+++ b/src/trace_order.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
-use crate::trace::{SteadyTime, TraceLine};
+use crate::trace::{SteadyTime, TraceLine, is_part};
 
 /// Seconds below which clocks count as equal: times in lines are rounded to milliseconds.
 const MIN_SKEW: f64 = 0.002;
@@ -28,6 +28,16 @@
     edges: Vec<(usize, usize)>,
 }
 
+/// Result of [`CauseGraph::sort`].
+pub(crate) struct SortedLines {
+    /// Indices of the lines.
+    pub(crate) order: Vec<usize>,
+    /// Clocks that contradict the causes.
+    pub(crate) skews: Vec<ClockSkew>,
+    /// Seconds that must be added to each clock so that none does.
+    pub(crate) shifts: Vec<f64>,
+}
+
 /// Indices of lines.
 type LineIndices = SmallVec<[usize; 8]>;
 
@@ -89,17 +99,13 @@
     /// Adds that a request ends after the calls that were made for it.
     fn add_nested(&mut self, entry: usize) {
         let id = &self.lines[entry].id;
-        let nested = |line: &TraceLine| {
-            let rest = line.id.strip_prefix(id.as_str());
-            rest.is_some_and(|rest| rest.starts_with('.'))
-        };
-        let nested = (0..self.lines.len()).filter(|index| nested(&self.lines[*index]));
+        let is_nested = |line: &TraceLine| line.id != *id && is_part(&line.id, id);
+        let nested = (0..self.lines.len()).filter(|index| is_nested(&self.lines[*index]));
         self.edges.extend(nested.map(|index| (index, entry)));
     }
 
-    /// Returns the lines' indices in an order that fits the causes, the clocks that contradict them, and
-    /// what must be added to each clock so that they agree.
-    pub(crate) fn sort(&self) -> (Vec<usize>, Vec<ClockSkew>, Vec<f64>) {
+    /// Sorts the lines so that none comes before its cause.
+    pub(crate) fn sort(&self) -> SortedLines {
         let shifts = self.clock_shifts();
         let time = |index: usize| {
             let time = self.times[index];
@@ -123,7 +129,11 @@
             open.retain(|index| *index != next);
             order.push(next);
         }
-        (order, self.skews(&shifts), shifts)
+        SortedLines {
+            order,
+            skews: self.skews(&shifts),
+            shifts,
+        }
     }
 
     /// Returns the least shifts of clocks under which no line comes before its cause.
@@ -156,12 +166,9 @@
             Some((index, SteadyTime { seconds, ..end }))
         });
         let starts = starts.flat_map(move |(entry, start)| {
-            let lines = (0..self.lines.len()).filter(move |index| {
-                let rest = self.lines[*index]
-                    .id
-                    .strip_prefix(self.lines[entry].id.as_str());
-                rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
-            });
+            let id = &self.lines[entry].id;
+            let lines = 0..self.lines.len();
+            let lines = lines.filter(move |index| is_part(&self.lines[*index].id, id));
             lines.filter_map(move |index| Some((start, self.times[index]?)))
         });
         causes.chain(starts)
