Let peers refute a low epoch after a late announcement, too

Cause: a node exchanges state with peers for five seconds after its start only. If its target announces itself later, and the store came back from an older copy, the epoch of its record can be below that of its former process, and nobody tells it so: the target stays unused for ten minutes. Found while testing the refutation of epochs.

Change: the period begins anew with the first target of a process.

Result: restored_store::refuted_epoch fails without the change (and with the refutation taken out) and passes with it.

--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -126,7 +126,8 @@
 }
 
 /// Time after the start, and after a return of the store to an older copy, for which peers are asked for a
-/// newer table: the store may not have the newest one, and a node that has just started has no other.
+/// newer table: the store may not have the newest one, and a node that has just started has no other. It
+/// begins anew with the first target, because peers may know its record from a former process.
 const DOUBT_PERIOD: Duration = Duration::from_secs(5);
 
 /// Exchanges state with random peers while the store does not respond, and asks them for a newer table
@@ -134,6 +135,7 @@
 pub async fn run(engine: Arc<Engine>) {
     let mut returns = engine.store_health.watch_returns();
     let mut doubted = Instant::now();
+    let mut has_target = false;
     let mut pause = FIRST_EXCHANGE;
     loop {
         tokio::select! {
@@ -142,6 +144,10 @@
             Ok(()) = returns.changed() => doubted = Instant::now(),
         }
         pause = EXCHANGE_INTERVAL;
+        if !has_target && engine.local().life() > 0 {
+            has_target = true;
+            doubted = Instant::now();
+        }
         let silent = engine
             .store_health
             .age()
--- a/crates/apricotfold-proxy/tests/restored_store.rs
+++ b/crates/apricotfold-proxy/tests/restored_store.rs
@@ -15,6 +15,12 @@
 /// Time in which nodes have written their entries.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Time in which the nodes have heard of a change in the store.
+const WATCH_TIME: Duration = Duration::from_secs(3);
+
+/// Time after a node's start after which it no longer asks peers for a newer table.
+const LATE_START: Duration = Duration::from_secs(6);
+
 /// Returns a table whose first route serves a prefix that names the version.
 fn named(version: u64) -> apricotfold_model::RawRouteTable {
     let mut table = table(version);
@@ -130,3 +136,38 @@
     })
     .await;
 }
+
+/// Guards against a target that is not used for minutes because its node was started again after the
+/// return and numbers its process from a revision that is given out again, also if the target announces
+/// itself late.
+#[tokio::test(flavor = "multi_thread")]
+async fn refuted_epoch() {
+    let store = MemoryStore::default().other_client();
+    store.publish(&named(1));
+    let entry = start("b", &store).await;
+    let copy = store.take_copy();
+    for version in 2..=9 {
+        store.publish(&named(version));
+    }
+    let client = store.other_client();
+    let mut node = TestNode::start_killable("a", &client).await;
+    entry.wait_for(|| serves(&entry, 9)).await;
+    node.announce(2, "draining").await;
+    entry
+        .wait_for(|| async { is_announced(&store, "a", "draining") })
+        .await;
+    tokio::time::sleep(WATCH_TIME).await;
+    node.kill_process().await;
+    store.restore(&copy);
+    node.start_process(&client).await;
+    tokio::time::sleep(LATE_START).await;
+    // The store has lost that the target drains.
+    node.announce(3, "ready").await;
+    wait_within(2 * RETURN_TIMEOUT, "in use", || async {
+        // Single calls may all go to the other target.
+        let calls = (0..12).map(|_| entry.call("GET", "/pages-9/again", "1000"));
+        futures_util::future::join_all(calls).await;
+        !node.target.calls("again").is_empty()
+    })
+    .await;
+}
