Count a silent instance as crashed only when another one takes its place

Cause: an instance whose entry lapsed, and whose node had not answered a call for 2 s, counted as crashed when it was dropped after 2.5 s. Nodes that the store turns away for some seconds, with live targets, so marked all requests that their callers had left unanswered, and the marks went from node to node.

Change: an instance that is dropped counts as ended only when its node speaks of another incarnation. What a machine that is gone for good had not answered is not counted; before, it was.

Result: instance_registry::silent_node failed before and passes.

--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -80,6 +80,15 @@
     }
 }
 
+/// A ready instance that was dropped because neither the store nor its node spoke of it. Its node may
+/// only be cut off, so it counts as ended only when another incarnation takes its place.
+#[derive(Clone, Debug)]
+struct VanishedInstance {
+    incarnation: TargetIncarnation,
+    order: (NodeEpoch, TargetLife),
+    noticed: Instant,
+}
+
 /// Keeps one instance per node and decides for how long it is used.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceRegistry {
@@ -89,7 +98,9 @@
     departures: HashMap<NodeId, StatedDeparture>,
     /// Latest instance of each node whose record said that it leaves or has left.
     left: HashMap<NodeId, LeftInstance>,
-    /// Ready instances that were replaced or dropped without having left.
+    /// Latest instance of each node that was dropped without having left.
+    vanished: HashMap<NodeId, VanishedInstance>,
+    /// Ready instances that were replaced without having left.
     ended: Vec<TargetIncarnation>,
 }
 
@@ -111,6 +122,7 @@
         if record.state != InstanceState::Ready {
             self.record_left(&record, now);
         }
+        self.settle_vanished(&record);
         let Some(known) = self.known.get_mut(&record.node) else {
             if record.state == InstanceState::Gone {
                 return false;
@@ -152,6 +164,18 @@
         true
     }
 
+    /// Decides whether a vanished instance has ended, now that its node's instance is known again.
+    fn settle_vanished(&mut self, record: &InstanceRecord) {
+        let vanished = self.vanished.get(&record.node);
+        if vanished.is_none_or(|vanished| record.life_order() < vanished.order) {
+            return;
+        }
+        let vanished = self.vanished.remove(&record.node);
+        let incarnation = vanished.map(|vanished| vanished.incarnation);
+        let replaced = incarnation.filter(|known| *known != record.incarnation());
+        self.ended.extend(replaced);
+    }
+
     fn record_left(&mut self, record: &InstanceRecord, now: Instant) {
         let known = self.left.get(&record.node);
         let order = record.life_order();
@@ -238,6 +262,9 @@
         self.departures.retain(|_, departure| {
             now.saturating_duration_since(departure.stated) < DEPARTURE_MEMORY
         });
+        self.vanished.retain(|_, vanished| {
+            now.saturating_duration_since(vanished.noticed) < DEPARTURE_MEMORY
+        });
         self.left
             .retain(|_, left| now.saturating_duration_since(left.noticed) < DEPARTURE_MEMORY);
         let expired: ChangedNodes = self
@@ -249,8 +276,13 @@
         for node in &expired {
             let known = self.known.remove(node);
             let ready = known.filter(|known| known.record.state == InstanceState::Ready);
-            self.ended
-                .extend(ready.map(|known| known.record.incarnation()));
+            let vanished = ready.map(|known| VanishedInstance {
+                incarnation: known.record.incarnation(),
+                order: known.record.life_order(),
+                noticed: now,
+            });
+            let entry = vanished.map(|vanished| (node.clone(), vanished));
+            self.vanished.extend(entry);
         }
         expired
     }
--- a/crates/apricotfold-policy/tests/instance_registry.rs
+++ b/crates/apricotfold-policy/tests/instance_registry.rs
@@ -174,6 +174,31 @@
     }
 }
 
+/// Guards against a live target that counts as crashed because its node was silent for a while, and against
+/// one that ended with its node and does not.
+#[test]
+fn silent_node() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(3);
+    let silent = record(1, 1, InstanceState::Ready, 1);
+    for (returned, ended) in [
+        (record(1, 1, InstanceState::Ready, 2), false),
+        (record(1, 2, InstanceState::Ready, 2), false),
+        (record(2, 2, InstanceState::Ready, 1), true),
+    ] {
+        let mut registry = InstanceRegistry::default();
+        registry.apply_entry(silent.clone(), now);
+        registry.lapse_entry(&node(), now);
+        assert_eq!(registry.expire(later).len(), 1);
+        assert!(registry.take_ended().is_empty());
+        let mut returned = returned;
+        returned.born = if ended { 2 } else { 1 };
+        returned.instance = format!("i-{}", returned.born).into();
+        registry.apply_entry(returned, later);
+        assert_eq!(registry.take_ended().len(), usize::from(ended));
+    }
+}
+
 /// Guards against a target that is not used, or is taken for an earlier one, because its clock was set
 /// back before its start, and against a delayed record of the one before.
 #[test]
