--- a/review/support/src/lost_watch.rs
+++ b/review/support/src/lost_watch.rs
@@ -16,7 +16,7 @@
 const CONFIG_APPLY_MS: u64 = 2_500;
 
 /// Time for which the store gives the node no response.
-const SILENT_FOR: Duration = Duration::from_millis(1_400);
+const SILENT_FOR: Duration = Duration::from_millis(1_000);
 
 /// Time for which requests are sent after the last change.
 const ASKED_FOR_MS: u64 = 14_000;
