--- a/review/support/src/answer_stream.rs
+++ b/review/support/src/answer_stream.rs
@@ -144,7 +144,7 @@
                     DEADLINE_MS,
                     record,
                 ) else {
-                    crate::node::cannot_run("no connection to the node");
+                    deployment.give_up("no connection to the node");
                 };
                 open
             }
--- a/review/support/src/drain_pipeline.rs
+++ b/review/support/src/drain_pipeline.rs
@@ -45,7 +45,7 @@
     let mut deployment = Deployment::start(machines, &text, record);
     let outbound = deployment.nodes[0].outbound;
     let Ok(mut client) = Pipeline::open("batch", outbound, DEADLINE_MS, record) else {
-        crate::node::cannot_run("no connection to the node");
+        deployment.give_up("no connection to the node");
     };
     let started = Instant::now();
     let stop_after = Duration::from_secs(2);
--- a/review/support/src/late_beats.rs
+++ b/review/support/src/late_beats.rs
@@ -59,7 +59,7 @@
     ));
     thread::sleep(Duration::from_millis(100));
     if !leaving.leave() {
-        crate::node::cannot_run("the node did not acknowledge the departure");
+        deployment.give_up("the node did not acknowledge the departure");
     }
     let acknowledged = record.now();
     if trouble {
--- a/review/support/src/lost_watch.rs
+++ b/review/support/src/lost_watch.rs
@@ -48,10 +48,16 @@
     // A change that all nodes learn, so that each of them has just begun a watch.
     publish(&deployment, 2);
     thread::sleep(Duration::from_millis(1_000));
-    while deployment.store.since_renewal("norte-1") > Duration::from_millis(50) {
-        thread::sleep(Duration::from_millis(5));
+    if std::env::var_os("UNTIMED").is_some() {
+        // Begins at any time between two renewals, to show how often the silence is met.
+        let wait = u64::from(std::process::id()) * 631 % 1_800;
+        thread::sleep(Duration::from_millis(wait));
+    } else {
+        while deployment.store.since_renewal("norte-1") > Duration::from_millis(50) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(Duration::from_millis(150));
     }
-    thread::sleep(Duration::from_millis(150));
     if trouble {
         deployment.store.silence("norte-1");
     }
--- a/review/support/src/node.rs
+++ b/review/support/src/node.rs
@@ -14,16 +14,17 @@
 /// The `run` of the role in `deploy/system.toml`.
 const PROGRAM: &str = "target/release/apricotfold-proxy";
 
-/// Ports of each machine, on a loopback address of its own.
-const OUTBOUND: u16 = 8141;
-const INBOUND: u16 = 8145;
-const READY: u16 = 8140;
-const CONTROL: u16 = 8146;
-const APP: u16 = 8147;
-const STORE: u16 = 8142;
-const METRICS: u16 = 9464;
+/// Ports of each machine, on a loopback address of its own, counted from the first free one.
+const READY: u16 = 0;
+const OUTBOUND: u16 = 1;
+const STORE: u16 = 2;
+const INBOUND: u16 = 3;
+const CONTROL: u16 = 4;
+const APP: u16 = 5;
+const METRICS: u16 = 6;
+const PORTS: u16 = 7;
 
-/// A signal, by its number on Linux.
+/// A signal, by its name.
 pub const SIGTERM: &str = "TERM";
 pub const SIGKILL: &str = "KILL";
 
@@ -83,14 +84,25 @@
             let node = deployment.start_node(machine, &zones, &mut network);
             deployment.nodes.push(node);
         }
-        deployment.wait_ready();
+        if !deployment.wait_ready() {
+            deployment.give_up("the nodes don't become ready");
+        }
         deployment
     }
 
+    /// Ends all processes, and the run with them because it cannot go on.
+    pub fn give_up(&mut self, cause: &str) -> ! {
+        self.end();
+        cannot_run(cause);
+    }
+
     fn start_node(&self, machine: Machine, zones: &str, network: &mut Network) -> Node {
         let ip = network.next();
-        let address =
-            |port: u16| -> SocketAddr { format!("{ip}:{port}").parse().expect("an address") };
+        let first_port = network.first_port;
+        let address = |port: u16| -> SocketAddr {
+            let port = first_port + port;
+            format!("{ip}:{port}").parse().expect("an address")
+        };
         let app = TcpListener::bind(address(APP)).expect("a free port");
         let store = TcpListener::bind(address(STORE)).expect("a free port");
         let store = self.store.serve(store, machine.name);
@@ -151,7 +163,7 @@
         child
     }
 
-    fn wait_ready(&self) {
+    fn wait_ready(&self) -> bool {
         let end = Instant::now() + Duration::from_secs(20);
         let ready = || {
             let known = self
@@ -162,13 +174,14 @@
         };
         while !ready() {
             if Instant::now() > end {
-                cannot_run("the nodes don't become ready");
+                return false;
             }
             thread::sleep(Duration::from_millis(100));
         }
         // Nodes learn of the others' upstreams within seconds; machines are in touch after 4 s.
         thread::sleep(Duration::from_secs(6));
         self.record.line("platform: all nodes are ready");
+        true
     }
 
     fn lists(&self, node: &Node) -> bool {
@@ -252,9 +265,8 @@
 }
 
 fn send_signal(signal: &str, process: u32) {
-    let _ = Command::new("kill")
-        .arg(format!("-{signal}"))
-        .arg(process.to_string())
+    let _ = Command::new("sh")
+        .args(["-c", &format!("kill -{signal} {process}")])
         .status();
 }
 
@@ -268,6 +280,7 @@
 struct Network {
     prefix: String,
     last: u8,
+    first_port: u16,
 }
 
 impl Network {
@@ -276,14 +289,17 @@
         for turn in 0..200 {
             let (second, third) = (20 + (seed + turn) % 200, 1 + (seed / 200 + turn) % 250);
             let prefix = format!("127.{second}.{third}");
+            let first_port = 20_000 + u16::try_from(turn).unwrap_or(0) * PORTS;
             let is_free = |last: u8| {
-                let ports = [OUTBOUND, INBOUND, READY, CONTROL, APP, STORE, METRICS];
-                ports
-                    .iter()
+                (first_port..first_port + PORTS)
                     .all(|port| TcpListener::bind(format!("{prefix}.{last}:{port}")).is_ok())
             };
             if (1..9).all(is_free) {
-                return Self { prefix, last: 0 };
+                return Self {
+                    prefix,
+                    last: 0,
+                    first_port,
+                };
             }
         }
         cannot_run("no free loopback addresses")
