Open watches anew when other nodes have what they did not deliver

Cause: a lost watch was noticed only by the failure of another call. A silence of the store between two renewals (every 1.8 s) fails none, and the renewals after it keep store_health.age() low, so neither the watch nor peers are asked. The watch of the entries had the same fault.

Evidence: lost_watches loses the answers of the open watches and nothing else.

A node that stays behind, or that nobody in contact with the store answers, opens its watches anew; what was missed is then delivered at once. A watch that works costs no call.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -189,6 +189,9 @@
     /// Another node knows an earlier process of this node under a number that is not below its own.
     #[strum(serialize = "AF5010", message = "epoch raised")]
     EpochRaised,
+    /// The open watches of the store were opened anew, because their answers may be lost.
+    #[strum(serialize = "AF5011", message = "watch reopened")]
+    WatchReopened,
 }
 
 /// Logs an event at the given level; its code and message precede the formatted text.
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -54,6 +54,7 @@
 mod traffic_split;
 mod unanswered_runs;
 mod waiting;
+mod watch_audit;
 mod window_count;
 
 pub use admission::{AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue};
@@ -87,10 +88,13 @@
 pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
 pub use poll_order::{PollOrder, RemoteOrder};
 pub use rate_gate::RateGate;
-pub use relay_choice::{FollowRole, RelayNodes, RemoteRelays, choose_remote_relays, choose_role};
+pub use relay_choice::{
+    FollowRole, RelayNodes, RemoteRelays, choose_followers, choose_remote_relays, choose_role,
+};
 pub use retry_after::{RetryDetector, advise_retry_after};
 pub use retry_tracker::{RetryDecision, RetryTracker, SendOutcome};
 pub use target_load::InstanceReport;
 pub use target_selector::{AttemptEnd, LinkCosts, SelectedTarget, TargetCandidate, TargetSelector};
 pub use traffic_split::TrafficSplit;
 pub use unanswered_runs::{SentNumber, UnansweredRuns};
+pub use watch_audit::{EntryRevision, WatchAudit, WatchDoubt, WatchProgress};
--- a/crates/apricotfold-policy/src/relay_choice.rs
+++ b/crates/apricotfold-policy/src/relay_choice.rs
@@ -62,17 +62,37 @@
     data_centre: &DataCentreName,
     records: impl Iterator<Item = &'a InstanceRecord>,
 ) -> RemoteRelays {
-    let mut by_data_centre: BTreeMap<&DataCentreName, Vec<&InstanceRecord>> = BTreeMap::new();
-    for record in records.filter(|record| record.data_centre != *data_centre) {
-        let known = by_data_centre.entry(&record.data_centre).or_default();
-        known.push(record);
-    }
-    let ranked = by_data_centre.into_values().map(ranked_candidates);
-    ranked
+    let others = records.filter(|record| record.data_centre != *data_centre);
+    by_data_centre(others)
         .flat_map(|candidates| first_nodes(&candidates).collect::<RelayNodes>())
         .collect()
 }
 
+/// Determines the nodes that follow the store themselves, as far as roles alone tell. A node compares
+/// what its watches have delivered with what theirs have.
+pub fn choose_followers<'a>(records: impl Iterator<Item = &'a InstanceRecord>) -> RemoteRelays {
+    by_data_centre(records)
+        .flat_map(|mut candidates| {
+            if candidates.len() > MAX_DIRECT_NODES {
+                candidates.truncate(RELAY_COUNT);
+            }
+            candidates
+        })
+        .map(|record| record.node.clone())
+        .collect()
+}
+
+/// Returns the instances of each data centre that can be relays, the best first.
+fn by_data_centre<'a>(
+    records: impl Iterator<Item = &'a InstanceRecord>,
+) -> impl Iterator<Item = Vec<&'a InstanceRecord>> {
+    let mut groups: BTreeMap<&DataCentreName, Vec<&InstanceRecord>> = BTreeMap::new();
+    for record in records {
+        groups.entry(&record.data_centre).or_default().push(record);
+    }
+    groups.into_values().map(ranked_candidates)
+}
+
 /// Returns the instances that can be relays, the best first.
 fn ranked_candidates<'a>(
     records: impl IntoIterator<Item = &'a InstanceRecord>,
--- a/crates/apricotfold-proxy/src/instance_watcher.rs
+++ b/crates/apricotfold-proxy/src/instance_watcher.rs
@@ -8,12 +8,12 @@
 use apricotfold_store::{
     ConfigStore, RangeResponse, StoreEntry, StoreError, WatchBatch, WatchEvent,
 };
+use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use futures_util::{FutureExt, StreamExt};
 
 use crate::engine::Engine;
 use crate::registration::{NODE_PREFIX, NodeEntry};
-use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher};
+use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher, next_batch};
 use crate::telemetry;
 
 /// Backoff between changes of entries. A leaving instance is refused by its own node and a dead one
@@ -65,9 +65,11 @@
         let mut pace = BatchBackoff::new(INSTANCE_BACKOFF);
         // If many nodes start together, their entries are then delivered in one batch.
         tokio::time::sleep(START_PAUSE).await;
+        let mut doubts = self.engine.store_health.watch_doubts();
         loop {
+            doubts.mark_unchanged();
             let mut watch = self.store.watch(NODE_PREFIX, revision + 1).await?;
-            while let Some(batch) = watch.next().await {
+            while let Some(batch) = next_batch(&mut watch, &mut doubts).await {
                 telemetry::count_store_call("watch", batch.is_ok());
                 let batch = batch?;
                 self.engine.store_health.record_answer("watch");
@@ -86,6 +88,9 @@
             .iter()
             .filter_map(|entry| self.read_entry(entry))
             .collect();
+        let latest = listing.entries.iter().map(|entry| entry.mod_revision).max();
+        let health = &self.engine.store_health;
+        health.record_listing(listing.revision, latest.unwrap_or(0));
         let count = records.len();
         let changed = self
             .engine
@@ -97,6 +102,12 @@
     }
 
     fn apply_batch(&self, batch: &WatchBatch) {
+        let written = batch.events.iter().filter_map(|event| match event {
+            WatchEvent::Put(entry) => Some(entry.mod_revision),
+            WatchEvent::Delete(_) => None,
+        });
+        let health = &self.engine.store_health;
+        health.record_batch(batch.revision, written.max());
         for event in &batch.events {
             match event {
                 WatchEvent::Put(entry) => {
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -9,7 +9,7 @@
 use apricotfold_model::{
     InstanceRecord, NodeEpoch, NodeId, TableVersion, log_event, saturating_millis,
 };
-use apricotfold_policy::STORE_SILENCE;
+use apricotfold_policy::{STORE_SILENCE, WatchProgress, choose_followers};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body::Body;
@@ -67,6 +67,9 @@
     /// Whether the node asks for nothing but a newer table.
     #[serde(default)]
     table_only: bool,
+    /// Whether the node asks for nothing but how far the peer's watches have come.
+    #[serde(default)]
+    progress_only: bool,
     record: Option<InstanceRecord>,
     /// Empty; earlier releases, which share crash counts here, need it.
     #[serde(skip_deserializing)]
@@ -81,6 +84,9 @@
     pub follows_store: bool,
     /// Time in milliseconds since the store last answered the peer; `None` if it never has.
     pub store_age_ms: Option<u64>,
+    /// How far the peer's watches have come; `None` from earlier releases.
+    #[serde(default)]
+    progress: Option<WatchProgress>,
     /// The peer's route table, if it is newer than the node's.
     table: Option<TableTransfer>,
     /// Compressed list of the instances that the store has, as far as the peer knows, if the digests
@@ -130,8 +136,20 @@
 /// begins anew with the first target, because peers may know its record from a former process.
 const DOUBT_PERIOD: Duration = Duration::from_secs(5);
 
+/// What a node asks a peer for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ExchangeScope {
+    /// All that the peer has and the node lacks.
+    Everything,
+    /// A newer table.
+    Table,
+    /// How far the peer's watches have come.
+    Progress,
+}
+
 /// Exchanges state with random peers while the store does not respond, and asks them for a newer table
-/// while the store may have an older one.
+/// while the store may have an older one. A node that follows the store compares its watches with
+/// theirs.
 pub async fn run(engine: Arc<Engine>) {
     let mut returns = engine.store_health.watch_returns();
     let mut doubted = Instant::now();
@@ -153,6 +171,9 @@
             .age()
             .is_none_or(|age| age > STORE_SILENCE);
         let table_only = !silent;
+        if table_only && engine.follows_store() && engine.tables.version() > 0 {
+            compare_watches(&engine);
+        }
         if table_only && doubted.elapsed() > DOUBT_PERIOD {
             continue;
         }
@@ -161,14 +182,55 @@
             pause = FIRST_EXCHANGE;
             continue;
         }
+        let scope = if table_only {
+            ExchangeScope::Table
+        } else {
+            ExchangeScope::Everything
+        };
         for address in choose_peers(&engine) {
-            if let Err(cause) = timed_exchange(&engine, address, table_only, &|_| {}).await {
+            if let Err(cause) = timed_exchange(&engine, address, scope, &|_| {}).await {
                 log_event!(debug, ExchangeFailed, "{address}: {cause}");
             }
         }
     }
 }
 
+/// Has lost watches opened anew, and asks a random node that follows the store how far its watches have
+/// come.
+fn compare_watches(engine: &Arc<Engine>) {
+    engine.store_health.check_watches(engine.tables.version());
+    let address = {
+        let own = engine.node();
+        let registry = engine.registry();
+        let followers = choose_followers(registry.records());
+        let others = followers.iter().filter(|node| **node != own);
+        let chosen = others.choose(engine.selector().random());
+        chosen.and_then(|node| registry.record(node).map(|record| record.address))
+    };
+    let Some(address) = address else {
+        return;
+    };
+    let engine = engine.clone();
+    tokio::spawn(async move {
+        let scope = ExchangeScope::Progress;
+        match timed_exchange(&engine, address, scope, &|_| {}).await {
+            Ok(answer) => {
+                let in_contact = is_in_contact(answer.store_age_ms);
+                if let Some(progress) = answer.progress.filter(|_| in_contact) {
+                    let table = engine.tables.version();
+                    engine.store_health.observe_progress(progress, table);
+                }
+            }
+            Err(cause) => log_event!(debug, ExchangeFailed, "{address}: {cause}"),
+        }
+    });
+}
+
+/// Returns whether a peer whose last answer from the store has this age still reaches it.
+fn is_in_contact(store_age_ms: Option<u64>) -> bool {
+    store_age_ms.is_some_and(|age| Duration::from_millis(age) <= STORE_SILENCE)
+}
+
 fn choose_peers(engine: &Engine) -> Vec<SocketAddr> {
     let own = engine.node();
     let registry = engine.registry();
@@ -191,9 +253,9 @@
     address: SocketAddr,
     progress: ProgressReport<'_>,
 ) -> eyre::Result<ExchangeResponse> {
-    let answer = timed_exchange(engine, address, false, progress).await?;
+    let answer = timed_exchange(engine, address, ExchangeScope::Everything, progress).await?;
     if answer.table.is_some() && engine.tables.transfer_base() == 0 {
-        return timed_exchange(engine, address, false, progress).await;
+        return timed_exchange(engine, address, ExchangeScope::Everything, progress).await;
     }
     Ok(answer)
 }
@@ -201,11 +263,11 @@
 async fn timed_exchange(
     engine: &Arc<Engine>,
     address: SocketAddr,
-    table_only: bool,
+    scope: ExchangeScope,
     progress: ProgressReport<'_>,
 ) -> eyre::Result<ExchangeResponse> {
     let started = Instant::now();
-    let answer = request_exchange(engine, address, table_only, progress).await;
+    let answer = request_exchange(engine, address, scope, progress).await;
     telemetry::record_exchange(answer.is_ok(), started.elapsed());
     answer
 }
@@ -213,15 +275,18 @@
 async fn request_exchange(
     engine: &Arc<Engine>,
     address: SocketAddr,
-    table_only: bool,
+    scope: ExchangeScope,
     progress: ProgressReport<'_>,
 ) -> eyre::Result<ExchangeResponse> {
     let message = ExchangeRequest {
         node: engine.node(),
         table_version: engine.tables.transfer_base(),
         digest: engine.registry().digest(),
-        table_only,
-        record: engine.local_record(),
+        table_only: scope != ExchangeScope::Everything,
+        progress_only: scope == ExchangeScope::Progress,
+        record: engine
+            .local_record()
+            .filter(|_| scope != ExchangeScope::Progress),
         crashes: BTreeMap::new(),
     };
     let (started, sent) = (Instant::now(), engine.clock.now());
@@ -397,7 +462,15 @@
     let answer = ExchangeResponse {
         follows_store: engine.follows_store(),
         store_age_ms: store_age.map(saturating_millis),
-        table: cached.transfer_from(asked.table_version),
+        progress: Some(WatchProgress {
+            table: engine.tables.version(),
+            entry: engine.store_health.delivered_entry(),
+        }),
+        table: if asked.progress_only {
+            None
+        } else {
+            cached.transfer_from(asked.table_version)
+        },
         records,
         refuting_epoch,
         clock: Some(ClockReading {
--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use apricotfold_model::log_event;
-use apricotfold_policy::{STORE_SILENCE, StoreContact};
-use apricotfold_store::{ConfigStore, StoreError};
+use apricotfold_model::{TableVersion, log_event};
+use apricotfold_policy::{EntryRevision, STORE_SILENCE, StoreContact, WatchAudit, WatchProgress};
+use apricotfold_store::{ConfigStore, Revision, StoreError, WatchBatch, WatchStream};
+use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use tokio::sync::watch;
 
@@ -24,6 +25,7 @@
 #[derive(Debug, Default)]
 struct HealthState {
     contact: StoreContact,
+    watches: WatchAudit,
     /// When a renewal was last requested only to learn whether the store answers.
     probed: Option<Instant>,
 }
@@ -36,6 +38,8 @@
     losses: watch::Sender<u64>,
     /// Number of returns of the store to an older copy.
     returns: watch::Sender<u64>,
+    /// Number of times at which the open watches had to be opened anew.
+    doubts: watch::Sender<u64>,
     available: watch::Sender<bool>,
 }
 
@@ -46,6 +50,7 @@
             state: Mutex::default(),
             losses: watch::Sender::new(0),
             returns: watch::Sender::new(0),
+            doubts: watch::Sender::new(0),
             available: watch::Sender::new(false),
         }
     }
@@ -95,6 +100,44 @@
         self.returns.subscribe()
     }
 
+    /// Records a listing of the entries: the revision of the store and that of the latest entry.
+    pub fn record_listing(&self, store: Revision, latest: Revision) {
+        let (store, latest) = (entry_revision(store), entry_revision(latest));
+        self.lock().watches.record_listing(store, latest);
+    }
+
+    /// Records an answer to the watch of the entries; `latest` is the revision of its latest entry.
+    pub fn record_batch(&self, store: Revision, latest: Option<Revision>) {
+        let (store, latest) = (entry_revision(store), latest.map(entry_revision));
+        self.lock().watches.record_batch(store, latest);
+    }
+
+    /// Returns the revision of the latest entry that this node's watch has delivered.
+    pub fn delivered_entry(&self) -> EntryRevision {
+        self.lock().watches.delivered()
+    }
+
+    /// Records what another node that is in contact with the store has; `table` is the version of this
+    /// node's table.
+    pub fn observe_progress(&self, other: WatchProgress, table: TableVersion) {
+        self.lock().watches.observe(other, table, Instant::now());
+    }
+
+    /// Has the watches opened anew if other nodes show, or cannot disprove, that their answers are lost.
+    /// `table` is the version of this node's table.
+    pub fn check_watches(&self, table: TableVersion) {
+        let doubt = self.lock().watches.check(table, Instant::now());
+        if let Some(doubt) = doubt {
+            log_event!(info, WatchReopened, "{doubt}, own table {table}");
+            self.doubts.send_modify(|doubts| *doubts += 1);
+        }
+    }
+
+    /// Subscribes to doubts of the open watches.
+    pub fn watch_doubts(&self) -> watch::Receiver<u64> {
+        self.doubts.subscribe()
+    }
+
     /// Waits until any task has reached the store, for at most `limit`. Renewals of the node's
     /// lease are cheap and show when the store is available again; a node without a lease makes
     /// none.
@@ -131,6 +174,23 @@
     }
 }
 
+fn entry_revision(revision: Revision) -> EntryRevision {
+    EntryRevision::try_from(revision).unwrap_or(0)
+}
+
+/// Waits for the next batch of a watch. Returns `None` if the watch has to be opened anew: it has
+/// ended, or there is a doubt whether its answer will come.
+pub async fn next_batch(
+    watch: &mut WatchStream,
+    doubts: &mut watch::Receiver<u64>,
+) -> Option<Result<WatchBatch, StoreError>> {
+    tokio::select! {
+        batch = watch.next() => batch,
+        // The sender lives as long as the engine.
+        Ok(()) = doubts.changed() => None,
+    }
+}
+
 /// Logs returns of the store to an older copy and passes them on to the tasks that call it.
 pub async fn follow_returns(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) {
     let mut returns = store.watch_returns();
--- a/crates/apricotfold-proxy/src/table_watcher.rs
+++ b/crates/apricotfold-proxy/src/table_watcher.rs
@@ -5,11 +5,11 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_store::{ConfigStore, Revision, StoreError, WatchEvent};
+use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use futures_util::{FutureExt, StreamExt};
 
 use crate::engine::Engine;
-use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher};
+use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher, next_batch};
 use crate::telemetry;
 
 /// Time without a batch after which a watch is reopened, even if nothing shows that it is lost.
@@ -51,10 +51,16 @@
         let mut revision = self.read_table(starting).await?;
         *failures = 0;
         let mut pace = BatchBackoff::new(TABLE_BACKOFF);
+        let mut doubts = self.engine.store_health.watch_doubts();
         loop {
             let key = self.engine.tables.key();
+            doubts.mark_unchanged();
             let mut watch = self.store.watch(key, revision + 1).await?;
-            while let Ok(Some(batch)) = tokio::time::timeout(WATCH_TIMEOUT, watch.next()).await {
+            loop {
+                let next = next_batch(&mut watch, &mut doubts);
+                let Ok(Some(batch)) = tokio::time::timeout(WATCH_TIMEOUT, next).await else {
+                    break;
+                };
                 telemetry::count_store_call("watch", batch.is_ok());
                 let batch = batch?;
                 self.engine.store_health.record_answer("watch");
--- a/crates/apricotfold-proxy/tests/support/store.rs
+++ b/crates/apricotfold-proxy/tests/support/store.rs
@@ -82,6 +82,10 @@
     unreachable: Arc<AtomicBool>,
     /// Reference count of this client's open watches.
     watches: Arc<()>,
+    /// Number of times at which the answers of this client's open watches were lost.
+    lost_watches: Arc<AtomicUsize>,
+    /// Prefixes of the watches that this client has opened.
+    opened_watches: Arc<Mutex<Vec<String>>>,
     link: Arc<Mutex<ClientLink>>,
     stale_reads: Arc<AtomicUsize>,
     epochs: Arc<EpochTracker>,
@@ -130,6 +134,8 @@
             state: self.state.clone(),
             unreachable: Arc::default(),
             watches: Arc::default(),
+            lost_watches: Arc::default(),
+            opened_watches: Arc::default(),
             link: Arc::default(),
             stale_reads: Arc::default(),
             epochs: Arc::default(),
@@ -155,6 +161,18 @@
         self.unreachable.store(unreachable, Ordering::Relaxed);
     }
 
+    /// Loses the answers of this client's open watches without closing them. Other calls, and watches
+    /// that are opened from now on, are answered.
+    pub fn lose_watches(&self) {
+        self.lost_watches.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns how many watches of keys with a prefix this client has opened.
+    pub fn opened_watches(&self, prefix: &str) -> usize {
+        let opened = self.opened_watches.lock().expect("no panic while locked");
+        opened.iter().filter(|known| *known == prefix).count()
+    }
+
     /// Writes a route table as operators do.
     pub fn publish(&self, table: &RawRouteTable) {
         self.write(TABLE_KEY, &serde_json::to_string(table).expect("a table"));
@@ -321,11 +339,19 @@
 
     fn watch<'a>(&'a self, prefix: &'a str, revision: Revision) -> StoreFuture<'a, WatchStream> {
         let prefix = prefix.to_owned();
+        {
+            let mut opened = self.opened_watches.lock().expect("no panic while locked");
+            opened.push(prefix.clone());
+        }
         let start = (self.clone(), revision - 1);
+        let losses = self.lost_watches.load(Ordering::Relaxed);
         let stream = futures_util::stream::unfold(start, move |(store, after)| {
             let prefix = prefix.clone();
             async move {
                 loop {
+                    if store.lost_watches.load(Ordering::Relaxed) != losses {
+                        std::future::pending::<()>().await;
+                    }
                     if let Err(error) = store.check() {
                         return Some((Err(error), (store, after)));
                     }
