Read no further request from a busy connection once the process closes

Cause: the close was announced only with a response behind which nothing waits, and the reading side stopped only on an idle connection. With two requests always waiting, neither happens.

--- a/crates/apricotfold-proxy/src/caller_connection.rs
+++ b/crates/apricotfold-proxy/src/caller_connection.rs
@@ -281,10 +281,12 @@
             if !self.buffer.is_empty() {
                 head_since.get_or_insert_with(Instant::now);
             }
-            let idle = head_since.is_none() && self.queue.is_idle();
-            if idle && *phases.borrow() == ProcessPhase::Closing {
+            // What a caller sends from now on is not read, so it can be sent elsewhere.
+            let closing = *phases.borrow() == ProcessPhase::Closing;
+            if closing && head_since.is_none() {
                 return Err(ReadEnd::Idle);
             }
+            let idle = head_since.is_none() && self.queue.is_idle();
             let idle_since = self.queue.idle_since().unwrap_or(started);
             let (due, end) = match head_since {
                 Some(since) => (since + limits.header_time, ReadEnd::Late),
