Start no request behind the answer that closes its connection

Cause: the writing side set a flag and announced the close, but the reading side, already waiting for the next head, did not look at it, started the request and queued it behind the response after which the writing side returns.

Change: RequestIntake is the only state of the end of a connection. Both sides ask it under one lock: before a request is started, and before a head is written. A request counts from its head on.

--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -46,6 +46,7 @@
 mod poll_order;
 mod rate_gate;
 mod relay_choice;
+mod request_intake;
 mod retry_after;
 mod retry_tracker;
 mod target;
@@ -91,6 +92,7 @@
 pub use relay_choice::{
     FollowRole, RelayNodes, RemoteRelays, choose_followers, choose_remote_relays, choose_role,
 };
+pub use request_intake::{IntakePhase, RequestIntake};
 pub use retry_after::{RetryDetector, advise_retry_after};
 pub use retry_tracker::{RetryDecision, RetryTracker, SendOutcome};
 pub use target_load::InstanceReport;
--- a/crates/apricotfold-proxy/src/caller_connection.rs
+++ b/crates/apricotfold-proxy/src/caller_connection.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{CallerLimits, log_event};
+use apricotfold_policy::{IntakePhase, RequestIntake};
 use bytes::{Bytes, BytesMut};
 use http::{Method, Response, StatusCode};
 use http_body::Body;
@@ -60,8 +61,6 @@
 struct PendingEntry {
     method: Method,
     answer: PendingResponse,
-    /// Whether the connection is closed after this response.
-    last: bool,
     _in_flight: InFlightGuard,
 }
 
@@ -69,12 +68,7 @@
 #[derive(Default)]
 struct QueueState {
     pending: VecDeque<PendingEntry>,
-    /// Requests read from the connection whose responses are not yet written.
-    unanswered: usize,
-    /// When the latest response was written.
-    idle_since: Option<Instant>,
-    /// Whether no further request is read.
-    ending: bool,
+    intake: RequestIntake,
 }
 
 #[derive(Default)]
@@ -89,44 +83,97 @@
         self.state.lock().expect("no panic while locked")
     }
 
-    fn push(&self, entry: PendingEntry) {
+    /// Starts a request whose head was read. Returns `None` if the connection is closing.
+    fn begin(self: &Arc<Self>, lifecycle: &Lifecycle, last: bool) -> Option<StartedRequest> {
+        let phase = intake_phase(lifecycle.phase());
+        let started = self.lock().intake.begin(phase, last);
+        started.then(|| StartedRequest {
+            queue: self.clone(),
+            in_flight: Some(lifecycle.begin_request()),
+        })
+    }
+
+    /// Queues an interim response to the request that is being read.
+    fn push_interim(&self, answer: PendingResponse, lifecycle: &Lifecycle) {
         let mut state = self.lock();
-        state.ending |= entry.last;
-        state.unanswered += 1;
-        state.pending.push_back(entry);
+        state.intake.begin_interim();
+        state.pending.push_back(PendingEntry {
+            method: Method::GET,
+            answer,
+            _in_flight: lifecycle.begin_request(),
+        });
+        self.arrived.notify_one();
+    }
+
+    /// Has no further request started.
+    fn end(&self) {
+        self.lock().intake.end();
         self.arrived.notify_one();
     }
 
     fn finish_one(&self) {
-        let mut state = self.lock();
-        state.unanswered -= 1;
-        state.idle_since = Some(Instant::now());
+        self.lock().intake.finish(Instant::now());
         self.written.notify_one();
     }
 
     /// Returns when the last response was written; `None` before the first one and while a request
     /// is unanswered.
     fn idle_since(&self) -> Option<Instant> {
-        let state = self.lock();
-        state.idle_since.filter(|_| state.unanswered == 0)
+        self.lock().intake.idle_since()
     }
 
     fn is_idle(&self) -> bool {
-        self.lock().unanswered == 0
+        self.lock().intake.is_idle()
     }
 
     fn is_ending(&self) -> bool {
-        self.lock().ending
+        self.lock().intake.is_ending()
     }
 
     /// Waits until at most `most` requests are unanswered.
     async fn wait_below(&self, most: usize) {
-        while self.lock().unanswered > most {
+        while self.lock().intake.unanswered() > most {
             self.written.notified().await;
         }
     }
 }
 
+/// A request that was started and whose response is not queued yet.
+struct StartedRequest {
+    queue: Arc<ResponseQueue>,
+    in_flight: Option<InFlightGuard>,
+}
+
+impl StartedRequest {
+    /// Queues the response.
+    fn push(mut self, method: Method, answer: PendingResponse) {
+        if let Some(in_flight) = self.in_flight.take() {
+            self.queue.lock().pending.push_back(PendingEntry {
+                method,
+                answer,
+                _in_flight: in_flight,
+            });
+            self.queue.arrived.notify_one();
+        }
+    }
+}
+
+impl Drop for StartedRequest {
+    fn drop(&mut self) {
+        if self.in_flight.is_some() {
+            self.queue.lock().intake.abandon();
+        }
+    }
+}
+
+fn intake_phase(phase: ProcessPhase) -> IntakePhase {
+    match phase {
+        ProcessPhase::Serving => IntakePhase::Open,
+        ProcessPhase::Draining => IntakePhase::Draining,
+        ProcessPhase::Closing => IntakePhase::Closing,
+    }
+}
+
 /// Serves a connection until either side closes it.
 pub async fn serve_caller(stream: TcpStream, handler: Arc<CallerHandler>, lifecycle: Lifecycle) {
     set_socket_options(&stream, TCP_USER_TIMEOUT);
@@ -176,7 +223,8 @@
     Refused(RequestFault),
     /// The caller sent the request's head too slowly.
     Late,
-    /// No request arrived within the idle timeout, or the process is closing.
+    /// No further request is taken: none arrived within the idle timeout, or the connection or the
+    /// process is closing.
     Idle,
 }
 
@@ -200,10 +248,7 @@
                 log_event!(info, ConnectionFailed, "request head not received in time");
                 self.answer_fault(StatusCode::REQUEST_TIMEOUT);
             }
-            ReadEnd::Idle => {
-                self.queue.lock().ending = true;
-                self.queue.arrived.notify_one();
-            }
+            ReadEnd::Idle => self.queue.end(),
         }
         self.drain_input().await;
     }
@@ -223,44 +268,54 @@
         let limits = self.handler.limits();
         let head = self.read_head(&limits).await?;
         let arrived = Instant::now();
-        let in_flight = self.lifecycle.begin_request();
         let method = head.parts.method.clone();
+        let Some(request) = self.queue.begin(&self.lifecycle, head.last) else {
+            // The caller sent it before it had read that the connection closes.
+            return Err(ReadEnd::Idle);
+        };
+        let answer = match self.read_answer(head, &limits, arrived).await {
+            Ok(answer) => answer,
+            Err(ReadEnd::Refused(fault)) => {
+                self.queue.end();
+                fault_response(fault.status())
+            }
+            Err(end) => return Err(end),
+        };
+        request.push(method, answer);
+        Ok(())
+    }
+
+    /// Reads the body of a request and starts it, or refuses it.
+    async fn read_answer(
+        &mut self,
+        head: RequestHead,
+        limits: &CallerLimits,
+        arrived: Instant,
+    ) -> Result<PendingResponse, ReadEnd> {
         let has_body = head.body != BodyLength::Known(0);
-        let last = head.last;
-        let (answer, last) = match self.handler.prepare(head.parts, arrived) {
+        match self.handler.prepare(head.parts, arrived) {
             Ok(call) => {
                 let body =
                     BodyReader::new(head.body, limits.body_bytes).map_err(ReadEnd::Refused)?;
                 if head.expects_continue && has_body {
-                    self.send_continue();
+                    self.queue
+                        .push_interim(PendingResponse::Continue, &self.lifecycle);
                 }
-                match self.read_body(body, call.deadline()).await? {
-                    Some(body) => (self.start(call, body), last),
-                    None => (
-                        PendingResponse::Ready(Box::new(self.handler.refuse_late(&call))),
-                        true,
-                    ),
+                if let Some(body) = self.read_body(body, call.deadline()).await? {
+                    return Ok(self.start(call, body));
                 }
+                self.queue.end();
+                let refusal = self.handler.refuse_late(&call);
+                Ok(PendingResponse::Ready(Box::new(refusal)))
             }
-            // The body of a refused request is not read, so no request can follow it.
-            Err(EntryRefusal(response)) => (PendingResponse::Ready(response), last || has_body),
-        };
-        self.queue.push(PendingEntry {
-            method,
-            answer,
-            last,
-            _in_flight: in_flight,
-        });
-        Ok(())
-    }
-
-    fn send_continue(&self) {
-        self.queue.push(PendingEntry {
-            method: Method::GET,
-            answer: PendingResponse::Continue,
-            last: false,
-            _in_flight: self.lifecycle.begin_request(),
-        });
+            Err(EntryRefusal(response)) => {
+                // The body of a refused request is not read, so no request can follow it.
+                if has_body {
+                    self.queue.end();
+                }
+                Ok(PendingResponse::Ready(response))
+            }
+        }
     }
 
     fn start(&self, call: PreparedCall, body: Bytes) -> PendingResponse {
@@ -283,7 +338,7 @@
             }
             // What a caller sends from now on is not read, so it can be sent elsewhere.
             let closing = *phases.borrow() == ProcessPhase::Closing;
-            if closing && head_since.is_none() {
+            if self.queue.is_ending() || (closing && head_since.is_none()) {
                 return Err(ReadEnd::Idle);
             }
             let idle = head_since.is_none() && self.queue.is_idle();
@@ -325,17 +380,19 @@
     }
 
     fn answer_fault(&self, status: StatusCode) {
-        let mut response = Response::new(ResponseBody::empty());
-        *response.status_mut() = status;
-        self.queue.push(PendingEntry {
-            method: Method::GET,
-            answer: PendingResponse::Ready(Box::new(response)),
-            last: true,
-            _in_flight: self.lifecycle.begin_request(),
-        });
+        if let Some(request) = self.queue.begin(&self.lifecycle, true) {
+            request.push(Method::GET, fault_response(status));
+        }
     }
 }
 
+/// Returns the response to a request that cannot be read.
+fn fault_response(status: StatusCode) -> PendingResponse {
+    let mut response = Response::new(ResponseBody::empty());
+    *response.status_mut() = status;
+    PendingResponse::Ready(Box::new(response))
+}
+
 async fn read_more(input: &mut OwnedReadHalf, buffer: &mut BytesMut) -> Result<(), ReadEnd> {
     buffer.reserve(READ_BYTES);
     match input.read_buf(buffer).await {
@@ -370,7 +427,7 @@
                     continue;
                 }
             };
-            let close = entry.last || self.should_close();
+            let close = self.announces_close();
             self.write_response(response, &entry.method, close).await?;
             self.queue.finish_one();
             if close {
@@ -386,7 +443,7 @@
                 if let Some(entry) = state.pending.pop_front() {
                     return Some(entry);
                 }
-                if state.ending {
+                if state.intake.is_ending() && state.intake.is_idle() {
                     return None;
                 }
             }
@@ -394,16 +451,10 @@
         }
     }
 
-    /// Returns whether the connection is closed after the current response. Once the process is
-    /// draining, that is after the last request read from the connection.
-    fn should_close(&self) -> bool {
-        if self.lifecycle.phase() == ProcessPhase::Serving {
-            return false;
-        }
-        let mut state = self.queue.lock();
-        let ends = state.unanswered == 1;
-        state.ending |= ends;
-        ends
+    /// Returns whether the connection is closed after the response that is about to be written.
+    fn announces_close(&self) -> bool {
+        let phase = intake_phase(self.lifecycle.phase());
+        self.queue.lock().intake.announces_close(phase)
     }
 
     async fn write_response(
