Keep the departure of the latest incarnation when a former one's arrives late

A message of an incarnation that had left before, with no target present, replaced the later one's departure in the node's entry, so that a restarted node would have forgotten it. Found by reading the change; local_instance::late_leave fails with the condition taken out.

The comment of RequestIntake::end says what all its callers use it for.

--- a/crates/apricotfold-policy/src/local_instance.rs
+++ b/crates/apricotfold-policy/src/local_instance.rs
@@ -264,9 +264,10 @@
             born,
         };
         let is_former = |former: &FormerIncarnation| former.incarnation == incarnation;
-        // A late message of a former incarnation does not concern the current one.
-        let ends = ends && !self.former.iter().any(is_former);
-        if ends || self.current.is_none() {
+        // A late message of a former incarnation does not concern the current or a later one.
+        let late = self.former.iter().any(is_former);
+        let ends = ends && !late;
+        if self.current.is_none() && !late {
             self.departed = Some(incarnation.clone());
         }
         self.remember(incarnation, true);
--- a/crates/apricotfold-policy/src/request_intake.rs
+++ b/crates/apricotfold-policy/src/request_intake.rs
@@ -48,8 +48,7 @@
         self.unanswered += 1;
     }
 
-    /// Records that the latest request to be started is the last one, because what follows it cannot be
-    /// told apart from its body.
+    /// Has no further request started.
     pub fn end(&mut self) {
         self.ending = true;
     }
--- a/crates/apricotfold-policy/tests/local_instance.rs
+++ b/crates/apricotfold-policy/tests/local_instance.rs
@@ -112,6 +112,20 @@
     assert_eq!((departed.born, announced), (3, InstanceState::Gone));
 }
 
+/// Guards against a late message of a former incarnation that hides the departure of a later one.
+#[test]
+fn late_leave() {
+    let now = Instant::now();
+    let mut local = LocalInstance::default();
+    for born in [1, 2] {
+        local.announce(announcement("i-1", born, 1, InstanceState::Ready), now);
+        local.leave(&"i-1".into(), Some(born));
+    }
+    local.leave(&"i-1".into(), Some(1));
+    let (departed, _) = local.announced().expect("a departure");
+    assert_eq!(departed.born, 2);
+}
+
 /// Guards against a silent target that counts as one that has said that it leaves: a restarted node
 /// would never use it again.
 #[test]
