Take a departure without a start time for that of the known incarnation

The second message has no start time and came when no target was known, so it was taken for another incarnation, born 0; a process started after it would have believed late announcements of the real one.

Change: without a start time, the known incarnation or the latest former one with the id is meant; if the process knows neither, the one in its former entry.

--- a/crates/apricotfold-policy/src/local_instance.rs
+++ b/crates/apricotfold-policy/src/local_instance.rs
@@ -16,6 +16,9 @@
 /// a target starts a few times at most.
 const MAX_FORMER: usize = 8;
 
+/// Start time of a target that left without stating it, at a process that does not know the target.
+const UNKNOWN_BORN: StartTimeMillis = 0;
+
 /// Effect of an announcement on the known state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnnouncementEffect {
@@ -251,13 +254,17 @@
     }
 
     /// Records that a target has left. If the message did not contain `born`, the known incarnation
-    /// is assumed. Returns whether this removed the current target.
+    /// is assumed, or the latest former one with its id. Returns whether this removed the current target.
     pub fn leave(&mut self, instance: &InstanceId, born: Option<StartTimeMillis>) -> bool {
         let known = self
             .current
             .as_ref()
             .filter(|known| known.instance == *instance);
-        let born = born.or_else(|| known.map(|known| known.born)).unwrap_or(0);
+        let mut former = self.former.iter().rev();
+        let former = former.find(|former| former.incarnation.instance == *instance);
+        let former = former.map(|former| former.incarnation.born);
+        let born = born.or_else(|| known.map(|known| known.born)).or(former);
+        let born = born.unwrap_or(UNKNOWN_BORN);
         let ends = known.is_some_and(|known| known.born <= born);
         let incarnation = TargetIncarnation {
             instance: instance.clone(),
@@ -286,6 +293,17 @@
         born: StartTimeMillis,
         state: InstanceState,
     ) {
+        let unknown = TargetIncarnation {
+            instance: instance.clone(),
+            born: UNKNOWN_BORN,
+        };
+        if self.departed.as_ref() == Some(&unknown) {
+            // The message that it leaves came before this process knew which incarnation there was.
+            let incarnation = TargetIncarnation { born, ..unknown };
+            self.remember(incarnation.clone(), true);
+            self.departed = Some(incarnation);
+            return;
+        }
         match state {
             InstanceState::Ready => {}
             InstanceState::Draining => {
--- a/crates/apricotfold-policy/tests/local_instance.rs
+++ b/crates/apricotfold-policy/tests/local_instance.rs
@@ -126,6 +126,27 @@
     assert_eq!(departed.born, 2);
 }
 
+/// Guards against a repeated message without a start time that replaces the departure by one that
+/// concerns no incarnation, and against such a message before the process knows the incarnation.
+#[test]
+fn leave_without_start_time() {
+    let now = Instant::now();
+    let mut local = LocalInstance::default();
+    local.announce(announcement("i-1", 7, 1, InstanceState::Ready), now);
+    let mut restarted = LocalInstance::default();
+    restarted.leave(&"i-1".into(), None);
+    restarted.restore_state(&"i-1".into(), 7, InstanceState::Ready);
+    for _ in 0..2 {
+        local.leave(&"i-1".into(), None);
+    }
+    for mut local in [local, restarted] {
+        let (departed, _) = local.announced().expect("a departure");
+        assert_eq!(departed.born, 7);
+        let late = local.announce(announcement("i-1", 7, 9, InstanceState::Ready), now);
+        assert_eq!(late, AnnouncementEffect::Outdated);
+    }
+}
+
 /// Guards against a silent target that counts as one that has said that it leaves: a restarted node
 /// would never use it again.
 #[test]
--- a/crates/apricotfold-proxy/tests/kept_departures.rs
+++ b/crates/apricotfold-proxy/tests/kept_departures.rs
@@ -127,6 +127,22 @@
     departing.assert_unused().await;
 }
 
+/// Guards against the same if the message that the target leaves does not state its start time, and
+/// against writing the entry again for each repetition.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_without_start_time() {
+    let mut departing = DepartingNode::start().await;
+    departing.node.kill_process().await;
+    departing.node.start_process(&departing.client).await;
+    departing.node.leave().await;
+    let entry = departing.client.read("apricotfold/nodes/a");
+    departing.node.leave().await;
+    tokio::time::sleep(CALL_TIME * 10).await;
+    assert_eq!(departing.client.read("apricotfold/nodes/a"), entry);
+    departing.restart().await;
+    departing.assert_unused().await;
+}
+
 /// Guards against a departure that is lost because the store was away when it was acknowledged: peers
 /// must keep it.
 #[tokio::test(flavor = "multi_thread")]
