--- a/crates/apricotfold-model/src/lib.rs
+++ b/crates/apricotfold-model/src/lib.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod snapshot;
 mod table_delta;
+mod tenant;
 mod wall_clock;
 
 pub use bundle::{BundleError, MAX_BUNDLE_BYTES, ProfileBundle};
@@ -56,7 +57,8 @@
     TargetStandinConfig, TargetState,
 };
 pub use snapshot::{ActiveRoute, InactiveRoute, MeshSnapshot, MissingDependency, SnapshotInput};
-pub use table_delta::{RouteKey, TableDelta};
+pub use table_delta::{RouteKey, TableDelta, TenantChanges};
+pub use tenant::{ApiKeyDigest, RawTenant, Tenant, TenantDirectory, TenantName, TenantQuota};
 pub use wall_clock::{SystemClock, WallClock};
 
 /// Re-exported for the expansion of [`log_event!`].
--- a/crates/apricotfold-model/src/outcome.rs
+++ b/crates/apricotfold-model/src/outcome.rs
@@ -86,6 +86,15 @@
     BodyTooLarge,
     /// The request's body did not arrive in time.
     BodyLate,
+    /// The request has no API key, or one that no tenant holds.
+    UnknownKey,
+    /// The node cannot tell whether the request's API key is valid, because its route table may be out
+    /// of date.
+    KeyUnverified,
+    /// The tenant's requests exceed its quota.
+    OverQuota,
+    /// The node cannot tell whether the tenant's quota is used up.
+    QuotaUnverified,
 }
 
 /// Names of the headers that callers, nodes and targets exchange.
--- a/crates/apricotfold-model/src/route_table.rs
+++ b/crates/apricotfold-model/src/route_table.rs
@@ -11,7 +11,10 @@
 use smallvec::SmallVec;
 use strum::{Display, EnumString};
 
-use crate::{CallPriority, FieldError, FieldErrors, ServiceName, WorkClass, saturating_millis};
+use crate::{
+    CallPriority, FieldError, FieldErrors, RawTenant, ServiceName, TenantDirectory, WorkClass,
+    saturating_millis,
+};
 
 /// Version of a route table; increases with each change.
 pub type TableVersion = u64;
@@ -86,6 +89,9 @@
     pub priority: CallPriority,
     /// Maximum number of targets to which a request is sent; 0 counts as 1.
     pub max_attempts: u32,
+    /// Whether the route needs no API key in a table with tenants.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// Limits on what a caller may send, before validation.
@@ -103,7 +109,7 @@
 }
 
 /// A route table as configured, before validation.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct RawRouteTable {
     /// Version of the table, which must be greater than 0.
@@ -114,6 +120,9 @@
     pub routes: Vec<RawTableRoute>,
     /// Limits on what callers may send.
     pub limits: RawCallerLimits,
+    /// Tenants; `None` if callers need no API keys.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<Vec<RawTenant>>,
 }
 
 /// Validated limits on what a caller may send.
@@ -161,17 +170,21 @@
     pub priority: CallPriority,
     /// Maximum number of targets to which a request is sent; at least 1.
     pub max_attempts: u32,
+    /// Whether the route needs no API key in a table with tenants.
+    pub public: bool,
 }
 
 type PrefixMap = HashMap<CompactString, Arc<TableRoute>>;
 
 /// A validated route table.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
     /// Version of the table; 0 until a table is loaded.
     pub version: TableVersion,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// Tenants; `None` if callers need no API keys.
+    pub tenants: Option<TenantDirectory>,
     pub(crate) hosts: BTreeMap<HostName, PrefixMap>,
     pub(crate) services: HashMap<ServiceName, TableService>,
 }
@@ -238,9 +251,17 @@
                 errors.push(FieldError::new(field, &former.name, expected));
             }
         }
+        let tenants = match raw.tenants.map(TenantDirectory::try_from).transpose() {
+            Ok(tenants) => tenants,
+            Err(invalid) => {
+                errors.0.extend(invalid.0);
+                None
+            }
+        };
         errors.finish(Self {
             version: raw.version,
             limits: CallerLimits::from(raw.limits),
+            tenants,
             hosts,
             services,
         })
@@ -280,6 +301,7 @@
             target_latency: Duration::from_millis(raw.target_latency_ms),
             priority: raw.priority,
             max_attempts: raw.max_attempts.max(1),
+            public: raw.public,
         }
     }
 }
--- a/crates/apricotfold-model/src/table_delta.rs
+++ b/crates/apricotfold-model/src/table_delta.rs
@@ -8,14 +8,15 @@
 
 use crate::{
     CallerLimits, FieldError, FieldErrors, HostName, RawCallerLimits, RawRouteTable, RawTableRoute,
-    RouteTable, ServiceName, TableRoute, TableService, TableVersion, saturating_millis,
+    RawTenant, RouteTable, ServiceName, TableRoute, TableService, TableVersion, TenantDirectory,
+    TenantName, saturating_millis,
 };
 
 /// Host and prefix of a route, which identify it within a table.
 pub type RouteKey = (HostName, CompactString);
 
 /// Changes that turn one version of a route table into a later one.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct TableDelta {
     /// Version that the changes were made from.
@@ -32,11 +33,39 @@
     pub removed_routes: Vec<RouteKey>,
     /// Limits of the later version.
     pub limits: RawCallerLimits,
+    /// Changes of the tenants; `None` if the later version has no tenants.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<TenantChanges>,
     /// [`RouteTable::digest`] of the later version, which shows whether the result is the same
     /// table.
     pub digest: u64,
 }
 
+/// Changes of the tenants between two versions of a route table.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct TenantChanges {
+    /// Tenants that are new or differ.
+    pub changed: Vec<RawTenant>,
+    /// Tenants that the later version does not have.
+    pub removed: Vec<TenantName>,
+}
+
+impl TenantChanges {
+    fn between(former: Option<&TenantDirectory>, later: &TenantDirectory) -> Self {
+        let known = |name: &str| former.and_then(|former| former.get(name));
+        let changed = later
+            .iter()
+            .filter(|tenant| known(&tenant.name) != Some(*tenant));
+        let names = former.into_iter().flat_map(TenantDirectory::iter);
+        let removed = names.filter(|tenant| later.get(&tenant.name).is_none());
+        Self {
+            changed: changed.map(|tenant| RawTenant::from(&**tenant)).collect(),
+            removed: removed.map(|tenant| tenant.name.clone()).collect(),
+        }
+    }
+}
+
 impl RouteTable {
     /// Returns the changes that turn `base` into this table.
     #[must_use]
@@ -63,6 +92,10 @@
             routes,
             removed_routes,
             limits: RawCallerLimits::from(self.limits),
+            tenants: self
+                .tenants
+                .as_ref()
+                .map(|later| TenantChanges::between(base.tenants.as_ref(), later)),
             digest: self.digest(),
         }
     }
@@ -93,6 +126,13 @@
         let mut next = self.clone();
         next.version = delta.version;
         next.limits = CallerLimits::from(delta.limits);
+        next.tenants = delta.tenants.as_ref().map(|changes| {
+            let former = next.tenants.take().unwrap_or_default();
+            if changes.changed.is_empty() && changes.removed.is_empty() {
+                return former;
+            }
+            former.with_changes(&changes.changed, &changes.removed)
+        });
         for name in &delta.removed_services {
             next.services.remove(name);
         }
@@ -125,7 +165,11 @@
             .services
             .values()
             .fold(0, |sum: u64, service| sum.wrapping_add(hash_of(service)));
-        hash_of(&(self.version, self.limits, routes, services))
+        let tenants = self.tenants.as_ref().map(|tenants| {
+            let digests = tenants.iter().map(|tenant| hash_of(tenant));
+            digests.fold(0, u64::wrapping_add)
+        });
+        hash_of(&(self.version, self.limits, routes, services, tenants))
     }
 
     fn keyed_routes(&self) -> impl Iterator<Item = (&HostName, &CompactString, &Arc<TableRoute>)> {
@@ -160,6 +204,10 @@
                 .map(|(host, prefix, route)| raw_route(host, prefix, route))
                 .collect(),
             limits: RawCallerLimits::from(table.limits),
+            tenants: table.tenants.as_ref().map(|tenants| {
+                let raw = tenants.iter().map(|tenant| RawTenant::from(&**tenant));
+                raw.collect()
+            }),
         }
     }
 }
@@ -176,6 +224,7 @@
         target_latency_ms: saturating_millis(route.target_latency),
         priority: route.priority,
         max_attempts: route.max_attempts,
+        public: route.public,
     }
 }
 
--- a/crates/apricotfold-model/tests/route_table.rs
+++ b/crates/apricotfold-model/tests/route_table.rs
@@ -20,6 +20,7 @@
         target_latency_ms: 400,
         priority: CallPriority::Normal,
         max_attempts: 2,
+        public: false,
     }
 }
 
@@ -31,6 +32,7 @@
             health_path: "/health".into(),
         }],
         routes,
+        tenants: None,
         limits: RawCallerLimits {
             header_bytes: 16_384,
             body_bytes: 1_048_576,
--- a/crates/apricotfold-model/tests/table_delta.rs
+++ b/crates/apricotfold-model/tests/table_delta.rs
@@ -29,6 +29,7 @@
             .into_iter()
             .map(|(number, service)| route(number, service))
             .collect(),
+        tenants: None,
         limits: RawCallerLimits {
             header_bytes: 16_384,
             body_bytes: 1_048_576,
@@ -54,6 +55,7 @@
         target_latency_ms: 400,
         priority: CallPriority::Normal,
         max_attempts: 2,
+        public: false,
     }
 }
 
--- a/crates/apricotfold-node/src/refusal.rs
+++ b/crates/apricotfold-node/src/refusal.rs
@@ -46,6 +46,8 @@
             RefusalReason::TooDeep => StatusCode::LOOP_DETECTED,
             RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalReason::BodyLate => StatusCode::REQUEST_TIMEOUT,
+            RefusalReason::UnknownKey => StatusCode::UNAUTHORIZED,
+            RefusalReason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             _ if self.outcome == CallOutcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_GATEWAY,
--- a/crates/apricotfold-proxy/src/adapters.rs
+++ b/crates/apricotfold-proxy/src/adapters.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use apricotfold_model::{
-    CallOutcome, FieldErrors, InstanceAnnouncement, InstanceId, RateLimit, RefusalReason,
-    RouteTable, ServiceName, StartTimeMillis,
+    ApiKeyDigest, CallOutcome, FieldErrors, InstanceAnnouncement, InstanceId, RateLimit,
+    RefusalReason, RouteTable, ServiceName, StartTimeMillis,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -22,6 +22,8 @@
     pub request_id: Option<RequestId>,
     /// Time for which the caller still waits.
     pub time_left: Option<Duration>,
+    /// Digest of the caller's API key; `None` if it sent none, or not exactly one.
+    pub api_key: Option<ApiKeyDigest>,
 }
 
 /// Values that a request's headers pass to the target.
@@ -33,6 +35,8 @@
     pub instance: &'a InstanceId,
     /// Service of the instance that sent the request.
     pub caller_service: &'a ServiceName,
+    /// Tenant whose key the caller sent.
+    pub tenant: Option<&'a str>,
 }
 
 /// Values from the headers of a target's response.
@@ -82,6 +86,9 @@
     /// Returns the id of the parent request that made the call with this id, if ids contain it.
     fn parent_id<'a>(&self, id: &'a str) -> Option<&'a str>;
 
+    /// Removes the API key and the tenant that a caller sent, which go no further than this node.
+    fn strip_credentials(&self, headers: &mut HeaderMap);
+
     /// Sets the headers meant for the target, replacing any that the caller sent under the same
     /// names.
     fn prepare_call(&self, headers: &mut HeaderMap, head: &TargetHead<'_>);
--- a/crates/apricotfold-proxy/src/caller_server.rs
+++ b/crates/apricotfold-proxy/src/caller_server.rs
@@ -16,6 +16,7 @@
 use crate::caller_connection::serve_caller;
 use crate::connection::{CallerDisconnected, accept};
 use crate::engine::Engine;
+use crate::entry_access::TenantAccess;
 use crate::entry_call::EntryCall;
 use crate::entry_route::{RoutedCall, clean_headers};
 use crate::target_call::CallRequest;
@@ -35,6 +36,7 @@
     path: PathAndQuery,
     parts: Parts,
     head: CallHead,
+    access: Option<TenantAccess>,
 }
 
 impl PreparedCall {
@@ -89,14 +91,22 @@
         let routed = RoutedCall::find(&cached.table, &parts, &head, arrived);
         let path = parts.uri.path_and_query().cloned();
         let path = path.ok_or(RefusalReason::BadRequest);
-        match routed.and_then(|routed| Ok((routed, path?))) {
-            Ok((routed, path)) => {
+        let allowed = routed.and_then(|routed| {
+            let access = TenantAccess::find(&self.engine, &cached.table, &routed.route, &head)?;
+            Ok((routed, path?, access))
+        });
+        match allowed {
+            Ok((routed, path, access)) => {
                 clean_headers(&mut parts.headers);
+                if cached.table.tenants.is_some() {
+                    self.engine.protocol.strip_credentials(&mut parts.headers);
+                }
                 Ok(PreparedCall {
                     routed,
                     path,
                     parts,
                     head,
+                    access,
                 })
             }
             Err(reason) => {
@@ -128,7 +138,7 @@
             body,
             id: call.head.request_id,
         };
-        let answer = EntryCall::new(&self.engine, call.routed, request)
+        let answer = EntryCall::new(&self.engine, call.routed, request, call.access)
             .run()
             .await;
         disconnect.id = None;
@@ -163,7 +173,10 @@
             WorkClass::Short,
             arrived.elapsed(),
         );
-        let not_ready = reason == RefusalReason::NotReady;
+        let not_ready = matches!(
+            reason,
+            RefusalReason::NotReady | RefusalReason::KeyUnverified
+        );
         let left = head.time_left.unwrap_or(STARTUP_RETRY_DELAY * 4);
         let refusal = CallRefusal {
             outcome: CallOutcome::NotRun,
--- a/crates/apricotfold-proxy/src/entry_attempt.rs
+++ b/crates/apricotfold-proxy/src/entry_attempt.rs
@@ -181,6 +181,10 @@
             remote: chosen.record.node != self.engine.node(),
             rate_limit: self.engine.rate_limit(&chosen.record.instance),
             again: self.retries.arrivals() > 0 || hedge,
+            tenant: self
+                .access
+                .as_ref()
+                .map(|access| access.tenant.name.clone()),
         }
     }
 
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -19,6 +19,7 @@
 use crate::caller_server::write_refusal;
 use crate::connection::CallerDisconnected;
 use crate::engine::Engine;
+use crate::entry_access::TenantAccess;
 use crate::entry_route::RoutedCall;
 use crate::target_call::{CallRequest, TargetRefusal, TargetResponse};
 use crate::telemetry;
@@ -47,6 +48,8 @@
     pub(crate) retries: RetryTracker,
     pub(crate) tried: SmallVec<[NodeId; 4]>,
     pub(crate) standing: CallStanding,
+    /// Tenant of the request; `None` in tables without tenants, on public routes and for nested calls.
+    pub(crate) access: Option<TenantAccess>,
     parent: Option<ParentRun>,
 }
 
@@ -68,7 +71,12 @@
 impl<'a> EntryCall<'a> {
     /// Creates a call and classifies it as new, retried by the caller, or nested in a request of
     /// the local target.
-    pub fn new(engine: &'a Arc<Engine>, routed: RoutedCall, request: CallRequest) -> Self {
+    pub fn new(
+        engine: &'a Arc<Engine>,
+        routed: RoutedCall,
+        request: CallRequest,
+        access: Option<TenantAccess>,
+    ) -> Self {
         let route = &routed.route;
         let retries = RetryTracker::new(route.repeat, route.max_attempts);
         let parent = find_parent(engine, request.id.as_deref());
@@ -87,6 +95,7 @@
             retries,
             tried: SmallVec::new(),
             standing,
+            access,
             parent,
         }
     }
@@ -112,6 +121,10 @@
                 let outcome = self.retries.outcome();
                 return Ok(self.refuse(outcome, RefusalReason::PoisonRequest, None));
             }
+            if self.is_key_withdrawn() {
+                let outcome = self.retries.outcome();
+                return Ok(self.refuse(outcome, RefusalReason::UnknownKey, None));
+            }
             let chosen = match self.choose_target(&service) {
                 Ok(chosen) => chosen,
                 Err((reason, expected_wait)) => {
@@ -142,6 +155,15 @@
         }
     }
 
+    /// Returns whether a newer table has withdrawn the key of the request.
+    fn is_key_withdrawn(&self) -> bool {
+        let Some(access) = &self.access else {
+            return false;
+        };
+        let tables = &self.engine.tables;
+        tables.version() != self.routed.version && !access.is_valid(&tables.current().table)
+    }
+
     /// Returns for how long the request is refused at all nodes because it has crashed targets.
     fn block_left(&self) -> Option<Duration> {
         self.engine.crashes.block_left(|| self.fingerprint())
@@ -244,7 +266,11 @@
     /// Returns the priority and standing of the request. A nested call has at least the priority of
     /// its parent.
     pub(crate) fn rank(&self) -> (CallPriority, CallStanding) {
-        let own = self.routed.route.priority;
+        let tenant = self
+            .access
+            .as_ref()
+            .and_then(|access| access.tenant.priority);
+        let own = tenant.unwrap_or(self.routed.route.priority);
         let parent = self.parent.as_ref().map(|run| run.summary.priority);
         (
             parent.map_or(own, |priority| priority.max(own)),
@@ -387,6 +413,7 @@
         }
         let retry_after = match (outcome, reason) {
             (CallOutcome::NotRun, RefusalReason::PoisonRequest) => self.block_left(),
+            (CallOutcome::NotRun, RefusalReason::UnknownKey) => None,
             (CallOutcome::NotRun, _) => {
                 let expected_wait = expected_wait.unwrap_or(DEFAULT_RETRY_DELAY);
                 advise_retry_after(expected_wait, left, self.engine.selector().random())
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -18,6 +18,7 @@
 mod crash_tracker;
 mod departure_keeper;
 mod engine;
+mod entry_access;
 mod entry_attempt;
 mod entry_call;
 mod entry_route;
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -32,6 +32,9 @@
 /// target's proxy may have restarted since.
 pub const RATE_LIMIT_HEADER: HeaderName = HeaderName::from_static("apricotfold-rate-limit");
 
+/// Header with the name of the tenant whose key the caller sent.
+pub const TENANT_HEADER: HeaderName = HeaderName::from_static("apricotfold-tenant");
+
 /// Longest idle time of a reused connection to a proxy. Proxies keep theirs open longer.
 const MAX_PEER_IDLE: Duration = Duration::from_secs(10);
 
@@ -84,6 +87,7 @@
             answer_bytes: self.9,
             remote: true,
             rate_limit: None,
+            tenant: None,
         }
     }
 }
@@ -170,6 +174,9 @@
     if let Some(value) = context.rate_limit.as_ref().and_then(write_header) {
         headers.insert(RATE_LIMIT_HEADER, value);
     }
+    if let Some(value) = context.tenant.as_ref().and_then(write_header) {
+        headers.insert(TENANT_HEADER, value);
+    }
     let sent = engine
         .peer_connections
         .send(
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallOutcome, RateLimit, RefusalReason, log_event};
+use apricotfold_model::{CallOutcome, RateLimit, RefusalReason, TenantName, log_event};
 use apricotfold_policy::NestedCapacity;
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -18,8 +18,8 @@
 use crate::engine::Engine;
 use crate::lifecycle::ProcessPhase;
 use crate::peer_call::{
-    CALL_HEADER, RATE_LIMIT_HEADER, RECORD_HEADER, REFUSAL_HEADER, REPORT_HEADER, WireCallContext,
-    WireRefusal, WireReport, read_header, write_header,
+    CALL_HEADER, RATE_LIMIT_HEADER, RECORD_HEADER, REFUSAL_HEADER, REPORT_HEADER, TENANT_HEADER,
+    WireCallContext, WireRefusal, WireReport, read_header, write_header,
 };
 use crate::peer_exchange::{EXCHANGE_HEADER, respond_to_exchange};
 use crate::target_call::{self, CallContext, CallRequest, TargetRefusal};
@@ -47,6 +47,8 @@
         parts.headers.remove(CALL_HEADER);
         let rate_limit: Option<RateLimit> = read_header(&parts.headers, &RATE_LIMIT_HEADER);
         parts.headers.remove(RATE_LIMIT_HEADER);
+        let tenant: Option<TenantName> = read_header(&parts.headers, &TENANT_HEADER);
+        parts.headers.remove(TENANT_HEADER);
         let body = incoming.collect().await.map_err(|error| {
             log::debug!("reading the request of a peer failed: {error}");
             CallerDisconnected
@@ -69,6 +71,7 @@
         }
         let context = CallContext {
             rate_limit,
+            tenant,
             ..context.into_context(arrived)
         };
         let call = CallRequest {
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -5,7 +5,7 @@
 
 use apricotfold_model::{
     CallOutcome, CallPriority, InstanceId, InstanceState, RateLimit, RefusalReason, RetrySafety,
-    ServiceName, StartTimeMillis, TargetIncarnation, WorkClass, log_event,
+    ServiceName, StartTimeMillis, TargetIncarnation, TenantName, WorkClass, log_event,
 };
 use apricotfold_policy::{
     AdmissionRequest, BULK_MIN_BYTES, CallStanding, InstanceReport, NestedCapacity,
@@ -108,6 +108,8 @@
     pub remote: bool,
     /// Rate limit of the instance, as far as the entry proxy has heard of one.
     pub rate_limit: Option<RateLimit>,
+    /// Tenant whose key the caller sent.
+    pub tenant: Option<TenantName>,
 }
 
 /// A target's response.
@@ -313,6 +315,7 @@
                 .saturating_duration_since(Instant::now()),
             instance: &self.context.instance,
             caller_service: &self.context.caller_service,
+            tenant: self.context.tenant.as_deref(),
         };
         let mut headers = self.request.headers.clone();
         engine.protocol.prepare_call(&mut headers, &head);
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -464,6 +464,7 @@
         target_latency_ms: 400,
         priority,
         max_attempts: 2,
+        public: false,
     };
     RawRouteTable {
         version,
@@ -491,6 +492,7 @@
                 CallPriority::Sheddable,
             ),
         ],
+        tenants: None,
         limits: RawCallerLimits {
             header_bytes: 8_192,
             body_bytes: 1_024,
--- a/crates/apricotfold-proxy/tests/support/protocol.rs
+++ b/crates/apricotfold-proxy/tests/support/protocol.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use apricotfold_model::{
-    CallOutcome, FieldErrors, InstanceAnnouncement, InstanceState, RateLimit, RawRouteTable,
-    RouteTable, parse_json,
+    ApiKeyDigest, CallOutcome, FieldErrors, InstanceAnnouncement, InstanceState, RateLimit,
+    RawRouteTable, RefusalReason, RouteTable, parse_json,
 };
 use apricotfold_proxy::adapters::{
     AnnounceMessage, AnnounceProtocol, CallHead, CallProtocol, CallRefusal, RefusalHead,
@@ -30,6 +30,7 @@
             time_left: read(headers, "timeout-ms")
                 .and_then(|text| text.parse().ok())
                 .map(Duration::from_millis),
+            api_key: read(headers, "api-key").map(|key| ApiKeyDigest::of(key.as_bytes())),
         }
     }
 
@@ -37,12 +38,20 @@
         id.rsplit_once('/').map(|(parent, _)| parent)
     }
 
+    fn strip_credentials(&self, headers: &mut HeaderMap) {
+        headers.remove("api-key");
+        headers.remove("tenant");
+    }
+
     fn prepare_call(&self, headers: &mut HeaderMap, head: &TargetHead<'_>) {
         let left = u64::try_from(head.time_left.as_millis()).expect("small");
         headers.insert("timeout-ms", HeaderValue::from(left));
         let value = |text: &str| HeaderValue::from_str(text).expect("plain text");
         headers.insert("meant-instance", value(head.instance));
         headers.insert("caller-service", value(head.caller_service));
+        if let Some(tenant) = head.tenant {
+            headers.insert("tenant", value(tenant));
+        }
     }
 
     fn read_answer(&self, _: StatusCode, headers: &HeaderMap) -> ResponseHead {
@@ -59,7 +68,10 @@
     }
 
     fn promises_not_run(&self, status: StatusCode) -> bool {
-        status == StatusCode::SERVICE_UNAVAILABLE
+        matches!(
+            status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        )
     }
 
     fn write_refusal(&self, refusal: &CallRefusal) -> RefusalHead {
@@ -71,6 +83,12 @@
             headers.insert("retry-after-ms", value(&pause.as_millis().to_string()));
         }
         let status = match refusal.outcome {
+            CallOutcome::NotRun if refusal.reason == RefusalReason::UnknownKey => {
+                StatusCode::UNAUTHORIZED
+            }
+            CallOutcome::NotRun if refusal.reason == RefusalReason::OverQuota => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
             CallOutcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_GATEWAY,
         };
