--- a/crates/apricotfold-model/src/table_delta.rs
+++ b/crates/apricotfold-model/src/table_delta.rs
@@ -166,7 +166,7 @@
             .values()
             .fold(0, |sum: u64, service| sum.wrapping_add(hash_of(service)));
         let tenants = self.tenants.as_ref().map(|tenants| {
-            let digests = tenants.iter().map(|tenant| hash_of(tenant));
+            let digests = tenants.iter().map(hash_of);
             digests.fold(0, u64::wrapping_add)
         });
         hash_of(&(self.version, self.limits, routes, services, tenants))
