Schedule bulk request bodies on the link of the target's machine

Answers state the wait, which entry nodes use. Ruled out: pacing at the senders, reading slowly (docs/design/bulk-uploads.md).

--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -34,6 +34,7 @@
 mod decay;
 mod direct_fallback;
 mod hedge;
+mod inbound_waits;
 mod instance_registry;
 mod ledger;
 mod link_pacer;
@@ -78,6 +79,7 @@
 pub use deadline_queue::{DeadlineQueue, ExpectedWaits, priority_index};
 pub use direct_fallback::{DirectFallback, STORE_SILENCE, StoreContact};
 pub use hedge::HedgeTimer;
+pub use inbound_waits::InboundWaits;
 pub use instance_registry::{ChangedNodes, InstanceRegistry};
 pub use ledger::{ClaimId, OrderKey, OrderLedger, OrderOutcome, StoredAnswer};
 pub use link_pacer::{BULK_MIN_BYTES, LinkPacer};
--- a/crates/apricotfold-policy/src/link_pacer.rs
+++ b/crates/apricotfold-policy/src/link_pacer.rs
@@ -13,6 +13,10 @@
 /// packet headers.
 const BULK_SHARE: f64 = 0.95;
 
+/// Share of the link's rate that bulk request bodies may use on their way in. It is lower than that of
+/// answers, because other callers' requests and answers arrive without being scheduled.
+const INBOUND_SHARE: f64 = 0.85;
+
 /// Time by which bulk may be granted ahead of the link, so that the link does not become idle
 /// between two polls of a task. It delays small answers by no more than this.
 const MAX_LEAD: Duration = Duration::from_millis(10);
@@ -39,6 +43,15 @@
         }
     }
 
+    /// Creates the pacer of bulk request bodies that arrive over an idle link.
+    #[must_use]
+    pub fn inbound(rate: Option<f64>) -> Self {
+        Self {
+            rate: rate.map(|rate| rate * INBOUND_SHARE),
+            ..Self::new(None)
+        }
+    }
+
     /// Time that an answer of this size occupies the link; zero without a known rate.
     #[must_use]
     pub fn transfer_time(&self, bytes: usize) -> Duration {
--- a/crates/apricotfold-policy/src/target_selector.rs
+++ b/crates/apricotfold-policy/src/target_selector.rs
@@ -80,6 +80,8 @@
     /// Exact load of the target if this node forwards to it directly; `None` for targets of other
     /// nodes.
     pub own: Option<InstanceReport>,
+    /// Expected wait of the request's body for the link of the target's machine.
+    pub inbound_wait: Duration,
 }
 
 /// The selected target with the estimates that led to its selection.
@@ -317,6 +319,7 @@
         let link_wait = known.map_or(0.0, |target| link_wait * target.report_weight(now));
         let service = service + transfer;
         let queueing = queueing.max(link_wait);
+        let queueing = queueing.max(candidate.inbound_wait.as_secs_f64());
         let stall = known.map_or(0.0, |target| stall_time(target, service, now));
         let link = self.costs.of(candidate.tier, work.answer_bytes);
         let expected = service + queueing + stall + link;
--- a/crates/apricotfold-policy/tests/target_selector.rs
+++ b/crates/apricotfold-policy/tests/target_selector.rs
@@ -31,6 +31,7 @@
 
 fn candidate(node: &NodeId, tier: LocalityTier) -> TargetCandidate<'_> {
     TargetCandidate {
+        inbound_wait: Duration::ZERO,
         node,
         tier,
         slots: SLOTS,
--- a/crates/apricotfold-proxy/src/caller_server.rs
+++ b/crates/apricotfold-proxy/src/caller_server.rs
@@ -131,6 +131,7 @@
             id: Some(id.to_owned()),
             arrived: call.routed.arrived,
         };
+        self.engine.inbound_meter.occupy(body.len());
         let request = CallRequest {
             method: call.parts.method,
             path: call.path,
--- a/crates/apricotfold-proxy/src/connection_pool.rs
+++ b/crates/apricotfold-proxy/src/connection_pool.rs
@@ -16,8 +16,12 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::gated_body::GatedBody;
 use crate::telemetry;
 
+/// Body of a request to another process.
+pub type OutgoingBody = GatedBody<Full<Bytes>>;
+
 /// Longest wait for a pooled connection to become ready. The last bytes of a response and the ready
 /// state of its connection are at most one poll of the connection's task apart.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -69,7 +73,7 @@
 /// A connection that carries one request at a time.
 pub struct PooledConnection {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     /// Longest idle time that the other end announced, if it did.
     pub announced_idle: Option<Duration>,
     _task: ConnectionTask,
@@ -105,7 +109,7 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<OutgoingBody>,
         max_idle: Duration,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, PooledConnection), SendFailure> {
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -12,9 +12,9 @@
     saturating_millis,
 };
 use apricotfold_policy::{
-    AdmissionLimits, AnnouncementEffect, DeadlineQueue, InstanceRegistry, InstanceReport,
-    LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, ParentThrottle, PeerOffsets,
-    RetryBudget, RetryDetector, TargetSelector, TrafficSplit,
+    AdmissionLimits, AnnouncementEffect, DeadlineQueue, InboundWaits, InstanceRegistry,
+    InstanceReport, LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, ParentThrottle,
+    PeerOffsets, RetryBudget, RetryDetector, TargetSelector, TrafficSplit,
 };
 use apricotfold_store::Revision;
 use arc_swap::ArcSwap;
@@ -103,6 +103,8 @@
     pub instance_list: InstanceList,
     /// Pacing of responses that leave over this instance's network link.
     pub link_meter: LinkMeter,
+    /// Scheduling of bulk request bodies that arrive over this instance's network link.
+    pub inbound_meter: LinkMeter,
     /// Availability of the store.
     pub store_health: StoreHealth,
     /// Phase of the process and the requests in progress.
@@ -125,6 +127,7 @@
     local: Mutex<LocalInstance>,
     rate_limits: Mutex<NamedLimits>,
     clock_offsets: Mutex<PeerOffsets>,
+    inbound_waits: Mutex<InboundWaits>,
     /// Service time that the local target reported last, in percent of its usual one.
     pace: AtomicU32,
     target_down: AtomicBool,
@@ -149,6 +152,7 @@
         };
         let limits = AdmissionLimits::new(&TARGET_LIMITS, 0);
         let link_meter = LinkMeter::new(config.link_rate);
+        let inbound_meter = LinkMeter::inbound(config.link_rate);
         let timely_from = Instant::now() + config.longest_announcement_delay();
         Self {
             crashes: CrashTracker::default(),
@@ -161,6 +165,7 @@
             peer_connections: ConnectionPool::new(PEER_POOL),
             instance_list: InstanceList::default(),
             link_meter,
+            inbound_meter,
             store_health: StoreHealth::new(),
             lifecycle: Lifecycle::new(),
             registration: watch::Sender::new(0),
@@ -177,6 +182,7 @@
             local: Mutex::new(LocalInstance::new(timely_from)),
             rate_limits: Mutex::default(),
             clock_offsets: Mutex::default(),
+            inbound_waits: Mutex::default(),
             pace: AtomicU32::new(DEFAULT_PACE),
             target_down: AtomicBool::new(false),
             node_epoch: AtomicU64::new(0),
@@ -213,6 +219,11 @@
         lock(&self.clock_offsets)
     }
 
+    /// Locks what other nodes state of the wait for their incoming links.
+    pub fn inbound_waits(&self) -> MutexGuard<'_, InboundWaits> {
+        lock(&self.inbound_waits)
+    }
+
     /// Records that another node polls this one.
     pub fn record_poll(&self) {
         *lock(&self.polled) = Some(Instant::now());
--- a/crates/apricotfold-proxy/src/entry_attempt.rs
+++ b/crates/apricotfold-proxy/src/entry_attempt.rs
@@ -90,8 +90,10 @@
             let answer = if chosen.record.node == engine.node() {
                 target_call::run(engine, &context, &self.request).await?
             } else {
-                let address = chosen.record.address;
-                peer_call::run(engine, address, &context, &self.request).await?
+                let answer = peer_call::run(engine, &chosen.record, &context, &self.request);
+                let answer = answer.await?;
+                engine.inbound_meter.occupy(answer_bytes(&answer));
+                answer
             };
             self.buffer_response(answer).await
         };
@@ -134,7 +136,11 @@
                         );
                     }
                 }
-                let end = if self.is_replaced(chosen) {
+                // A bulk body may be refused for the link of the target's machine, which does not concern
+                // other requests. The node's answer states how long the link is occupied.
+                let for_link =
+                    self.request.is_bulk() && refusal.reason == RefusalReason::Overloaded;
+                let end = if for_link || self.is_replaced(chosen) {
                     AttemptEnd::Cancelled
                 } else {
                     attempt_end(refusal)
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -228,6 +228,8 @@
         let registry = engine.registry();
         let instances: SmallVec<[(&InstanceRecord, Duration); 16]> =
             registry.ready(service, now).collect();
+        let bulk = self.request.is_bulk();
+        let inbound_waits = engine.inbound_waits();
         let candidates: SmallVec<[TargetCandidate<'_>; 16]> = instances
             .iter()
             .map(|(record, age)| TargetCandidate {
@@ -236,8 +238,14 @@
                 slots: record.slots,
                 cold: Engine::is_cold(record, *age),
                 own: (record.node == own_node).then(|| engine.report()),
+                inbound_wait: if bulk && record.node != own_node {
+                    inbound_waits.wait(&record.node, now)
+                } else {
+                    Duration::ZERO
+                },
             })
             .collect();
+        drop(inbound_waits);
         if candidates.is_empty() {
             return Err((RefusalReason::NoTarget, None));
         }
--- /dev/null
+++ b/crates/apricotfold-proxy/src/gated_body.rs
@@ -0,0 +1,75 @@
+//! Request bodies that are sent only after the other proxy has asked for them with `100 Continue`. See
+//! `docs/design/bulk-uploads.md`.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use futures_util::task::AtomicWaker;
+use http_body::{Body, Frame, SizeHint};
+
+/// Whether the other proxy has asked for the body of a request.
+#[derive(Debug, Default)]
+pub struct BodyGate {
+    open: AtomicBool,
+    waker: AtomicWaker,
+}
+
+impl BodyGate {
+    /// Lets the body be sent.
+    pub fn open(&self) {
+        self.open.store(true, Ordering::Release);
+        self.waker.wake();
+    }
+
+    /// Returns whether the body may be sent. If not, none of it has been.
+    pub fn is_open(&self) -> bool {
+        self.open.load(Ordering::Acquire)
+    }
+}
+
+/// A body that waits for its gate; one without a gate is sent at once.
+#[derive(Debug)]
+pub struct GatedBody<B> {
+    body: B,
+    gate: Option<Arc<BodyGate>>,
+}
+
+impl<B> GatedBody<B> {
+    /// Creates a body that is sent at once.
+    pub fn ungated(body: B) -> Self {
+        Self { body, gate: None }
+    }
+
+    /// Has the body wait for a gate.
+    pub fn set_gate(&mut self, gate: Arc<BodyGate>) {
+        self.gate = Some(gate);
+    }
+}
+
+impl<B: Body + Unpin> Body for GatedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        if let Some(gate) = &self.gate {
+            gate.waker.register(context.waker());
+            if !gate.is_open() {
+                return Poll::Pending;
+            }
+        }
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/apricotfold-proxy/src/health_check.rs
+++ b/crates/apricotfold-proxy/src/health_check.rs
@@ -11,6 +11,7 @@
 
 use crate::call_body::{ConnectionLease, ResponseBody};
 use crate::engine::Engine;
+use crate::gated_body::GatedBody;
 
 /// Timeout of the check; announcements are acknowledged within a second.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -36,7 +37,7 @@
     let Ok(host) = announcement.address.to_string().parse() else {
         return TargetReply::Unasked;
     };
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(GatedBody::ungated(Full::new(Bytes::new())));
     *request.method_mut() = Method::GET;
     *request.uri_mut() = uri;
     request.headers_mut().insert(HOST, host);
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -49,6 +49,7 @@
         engine.peer_connections.prune();
         engine.selector().prune(UNUSED_AGE, now);
         engine.prune_rate_limits();
+        engine.inbound_waits().prune(now);
         publish_metrics(&engine);
     }
 }
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -23,6 +23,7 @@
 mod entry_call;
 mod entry_route;
 mod fingerprint;
+mod gated_body;
 mod health_check;
 mod hedge;
 mod hop_by_hop;
--- a/crates/apricotfold-proxy/src/link_meter.rs
+++ b/crates/apricotfold-proxy/src/link_meter.rs
@@ -41,6 +41,14 @@
         })))
     }
 
+    /// Creates the meter of bulk request bodies that arrive over a link.
+    pub fn inbound(rate: Option<f64>) -> Self {
+        Self(Arc::new(Mutex::new(MeterState {
+            pacer: LinkPacer::inbound(rate),
+            buffered: 0,
+        })))
+    }
+
     /// Returns a copy of the pacer's current state.
     pub fn pacer(&self) -> LinkPacer {
         self.lock().pacer
@@ -71,6 +79,24 @@
     }
 }
 
+impl BulkReservation {
+    /// Waits until the link is free for the reserved bytes.
+    pub async fn wait_granted(mut self) {
+        loop {
+            let now = Instant::now();
+            let granted = self.meter.lock().pacer.grant(self.bytes, now);
+            let Err(free) = granted else {
+                // The grant has released the reservation.
+                self.bytes = 0;
+                return;
+            };
+            // Timers have a resolution of one millisecond.
+            let until = free.max(now + Duration::from_millis(1));
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+}
+
 impl Drop for BulkReservation {
     fn drop(&mut self) {
         self.meter.lock().pacer.release(self.bytes);
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -1,21 +1,21 @@
 //! Calls between proxies: the headers that they add, and the client side.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{
-    CallOutcome, CallPriority, InstanceId, InstanceRecord, RefusalReason, RetrySafety, ServiceName,
-    WorkClass, log_event, saturating_millis,
+    CallOutcome, CallPriority, InstanceId, InstanceRecord, NodeId, RefusalReason, RetrySafety,
+    ServiceName, WorkClass, log_event, saturating_millis,
 };
 use apricotfold_policy::{CallStanding, InstanceReport, NestedCapacity};
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::call_body::{ConnectionLease, ResponseBody};
 use crate::connection_pool::SendFailure;
 use crate::engine::Engine;
+use crate::gated_body::BodyGate;
 use crate::hop_by_hop::strip_hop_by_hop_headers;
 use crate::target_call::{CallContext, CallRequest, TargetRefusal, TargetResponse};
 
@@ -35,6 +35,13 @@
 /// Header with the name of the tenant whose key the caller sent.
 pub const TENANT_HEADER: HeaderName = HeaderName::from_static("apricotfold-tenant");
 
+/// Header with the time in milliseconds that a bulk body waits for the link of the node's machine, sent
+/// if there is a wait.
+pub const INBOUND_HEADER: HeaderName = HeaderName::from_static("apricotfold-inbound-wait");
+
+/// Value of the `expect` header with which a node asks whether it may send a body.
+pub const EXPECT_CONTINUE: HeaderValue = HeaderValue::from_static("100-continue");
+
 /// Longest idle time of a reused connection to a proxy. Proxies keep theirs open longer.
 const MAX_PEER_IDLE: Duration = Duration::from_secs(10);
 
@@ -155,14 +162,15 @@
     serde_json::from_slice(headers.get(name)?.as_bytes()).ok()
 }
 
-/// Forwards a call to the proxy beside its target.
+/// Forwards a call to the proxy beside its target. A bulk body is sent only after that proxy has asked
+/// for it.
 pub async fn run(
     engine: &Arc<Engine>,
-    address: SocketAddr,
+    record: &InstanceRecord,
     context: &CallContext,
     request: &CallRequest,
 ) -> Result<TargetResponse, TargetRefusal> {
-    let started = Instant::now();
+    let (started, address) = (Instant::now(), record.address);
     let mut headers = request.headers.clone();
     let wire = write_header(&WireCallContext::new(context, started));
     let Some(wire) = wire else {
@@ -177,15 +185,31 @@
     if let Some(value) = context.tenant.as_ref().and_then(write_header) {
         headers.insert(TENANT_HEADER, value);
     }
+    let mut outgoing = request.build(headers);
+    let gate = request.is_bulk().then(Arc::<BodyGate>::default);
+    if let Some(gate) = &gate {
+        outgoing
+            .headers_mut()
+            .insert(header::EXPECT, EXPECT_CONTINUE);
+        outgoing.body_mut().set_gate(gate.clone());
+        let asked = gate.clone();
+        hyper::ext::on_informational(&mut outgoing, move |answer| {
+            if answer.status() == StatusCode::CONTINUE {
+                asked.open();
+            }
+        });
+    }
     let sent = engine
         .peer_connections
-        .send(
-            address,
-            request.build(headers),
-            MAX_PEER_IDLE,
-            context.deadline,
-        )
+        .send(address, outgoing, MAX_PEER_IDLE, context.deadline)
         .await;
+    // Without its body, a request cannot have run.
+    let body_sent = gate.is_none_or(|gate| gate.is_open());
+    let lost = if body_sent {
+        CallOutcome::MayHaveRun
+    } else {
+        CallOutcome::NotRun
+    };
     let (answer, connection) = sent.map_err(|failure| match failure {
         SendFailure::NotSent(cause) => {
             log::debug!("{address} not reached: {cause}");
@@ -193,15 +217,22 @@
         }
         SendFailure::Lost(cause) => {
             log::debug!("{address} lost: {cause}");
-            refusal(CallOutcome::MayHaveRun, RefusalReason::ConnectionLost)
+            refusal(lost, RefusalReason::ConnectionLost)
         }
-        SendFailure::TimedOut => refusal(CallOutcome::MayHaveRun, RefusalReason::DeadlinePassed),
+        SendFailure::TimedOut => refusal(lost, RefusalReason::DeadlinePassed),
     })?;
     let (mut parts, incoming) = answer.into_parts();
     let report: Option<WireReport> = read_header(&parts.headers, &REPORT_HEADER);
     let refused: Option<WireRefusal> = read_header(&parts.headers, &REFUSAL_HEADER);
-    let lease = ConnectionLease::new(&engine.peer_connections, connection);
-    let body = ResponseBody::streaming(incoming, lease);
+    record_inbound_wait(engine, &record.node, &parts.headers);
+    let body = if body_sent {
+        let lease = ConnectionLease::new(&engine.peer_connections, connection);
+        ResponseBody::streaming(incoming, lease)
+    } else {
+        // The connection still waits for the body, so it cannot be used again.
+        drop(connection);
+        ResponseBody::empty()
+    };
     if let Some(WireRefusal(outcome, reason, arrived)) = refused {
         if let Some(record) = read_header(&parts.headers, &RECORD_HEADER) {
             apply_record(engine, record);
@@ -215,12 +246,13 @@
     }
     let Some(report) = report else {
         // Every proxy adds the report, so another process now uses the address.
-        return Err(refusal(
-            CallOutcome::MayHaveRun,
-            RefusalReason::ConnectionLost,
-        ));
+        return Err(refusal(lost, RefusalReason::ConnectionLost));
     };
+    if !body_sent {
+        return Err(refusal(lost, RefusalReason::ConnectionLost));
+    }
     parts.headers.remove(REPORT_HEADER);
+    parts.headers.remove(INBOUND_HEADER);
     strip_hop_by_hop_headers(&mut parts.headers);
     Ok(TargetResponse {
         status: parts.status,
@@ -232,6 +264,13 @@
     })
 }
 
+/// Records the wait for a node's link that its answer states.
+fn record_inbound_wait(engine: &Engine, node: &NodeId, headers: &HeaderMap) {
+    let stated = read_header(headers, &INBOUND_HEADER).unwrap_or(0);
+    let wait = Duration::from_millis(stated);
+    engine.inbound_waits().record(node, wait, Instant::now());
+}
+
 /// Applies the record of the instance that now runs at a node. After both the node and its instance
 /// have restarted, callers learn of the new instance this way before its entry in the store
 /// changes.
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -23,6 +23,7 @@
 use crate::call_body::{ConnectionLease, ResponseBody};
 use crate::compressed_json::{compress, decompress};
 use crate::engine::Engine;
+use crate::gated_body::GatedBody;
 use crate::table_cache::TableTransfer;
 use crate::telemetry;
 
@@ -351,7 +352,8 @@
     kind: HeaderName,
     message: &impl Serialize,
 ) -> eyre::Result<ResponseBody> {
-    let mut request = Request::new(Full::new(Bytes::from(serde_json::to_vec(message)?)));
+    let body = Full::new(Bytes::from(serde_json::to_vec(message)?));
+    let mut request = Request::new(GatedBody::ungated(body));
     *request.method_mut() = Method::POST;
     let headers = request.headers_mut();
     headers.insert(kind, HeaderValue::from_static("1"));
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallOutcome, RateLimit, RefusalReason, TenantName, log_event};
+use apricotfold_model::{
+    CallOutcome, RateLimit, RefusalReason, TenantName, log_event, saturating_millis,
+};
 use apricotfold_policy::NestedCapacity;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -18,8 +20,9 @@
 use crate::engine::Engine;
 use crate::lifecycle::ProcessPhase;
 use crate::peer_call::{
-    CALL_HEADER, RATE_LIMIT_HEADER, RECORD_HEADER, REFUSAL_HEADER, REPORT_HEADER, TENANT_HEADER,
-    WireCallContext, WireRefusal, WireReport, read_header, write_header,
+    CALL_HEADER, EXPECT_CONTINUE, INBOUND_HEADER, RATE_LIMIT_HEADER, RECORD_HEADER, REFUSAL_HEADER,
+    REPORT_HEADER, TENANT_HEADER, WireCallContext, WireRefusal, WireReport, read_header,
+    write_header,
 };
 use crate::peer_exchange::{EXCHANGE_HEADER, respond_to_exchange};
 use crate::target_call::{self, CallContext, CallRequest, TargetRefusal};
@@ -49,6 +52,17 @@
         parts.headers.remove(RATE_LIMIT_HEADER);
         let tenant: Option<TenantName> = read_header(&parts.headers, &TENANT_HEADER);
         parts.headers.remove(TENANT_HEADER);
+        let context = context.map(|context| CallContext {
+            rate_limit,
+            tenant,
+            ..context.into_context(arrived)
+        });
+        let asks = parts.headers.remove(header::EXPECT) == Some(EXPECT_CONTINUE);
+        if let Some(context) = context.as_ref().filter(|_| asks)
+            && let Err(reason) = self.schedule_body(context, &parts.headers).await
+        {
+            return Ok(self.refuse(CallOutcome::NotRun, reason, false));
+        }
         let body = incoming.collect().await.map_err(|error| {
             log::debug!("reading the request of a peer failed: {error}");
             CallerDisconnected
@@ -69,11 +83,6 @@
         if self.engine.lifecycle.phase() != ProcessPhase::Serving {
             return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::Draining, false));
         }
-        let context = CallContext {
-            rate_limit,
-            tenant,
-            ..context.into_context(arrived)
-        };
         let call = CallRequest {
             id: self.engine.protocol.read_call(&parts.headers).request_id,
             method: parts.method,
@@ -84,6 +93,20 @@
         Ok(self.run(&context, &call, arrived).await)
     }
 
+    /// Waits until the body of a call may be sent to this node.
+    async fn schedule_body(
+        &self,
+        context: &CallContext,
+        headers: &HeaderMap,
+    ) -> Result<(), RefusalReason> {
+        if self.engine.lifecycle.phase() != ProcessPhase::Serving {
+            return Err(RefusalReason::Draining);
+        }
+        let length = headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+        target_call::schedule_body(&self.engine, context, length.unwrap_or(0)).await
+    }
+
     async fn run(
         &self,
         context: &CallContext,
@@ -96,7 +119,7 @@
                 *response.status_mut() = answer.status;
                 *response.headers_mut() = answer.headers;
                 let report = WireReport::new(answer.report, answer.service, answer.calls);
-                add_report(response.headers_mut(), &report);
+                self.add_report(response.headers_mut(), &report);
                 response
             }
             Err(TargetRefusal {
@@ -141,14 +164,21 @@
             headers.insert(RECORD_HEADER, value);
         }
         let report = WireReport::new(self.engine.report(), Duration::ZERO, NestedCapacity::Room);
-        add_report(headers, &report);
+        self.add_report(headers, &report);
         response
     }
 }
 
-fn add_report(headers: &mut HeaderMap, report: &WireReport) {
-    if let Some(value) = write_header(report) {
-        headers.insert(REPORT_HEADER, value);
+impl PeerHandler {
+    fn add_report(&self, headers: &mut HeaderMap, report: &WireReport) {
+        if let Some(value) = write_header(report) {
+            headers.insert(REPORT_HEADER, value);
+        }
+        let pacer = self.engine.inbound_meter.pacer();
+        let wait = saturating_millis(pacer.expected_wait(Instant::now()));
+        if wait > 0 {
+            headers.insert(INBOUND_HEADER, HeaderValue::from(wait));
+        }
     }
 }
 
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -9,7 +9,7 @@
 };
 use apricotfold_policy::{
     AdmissionRequest, BULK_MIN_BYTES, CallStanding, InstanceReport, NestedCapacity,
-    RequestFingerprint, RunSummary,
+    RequestFingerprint, RunSummary, priority_index,
 };
 use bytes::Bytes;
 use http::uri::PathAndQuery;
@@ -21,10 +21,11 @@
 use crate::adapters::{RequestId, ResponseHead, TargetHead};
 use crate::admission::SlotGuard;
 use crate::call_body::{ConnectionLease, ResponseBody};
-use crate::connection_pool::{PooledConnection, SendFailure};
+use crate::connection_pool::{OutgoingBody, PooledConnection, SendFailure};
 use crate::crash_tracker::SentRun;
 use crate::engine::Engine;
 use crate::fingerprint::fingerprint;
+use crate::gated_body::GatedBody;
 use crate::hop_by_hop::strip_hop_by_hop_headers;
 use crate::telemetry;
 
@@ -59,14 +60,20 @@
 
 impl CallRequest {
     /// Builds the request for the next hop with the given headers.
-    pub fn build(&self, headers: HeaderMap) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    pub fn build(&self, headers: HeaderMap) -> Request<OutgoingBody> {
+        let body = GatedBody::ungated(Full::new(self.body.clone()));
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = Uri::from(self.path.clone());
         *request.headers_mut() = headers;
         request
     }
 
+    /// Returns whether the body is so large that its transfer is scheduled.
+    pub fn is_bulk(&self) -> bool {
+        self.body.len() >= BULK_MIN_BYTES
+    }
+
     /// Returns a digest of everything that stays the same when a caller of a service sends the request
     /// again.
     pub fn fingerprint(&self, caller_service: &str) -> RequestFingerprint {
@@ -155,6 +162,55 @@
     call.run().await
 }
 
+/// Checks whether a call with a bulk body can be served before its body is asked for, and waits until
+/// this instance's link is free for the body.
+///
+/// # Errors
+///
+/// Returns why the call is refused; none of its body has been sent then.
+pub async fn schedule_body(
+    engine: &Engine,
+    context: &CallContext,
+    bytes: usize,
+) -> Result<(), RefusalReason> {
+    check_target(engine, &context.instance)?;
+    let now = Instant::now();
+    let useful = context.useful_until.min(context.deadline);
+    let left = useful.saturating_duration_since(now);
+    let service = engine.admission.expected_service_time(context.class);
+    let spare = left.saturating_sub(service);
+    let wait = engine.admission.waits().new[priority_index(context.priority)];
+    let pacer = engine.inbound_meter.pacer();
+    let admitted = wait <= spare.mul_f64(context.standing.wait_share())
+        && pacer.admits(bytes, context.standing, left, service, now);
+    if !admitted {
+        return Err(RefusalReason::Overloaded);
+    }
+    let granted = engine.inbound_meter.reserve(bytes).wait_granted();
+    tokio::time::timeout_at(useful.into(), granted)
+        .await
+        .map_err(|_| RefusalReason::Overloaded)
+}
+
+/// Checks that an instance is the one running here, and that it takes work. Returns its start time.
+fn check_target(engine: &Engine, instance: &InstanceId) -> Result<StartTimeMillis, RefusalReason> {
+    let state = {
+        let local = engine.local();
+        let settled = engine.departures.is_settled();
+        let current = local.current().filter(|_| settled);
+        let meant = current.filter(|target| target.instance == *instance);
+        meant.map(|target| (target.state, target.born))
+    };
+    match state {
+        None => Err(RefusalReason::NoLocalTarget),
+        Some((InstanceState::Ready, _)) if engine.is_target_down() => {
+            Err(RefusalReason::ConnectFailed)
+        }
+        Some((InstanceState::Ready, born)) => Ok(born),
+        Some((InstanceState::Draining | InstanceState::Gone, _)) => Err(RefusalReason::Draining),
+    }
+}
+
 struct TargetCall<'a> {
     engine: &'a Arc<Engine>,
     context: &'a CallContext,
@@ -227,23 +283,7 @@
     /// Checks that the instance selected by the entry proxy is the one running here, and that it
     /// takes work. Returns its start time.
     fn check_target(&self) -> Result<StartTimeMillis, TargetRefusal> {
-        let state = {
-            let local = self.engine.local();
-            let settled = self.engine.departures.is_settled();
-            let current = local.current().filter(|_| settled);
-            let meant = current.filter(|target| target.instance == self.context.instance);
-            meant.map(|target| (target.state, target.born))
-        };
-        match state {
-            None => Err(self.refuse(RefusalReason::NoLocalTarget)),
-            Some((InstanceState::Ready, _)) if self.engine.is_target_down() => {
-                Err(self.refuse(RefusalReason::ConnectFailed))
-            }
-            Some((InstanceState::Ready, born)) => Ok(born),
-            Some((InstanceState::Draining | InstanceState::Gone, _)) => {
-                Err(self.refuse(RefusalReason::Draining))
-            }
-        }
+        check_target(self.engine, &self.context.instance).map_err(|reason| self.refuse(reason))
     }
 
     /// Returns the expected response size if it uses this instance's link, otherwise 0.
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -148,6 +148,17 @@
         node
     }
 
+    /// Starts a proxy that is told its instance's link carries `rate` bytes per second, and announces its
+    /// target.
+    pub async fn start_with_link_rate(name: &str, store: &Arc<MemoryStore>, rate: f64) -> Self {
+        let target = ScriptedTarget::start(&format!("i-{name}")).await;
+        let mut config = config(name, target.address);
+        config.link_rate = Some(rate);
+        let node = Self::start_with(config, target, store).await;
+        node.announce(1, "ready").await;
+        node
+    }
+
     async fn start_with(
         config: ProxyConfig,
         target: ScriptedTarget,
