Share a target's slots fairly among tenants

Cause: queued requests of one rank started by arrival, so a tenant with many times its usual demand took slots from all others.

Change: AdmissionRequest names the tenant. Within a priority and standing, the request of the tenant with the least slot time lately starts first (decaying sums, 3 s). The expected wait of a request counts only those that start before it, and is lengthened for tenants over 1.75 times the mean. Requests without a tenant are decided as before.

--- a/crates/apricotfold-node/src/mesh.rs
+++ b/crates/apricotfold-node/src/mesh.rs
@@ -90,6 +90,7 @@
             standing: CallStanding::New,
             useful_until: deadline,
             deadline,
+            tenant: None,
         };
         let admission = self.state.admission.admit(&offer);
         let slot = admission
--- a/crates/apricotfold-policy/src/admission_policy.rs
+++ b/crates/apricotfold-policy/src/admission_policy.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, RateLimit, RefusalReason, WorkClass};
+use apricotfold_model::{CallPriority, RateLimit, RefusalReason, TenantName, WorkClass};
 
 use crate::{AdmissionEvents, AdmissionId, AdmissionLimits, ExpectedWaits, LoadReport};
 
@@ -55,7 +55,7 @@
 }
 
 /// A request that arrives at a target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct AdmissionRequest {
     /// Work class, which decides the queue and the slots that the request may use.
     pub class: WorkClass,
@@ -67,6 +67,9 @@
     pub useful_until: Instant,
     /// Time at which the caller stops waiting for an answer.
     pub deadline: Instant,
+    /// Tenant that gets a fair share of the slots; `None` in meshes without tenants and for calls of
+    /// running requests.
+    pub tenant: Option<TenantName>,
 }
 
 /// Decides which requests a target runs, which are queued, and which are refused.
--- a/crates/apricotfold-policy/src/deadline_queue.rs
+++ b/crates/apricotfold-policy/src/deadline_queue.rs
@@ -5,10 +5,11 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, RateLimit, RefusalReason, WorkClass};
+use apricotfold_model::{CallPriority, RateLimit, RefusalReason, TenantName, WorkClass};
 
 use crate::decay::DecayingSum;
 use crate::rate_gate::RateGate;
+use crate::tenant_share::TenantShares;
 use crate::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionPolicy,
     AdmissionRequest, CallStanding, LoadReport,
@@ -65,18 +66,22 @@
     pub nested: [Duration; PRIORITIES],
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RunningWork {
     class: WorkClass,
     started: Instant,
+    tenant: Option<TenantName>,
+    /// Service time that was charged to the tenant at the start.
+    charged: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct WaitingWork {
     id: AdmissionId,
     class: WorkClass,
     priority: CallPriority,
     standing: CallStanding,
+    tenant: Option<TenantName>,
     /// Latest start time with which it is still answered in time.
     start_by: Instant,
 }
@@ -91,7 +96,8 @@
 /// Admits requests that can be answered in time and refuses all others on arrival.
 ///
 /// Queued requests start by priority, then by [`CallStanding`] (those whose refusal would waste the
-/// most work first), then by arrival. A request is queued only if its expected wait, including more
+/// most work first), then by the slot time that their tenant had lately, least first, then by
+/// arrival. A request is queued only if its expected wait, including more
 /// urgent work that will overtake it, stays within a share of its spare time. Refusals are
 /// immediate, so that the caller can retry later or use another target.
 #[derive(Debug)]
@@ -107,6 +113,7 @@
     long_service: Option<Duration>,
     /// Decaying counts of started requests, indexed by [`priority_index`].
     starts: [DecayingSum; PRIORITIES],
+    shares: TenantShares,
 }
 
 impl DeadlineQueue {
@@ -123,6 +130,7 @@
             short_service: None,
             long_service: None,
             starts: [DecayingSum::new(SHARE_WINDOW); PRIORITIES],
+            shares: TenantShares::default(),
         }
     }
 
@@ -175,13 +183,10 @@
         &self,
         priority: CallPriority,
         standing: CallStanding,
+        tenant: Option<&TenantName>,
         now: Instant,
     ) -> Duration {
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|known| known.order() >= (priority, standing))
-            .count();
+        let ahead = self.count_ahead((priority, standing), tenant, now);
         if ahead == 0 && self.free_slots() > 0 && self.is_gate_open(now) {
             return Duration::ZERO;
         }
@@ -195,10 +200,30 @@
         let rate_wait = self
             .gate
             .map_or(Duration::ZERO, |gate| gate.wait(position, now));
-        let available_share = 1.0 - self.urgent_share(priority, now);
+        let overtaking = tenant.map_or(0.0, |tenant| self.shares.overtaking_share(tenant, now));
+        let urgent = self.urgent_share(priority, now);
+        let available_share = ((1.0 - urgent) * (1.0 - overtaking)).max(1.0 - MAX_URGENT_SHARE);
         slot_wait.max(rate_wait).div_f64(available_share)
     }
 
+    /// Returns the number of queued requests that start before one that arrives now.
+    fn count_ahead(
+        &self,
+        order: (CallPriority, CallStanding),
+        tenant: Option<&TenantName>,
+        now: Instant,
+    ) -> usize {
+        let Some(tenant) = tenant else {
+            let ahead = self.waiting.iter().filter(|known| known.order() >= order);
+            return ahead.count();
+        };
+        let above = self.waiting.iter().filter(|known| known.order() > order);
+        let equals = self.waiting.iter().filter(|known| known.order() == order);
+        let queued = equals.map(|known| known.tenant.as_ref());
+        let service = self.service(WorkClass::Short);
+        above.count() + self.shares.ahead(tenant, queued, service, now)
+    }
+
     /// Estimates the share of slots that goes to more urgent work, which overtakes queued requests.
     fn urgent_share(&self, priority: CallPriority, now: Instant) -> f64 {
         let count = |sum: &DecayingSum| sum.value_at(now);
@@ -213,9 +238,25 @@
         (urgent / total).min(MAX_URGENT_SHARE)
     }
 
-    fn start(&mut self, id: AdmissionId, class: WorkClass, priority: CallPriority, now: Instant) {
-        let started = now;
-        self.running.insert(id, RunningWork { class, started });
+    fn start(
+        &mut self,
+        id: AdmissionId,
+        class: WorkClass,
+        priority: CallPriority,
+        tenant: Option<TenantName>,
+        now: Instant,
+    ) {
+        let charged = self.service(class);
+        if let Some(tenant) = &tenant {
+            self.shares.charge(tenant, charged.as_secs_f64(), now);
+        }
+        let work = RunningWork {
+            class,
+            started: now,
+            tenant,
+            charged,
+        };
+        self.running.insert(id, work);
         if let Some(gate) = &mut self.gate {
             gate.pass(now);
         }
@@ -225,8 +266,13 @@
         self.starts[priority_index(priority)].add(1.0, now);
     }
 
-    fn stop(&mut self, id: AdmissionId) -> Option<RunningWork> {
+    fn stop(&mut self, id: AdmissionId, now: Instant) -> Option<RunningWork> {
         let ended = self.running.remove(&id)?;
+        if let Some(tenant) = &ended.tenant {
+            let taken = now.saturating_duration_since(ended.started).as_secs_f64();
+            let correction = taken - ended.charged.as_secs_f64();
+            self.shares.charge(tenant, correction, now);
+        }
         if ended.class == WorkClass::Long {
             self.long_running -= 1;
         }
@@ -241,7 +287,31 @@
                 best = Some(index);
             }
         }
-        best.map(|index| self.waiting.remove(index))
+        let index = best.map(|first| self.fairest(first, now))?;
+        Some(self.waiting.remove(index))
+    }
+
+    /// Returns the queued request to start instead of `first`, the earliest of its rank: that of the
+    /// tenant that had the least slot time. A request without a tenant keeps its place.
+    fn fairest(&self, first: usize, now: Instant) -> usize {
+        let order = self.waiting[first].order();
+        let mut best: Option<(usize, f64)> = None;
+        for (index, work) in self.waiting.iter().enumerate().skip(first) {
+            if work.order() != order || !self.may_run(work.class, now) {
+                continue;
+            }
+            let Some(tenant) = &work.tenant else {
+                if index == first {
+                    return first;
+                }
+                continue;
+            };
+            let used = self.shares.used(tenant, now);
+            if best.is_none_or(|(_, least)| used < least) {
+                best = Some((index, used));
+            }
+        }
+        best.map_or(first, |(index, _)| index)
     }
 
     /// Estimates the queueing times of requests that arrive now. Nodes report them to the nodes
@@ -254,7 +324,7 @@
                 CallPriority::Normal,
                 CallPriority::Critical,
             ]
-            .map(|priority| self.expected_wait(priority, standing, now))
+            .map(|priority| self.expected_wait(priority, standing, None, now))
         };
         ExpectedWaits {
             new: by_priority(CallStanding::New),
@@ -282,12 +352,13 @@
             known.order() >= (offer.priority, offer.standing) && self.may_run(known.class, now)
         });
         if overtakes && self.may_run(offer.class, now) {
-            self.start(id, offer.class, offer.priority, now);
+            let tenant = offer.tenant.clone();
+            self.start(id, offer.class, offer.priority, tenant, now);
             return (Admission::Run, events);
         }
         let useful = offer.useful_until.min(offer.deadline);
         let spare = useful.saturating_duration_since(now + service);
-        let wait = self.expected_wait(offer.priority, offer.standing, now);
+        let wait = self.expected_wait(offer.priority, offer.standing, offer.tenant.as_ref(), now);
         if wait > spare.mul_f64(offer.standing.wait_share()) {
             return (Admission::Refuse(RefusalReason::Overloaded), events);
         }
@@ -296,6 +367,7 @@
             class: offer.class,
             priority: offer.priority,
             standing: offer.standing,
+            tenant: offer.tenant.clone(),
             start_by: now + spare,
         });
         events.extend(self.expire(now));
@@ -303,7 +375,7 @@
     }
 
     fn release(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
-        if let Some(ended) = self.stop(id) {
+        if let Some(ended) = self.stop(id, now) {
             let service = now.saturating_duration_since(ended.started);
             let estimate = match ended.class {
                 WorkClass::Short => &mut self.short_service,
@@ -318,7 +390,7 @@
     }
 
     fn cancel(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
-        if self.stop(id).is_none() {
+        if self.stop(id, now).is_none() {
             self.waiting.retain(|known| known.id != id);
         }
         self.expire(now)
@@ -334,7 +406,7 @@
             events.push(AdmissionEvent::Refuse(work.id, reason));
         }
         while let Some(work) = self.take_next(now) {
-            self.start(work.id, work.class, work.priority, now);
+            self.start(work.id, work.class, work.priority, work.tenant, now);
             events.push(AdmissionEvent::Start(work.id));
         }
         events
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -52,6 +52,7 @@
 mod target;
 mod target_load;
 mod target_selector;
+mod tenant_share;
 mod traffic_split;
 mod unanswered_runs;
 mod waiting;
--- a/crates/apricotfold-policy/tests/deadline_queue.rs
+++ b/crates/apricotfold-policy/tests/deadline_queue.rs
@@ -36,6 +36,7 @@
         standing: CallStanding::New,
         useful_until: now + USEFUL_TIME,
         deadline: now + TIMEOUT,
+        tenant: None,
     }
 }
 
@@ -303,6 +304,7 @@
                         standing: [CallStanding::New, CallStanding::Returned, CallStanding::Nested][standing],
                         useful_until: now + Duration::from_millis(useful),
                         deadline: now + Duration::from_millis(deadline),
+                        tenant: None,
                     };
                     let (admission, events) = queue.offer(next_id, &offer, now);
                     match admission {
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -298,6 +298,7 @@
             standing: context.standing,
             useful_until: context.useful_until,
             deadline: context.deadline,
+            tenant: context.tenant.clone(),
         };
         admission
             .admit(&offer)
