Give nested calls their parent's priority and throttle parents sooner

Cause: a nested call took the higher priority of its route and its parent, so calls of less urgent requests overtook urgent requests for the same service. Behind them, calls are refused more often, which wastes the work of their parents.

Change: rank() uses the parent's priority. ParentThrottle changes a route's share every 100 ms after at least 3 answers (was 250 ms and 5), and raises it by 0.2 per second instead of by a step per interval.

--- a/crates/apricotfold-policy/src/parent_throttle.rs
+++ b/crates/apricotfold-policy/src/parent_throttle.rs
@@ -9,12 +9,13 @@
 
 use crate::{CallStanding, NestedCapacity};
 
-/// Interval between changes of the admitted share. It is about the duration of a request, so that a
-/// change takes effect before the next one.
-const INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum interval between changes of the admitted share, about the duration of a request. With
+/// 250 ms, up to a sixth of the requests failed at their calls instead of being refused on entry.
+const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Minimum number of requests in an interval, to limit the influence of chance.
-const MIN_REQUESTS: f64 = 5.0;
+/// Minimum number of requests in an interval, to limit the influence of chance. Nodes at which few
+/// requests of a route enter would react late to a larger number.
+const MIN_REQUESTS: f64 = 3.0;
 
 /// Weight of a request whose calls were queued, relative to one with a refused call. Requests hold
 /// their slots while they wait for their calls.
@@ -28,8 +29,9 @@
 /// share.
 const DECREASE_FACTOR: f64 = 0.5;
 
-/// Increase of the admitted share per interval, relative to the full rate.
-const INCREASE_STEP: f64 = 0.06;
+/// Increase of the admitted share per second, relative to the full rate. It does not depend on the
+/// number of answers, so that a route recovers alike at all nodes.
+const INCREASE_RATE: f64 = 0.2;
 
 /// Minimum admitted share, so that the end of the shortage is detected.
 const MIN_SHARE: f64 = 0.1;
@@ -73,7 +75,7 @@
         self.share = if part > TOLERATED_SHARE {
             (self.share * (1.0 - part * DECREASE_FACTOR)).max(MIN_SHARE)
         } else {
-            (self.share + INCREASE_STEP).min(1.0)
+            (self.share + INCREASE_RATE * age.as_secs_f64()).min(1.0)
         };
         (self.since, self.ended, self.without_room) = (now, 0.0, 0.0);
     }
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -263,8 +263,9 @@
         Ok(ChosenTarget { record, pick })
     }
 
-    /// Returns the priority and standing of the request. A nested call has at least the priority of
-    /// its parent.
+    /// Returns the priority and standing of the request. A nested call has the priority of its parent:
+    /// with that of its route, calls of less urgent requests would overtake more urgent requests for
+    /// the same service.
     pub(crate) fn rank(&self) -> (CallPriority, CallStanding) {
         let tenant = self
             .access
@@ -272,10 +273,7 @@
             .and_then(|access| access.tenant.priority);
         let own = tenant.unwrap_or(self.routed.route.priority);
         let parent = self.parent.as_ref().map(|run| run.summary.priority);
-        (
-            parent.map_or(own, |priority| priority.max(own)),
-            self.standing,
-        )
+        (parent.unwrap_or(own), self.standing)
     }
 
     /// Returns the time until which the request should wait for a slot. A nested call waits until
