Start at-most-once requests only with time for slow work

Cause: a queued request started as long as the mean service time was left. Slow ones were cut off by their deadline, which leaves the caller of a request that must not run twice without a safe retry.

Change: AdmissionRequest tells whether a request may be repeated. For those that may not, the queue learns the time that all but one in a hundred of the latest 256 take, and lets them wait only while that much is left. They start at once with less, but not with less than the mean. Repeatable requests are decided as before.

--- a/crates/apricotfold-node/src/mesh.rs
+++ b/crates/apricotfold-node/src/mesh.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{RefusalReason, TargetState, headers, log_event};
+use apricotfold_model::{RefusalReason, RetrySafety, TargetState, headers, log_event};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 
 use crate::forward::{BufferedRequest, set_header};
@@ -88,6 +88,7 @@
             class,
             priority,
             standing: CallStanding::New,
+            repeat: RetrySafety::Idempotent,
             useful_until: deadline,
             deadline,
             tenant: None,
--- a/crates/apricotfold-policy/src/admission_policy.rs
+++ b/crates/apricotfold-policy/src/admission_policy.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, RateLimit, RefusalReason, TenantName, WorkClass};
+use apricotfold_model::{
+    CallPriority, RateLimit, RefusalReason, RetrySafety, TenantName, WorkClass,
+};
 
 use crate::{AdmissionEvents, AdmissionId, AdmissionLimits, ExpectedWaits, LoadReport};
 
@@ -63,6 +65,9 @@
     pub priority: CallPriority,
     /// Origin of the request, which decides how long it may wait in the queue.
     pub standing: CallStanding,
+    /// Whether the request may run more than once. One that may not is not started so late that its
+    /// deadline would cut it off.
+    pub repeat: RetrySafety,
     /// Latest time at which an answer is still useful; bounds the time spent waiting for a slot.
     pub useful_until: Instant,
     /// Time at which the caller stops waiting for an answer.
--- a/crates/apricotfold-policy/src/deadline_queue.rs
+++ b/crates/apricotfold-policy/src/deadline_queue.rs
@@ -5,10 +5,13 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, RateLimit, RefusalReason, TenantName, WorkClass};
+use apricotfold_model::{
+    CallPriority, RateLimit, RefusalReason, RetrySafety, TenantName, WorkClass,
+};
 
 use crate::decay::DecayingSum;
 use crate::rate_gate::RateGate;
+use crate::service_time::ServiceTimes;
 use crate::tenant_share::TenantShares;
 use crate::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionPolicy,
@@ -32,9 +35,9 @@
 /// with less time left wastes its slot.
 const MIN_SERVICE_SHARE: f64 = 0.5;
 
-/// Weight of a new sample in the moving average of service times, which follows a change within
-/// about ten requests.
-const ESTIMATE_WEIGHT: f64 = 0.1;
+/// The same for a request that must not run twice. If its deadline cuts it off, its caller cannot
+/// safely repeat it.
+const MIN_SERVICE_SHARE_ONCE: f64 = 1.0;
 
 /// Time constant of the decaying counts of started requests per priority.
 const SHARE_WINDOW: Duration = Duration::from_secs(1);
@@ -69,6 +72,7 @@
 #[derive(Clone, Debug)]
 struct RunningWork {
     class: WorkClass,
+    repeat: RetrySafety,
     started: Instant,
     tenant: Option<TenantName>,
     /// Service time that was charged to the tenant at the start.
@@ -81,6 +85,7 @@
     class: WorkClass,
     priority: CallPriority,
     standing: CallStanding,
+    repeat: RetrySafety,
     tenant: Option<TenantName>,
     /// Latest start time with which it is still answered in time.
     start_by: Instant,
@@ -109,8 +114,7 @@
     running: HashMap<AdmissionId, RunningWork>,
     long_running: u32,
     waiting: Vec<WaitingWork>,
-    short_service: Option<Duration>,
-    long_service: Option<Duration>,
+    services: ServiceTimes,
     /// Decaying counts of started requests, indexed by [`priority_index`].
     starts: [DecayingSum; PRIORITIES],
     shares: TenantShares,
@@ -127,19 +131,14 @@
             running: HashMap::new(),
             long_running: 0,
             waiting: Vec::new(),
-            short_service: None,
-            long_service: None,
+            services: ServiceTimes::default(),
             starts: [DecayingSum::new(SHARE_WINDOW); PRIORITIES],
             shares: TenantShares::default(),
         }
     }
 
     fn service(&self, class: WorkClass) -> Duration {
-        let estimate = match class {
-            WorkClass::Short => self.short_service,
-            WorkClass::Long => self.long_service,
-        };
-        estimate.unwrap_or_default()
+        self.services.mean(class)
     }
 
     /// Mean service time of the running requests, which determines when the next slot becomes free.
@@ -238,20 +237,22 @@
         (urgent / total).min(MAX_URGENT_SHARE)
     }
 
-    fn start(
-        &mut self,
-        id: AdmissionId,
-        class: WorkClass,
-        priority: CallPriority,
-        tenant: Option<TenantName>,
-        now: Instant,
-    ) {
+    fn start(&mut self, work: WaitingWork, now: Instant) {
+        let WaitingWork {
+            id,
+            class,
+            priority,
+            repeat,
+            tenant,
+            ..
+        } = work;
         let charged = self.service(class);
         if let Some(tenant) = &tenant {
             self.shares.charge(tenant, charged.as_secs_f64(), now);
         }
         let work = RunningWork {
             class,
+            repeat,
             started: now,
             tenant,
             charged,
@@ -344,32 +345,42 @@
         if self.draining {
             return (Admission::Refuse(RefusalReason::Draining), events);
         }
-        let service = self.service(offer.class);
-        if now + service.mul_f64(MIN_SERVICE_SHARE) >= offer.deadline {
+        let service = self.services.mean_of(offer.class, offer.repeat);
+        let min_share = match offer.repeat {
+            RetrySafety::Idempotent => MIN_SERVICE_SHARE,
+            RetrySafety::AtMostOnce => MIN_SERVICE_SHARE_ONCE,
+        };
+        if now + service.mul_f64(min_share) >= offer.deadline {
             return (Admission::Refuse(RefusalReason::DeadlineTooClose), events);
         }
-        let overtakes = !self.waiting.iter().any(|known| {
-            known.order() >= (offer.priority, offer.standing) && self.may_run(known.class, now)
-        });
-        if overtakes && self.may_run(offer.class, now) {
-            let tenant = offer.tenant.clone();
-            self.start(id, offer.class, offer.priority, tenant, now);
-            return (Admission::Run, events);
-        }
+        // A request that must not run twice can start now with little time left, but not later.
         let useful = offer.useful_until.min(offer.deadline);
-        let spare = useful.saturating_duration_since(now + service);
-        let wait = self.expected_wait(offer.priority, offer.standing, offer.tenant.as_ref(), now);
-        if wait > spare.mul_f64(offer.standing.wait_share()) {
-            return (Admission::Refuse(RefusalReason::Overloaded), events);
-        }
-        self.waiting.push(WaitingWork {
+        let reserve = self.services.reserve(offer.class, offer.repeat);
+        let spare = useful
+            .saturating_duration_since(now + service)
+            .min(offer.deadline.saturating_duration_since(now + reserve));
+        let work = WaitingWork {
             id,
             class: offer.class,
             priority: offer.priority,
             standing: offer.standing,
+            repeat: offer.repeat,
             tenant: offer.tenant.clone(),
             start_by: now + spare,
-        });
+        };
+        let overtakes = !self
+            .waiting
+            .iter()
+            .any(|known| known.order() >= work.order() && self.may_run(known.class, now));
+        if overtakes && self.may_run(offer.class, now) {
+            self.start(work, now);
+            return (Admission::Run, events);
+        }
+        let wait = self.expected_wait(offer.priority, offer.standing, offer.tenant.as_ref(), now);
+        if wait > spare.mul_f64(offer.standing.wait_share()) {
+            return (Admission::Refuse(RefusalReason::Overloaded), events);
+        }
+        self.waiting.push(work);
         events.extend(self.expire(now));
         (Admission::Wait, events)
     }
@@ -377,14 +388,7 @@
     fn release(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
         if let Some(ended) = self.stop(id, now) {
             let service = now.saturating_duration_since(ended.started);
-            let estimate = match ended.class {
-                WorkClass::Short => &mut self.short_service,
-                WorkClass::Long => &mut self.long_service,
-            };
-            let blended = estimate.map_or(service, |known| {
-                known.mul_f64(1.0 - ESTIMATE_WEIGHT) + service.mul_f64(ESTIMATE_WEIGHT)
-            });
-            *estimate = Some(blended);
+            self.services.record(ended.class, ended.repeat, service);
         }
         self.expire(now)
     }
@@ -406,8 +410,8 @@
             events.push(AdmissionEvent::Refuse(work.id, reason));
         }
         while let Some(work) = self.take_next(now) {
-            self.start(work.id, work.class, work.priority, work.tenant, now);
             events.push(AdmissionEvent::Start(work.id));
+            self.start(work, now);
         }
         events
     }
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -49,6 +49,7 @@
 mod request_intake;
 mod retry_after;
 mod retry_tracker;
+mod service_time;
 mod target;
 mod target_load;
 mod target_selector;
--- a/crates/apricotfold-policy/tests/deadline_queue.rs
+++ b/crates/apricotfold-policy/tests/deadline_queue.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, ProfileLimits, RateLimit, RefusalReason, WorkClass};
+use apricotfold_model::{
+    CallPriority, ProfileLimits, RateLimit, RefusalReason, RetrySafety, WorkClass,
+};
 use apricotfold_policy::{
     Admission, AdmissionEvent, AdmissionId, AdmissionLimits, AdmissionPolicy, AdmissionRequest,
     CallStanding, DeadlineQueue,
@@ -37,6 +39,7 @@
         useful_until: now + USEFUL_TIME,
         deadline: now + TIMEOUT,
         tenant: None,
+        repeat: RetrySafety::Idempotent,
     }
 }
 
@@ -305,6 +308,7 @@
                         useful_until: now + Duration::from_millis(useful),
                         deadline: now + Duration::from_millis(deadline),
                         tenant: None,
+                        repeat: RetrySafety::Idempotent,
                     };
                     let (admission, events) = queue.offer(next_id, &offer, now);
                     match admission {
--- a/crates/apricotfold-policy/tests/parent_yields.rs
+++ b/crates/apricotfold-policy/tests/parent_yields.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, ProfileLimits, RouteName, WorkClass};
+use apricotfold_model::{CallPriority, ProfileLimits, RetrySafety, RouteName, WorkClass};
 use apricotfold_policy::{
     Admission, AdmissionEvent, AdmissionId, AdmissionLimits, AdmissionPolicy, AdmissionRequest,
     CallStanding, DeadlineQueue, NestedCapacity, ParentThrottle,
@@ -125,6 +125,11 @@
             useful_until,
             deadline: useful_until,
             tenant: None,
+            repeat: if rank.0 == CallPriority::Normal {
+                RetrySafety::AtMostOnce
+            } else {
+                RetrySafety::Idempotent
+            },
         };
         let (admission, mut events) = self.queues[service].offer(id, &request, now);
         if admission == Admission::Run {
--- a/crates/apricotfold-policy/tests/tenant_share.rs
+++ b/crates/apricotfold-policy/tests/tenant_share.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, ProfileLimits, TenantName, WorkClass};
+use apricotfold_model::{CallPriority, ProfileLimits, RetrySafety, TenantName, WorkClass};
 use apricotfold_policy::{
     Admission, AdmissionEvent, AdmissionId, AdmissionLimits, AdmissionPolicy, AdmissionRequest,
     CallStanding, DeadlineQueue,
@@ -78,6 +78,7 @@
                 useful_until: now + USEFUL_TIME,
                 deadline: now + USEFUL_TIME * 2,
                 tenant: named(tenant),
+                repeat: RetrySafety::Idempotent,
             };
             let (admission, mut events) = queue.offer(id, &request, now);
             if admission == Admission::Run {
@@ -193,6 +194,7 @@
         useful_until: start + USEFUL_TIME,
         deadline: start + USEFUL_TIME,
         tenant: tenant.map(TenantName::from),
+        repeat: RetrySafety::Idempotent,
     };
     let (new, nested) = (CallStanding::New, CallStanding::Nested);
     queue.offer(1, &request(Some("first"), new), start);
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -296,6 +296,7 @@
             class: context.class,
             priority: context.priority,
             standing: context.standing,
+            repeat: context.repeat,
             useful_until: context.useful_until,
             deadline: context.deadline,
             tenant: context.tenant.clone(),
