Assume the usual load of targets without a recent report

Cause: reported loads and waits faded to zero within about a second. A node that hears rarely of a target took it for free, so that many nodes sent to the fastest of those targets at once.

Change: the load fades towards the usual share of busy slots in all reports, at most 1. The random factor on costs is up to 1.2 instead of 1.1, and leaves out the way to the target.

--- a/crates/apricotfold-policy/src/target_load.rs
+++ b/crates/apricotfold-policy/src/target_load.rs
@@ -97,10 +97,11 @@
         }
     }
 
-    pub(crate) fn others(&self, now: Instant) -> f64 {
-        self.report.map_or(0.0, |seen| {
+    /// Expected number of requests of other nodes, which approaches the usual one as the report ages.
+    pub(crate) fn others(&self, usual: f64, now: Instant) -> f64 {
+        self.report.map_or(usual, |seen| {
             let age = now.saturating_duration_since(seen.received);
-            seen.others * remaining_share(age, REPORT_WINDOW)
+            usual + (seen.others - usual) * remaining_share(age, REPORT_WINDOW)
         })
     }
 
--- a/crates/apricotfold-policy/src/target_selector.rs
+++ b/crates/apricotfold-policy/src/target_selector.rs
@@ -30,9 +30,10 @@
 /// node.
 const FULL_EXCLUSION: Duration = Duration::from_millis(25);
 
-/// Relative size of the random factor on costs. Smaller differences of cost are noise, and the
-/// factor keeps nodes with equal information from selecting the same target.
-const COST_JITTER: f64 = 0.1;
+/// Relative size of the random factor on the time that a target takes. Smaller differences are
+/// noise, and the factor keeps nodes with equal information from selecting the same target. The way
+/// to the target is known, so that the factor does not lead to another data centre.
+const COST_JITTER: f64 = 0.2;
 
 /// Weight of the failure rate in the cost. A target that fails half of its requests costs three
 /// times as much, because each failure needs another target and a retry from the budget.
@@ -210,6 +211,9 @@
     costs: LinkCosts,
     targets: HashMap<NodeId, TargetLoad>,
     works: HashMap<RouteName, WorkEstimate>,
+    /// Moving average of the reported share of busy slots. Queued requests do not count: a node that
+    /// gets no reports because it refuses everything must try again once the reports are old.
+    usual_load: f64,
     random: StdRng,
 }
 
@@ -221,6 +225,7 @@
             costs,
             targets: HashMap::new(),
             works: HashMap::new(),
+            usual_load: 0.0,
             random: StdRng::seed_from_u64(seed),
         }
     }
@@ -255,9 +260,8 @@
                 continue;
             }
             let unreachable = target.is_some_and(|target| target.is_excluded(now));
-            let (cost, pick) = self.estimate(&need, index, candidate);
             let noise = 1.0 + COST_JITTER * self.random.random::<f64>();
-            let cost = cost * noise;
+            let (cost, pick) = self.estimate(&need, index, candidate, noise);
             let late = pick.expected > left || !pick.is_worth_trying(left);
             let penalty = (unreachable, late);
             let better = best
@@ -275,6 +279,7 @@
         need: &SelectionContext,
         index: usize,
         candidate: &TargetCandidate<'_>,
+        noise: f64,
     ) -> (f64, SelectedTarget) {
         let SelectionContext {
             work,
@@ -286,10 +291,11 @@
         let slots = f64::from(candidate.slots.max(1));
         let known = self.targets.get(candidate.node);
         let own = known.map_or(0.0, |target| f64::from(target.in_flight));
-        let load = match candidate.own {
-            Some(report) => f64::from(report.running + report.waiting),
-            None => own + known.map_or(0.0, |target| target.others(now)),
-        };
+        let usual = self.usual_load * slots;
+        let load = candidate.own.map_or_else(
+            || own + known.map_or(usual, |target| target.others(usual, now)),
+            |report| f64::from(report.running + report.waiting),
+        );
         let cold = if candidate.cold {
             COLD_START_FACTOR
         } else {
@@ -304,7 +310,10 @@
         };
         let sent = known.map_or(0.0, TargetLoad::sent_since_report);
         let queueing = match reported.filter(|wait| *wait > 0.0) {
-            Some(wait) => wait + sent * mean_service / slots,
+            Some(wait) => {
+                let age = known.map_or(0.0, |target| 1.0 - target.report_weight(now));
+                wait + sent * mean_service / slots + age * queue_time(load, slots, mean_service)
+            }
             None => queue_time(load, slots, mean_service),
         };
         // Every answer uses this node's link to the caller; an answer from another node also uses
@@ -321,7 +330,7 @@
         let link = self.costs.of(candidate.tier, work.answer_bytes);
         let expected = service + queueing + stall + link;
         let faults = known.map_or(0.0, |target| target.expected_faults(now));
-        let cost = expected * (1.0 + FAULT_WEIGHT * faults);
+        let cost = ((expected - link) * noise + link) * (1.0 + FAULT_WEIGHT * faults);
         let pick = SelectedTarget {
             index,
             expected: Duration::from_secs_f64(expected),
@@ -371,6 +380,8 @@
         target.waiting_since = (target.in_flight > 0).then_some(now);
         if let Some(report) = report {
             let total = f64::from(report.running + report.waiting);
+            let load = total / f64::from(report.slots.max(1));
+            update_average(&mut self.usual_load, load.min(1.0));
             target.report = Some(ReceivedReport {
                 report,
                 others: (total - f64::from(target.in_flight)).max(0.0),
--- a/crates/apricotfold-policy/tests/target_selector.rs
+++ b/crates/apricotfold-policy/tests/target_selector.rs
@@ -214,6 +214,31 @@
     assert!(pick.is_worth_trying(ms(1_000)));
 }
 
+/// Guards against a node that refuses everything for good after an overload: without attempts, it
+/// gets no reports that would show its end.
+#[test]
+fn tries_again_after_overload() {
+    let mut targets = TwoTargets::new([LocalityTier::SameDataCentre; 2]);
+    for _ in 0..50 {
+        for index in [0, 1] {
+            let queued = InstanceReport {
+                waiting: 36,
+                ..report(SLOTS, 100, 400)
+            };
+            targets.run(index, answered(80, 400), queued);
+        }
+    }
+    let pick = |targets: &mut TwoTargets| {
+        let candidates = [0, 1].map(|index| candidate(&targets.nodes[index], targets.tiers[index]));
+        let selector = &mut targets.selector;
+        let pick = selector.pick(&ROUTE, RANK, &candidates, &[], LEFT, targets.now);
+        pick.expect("a target")
+    };
+    assert!(!pick(&mut targets).is_worth_trying(ms(400)));
+    targets.now += Duration::from_secs(3);
+    assert!(pick(&mut targets).is_worth_trying(ms(400)));
+}
+
 /// Guards against selecting a near target whose wait would lead to a refusal, while one in another
 /// data centre would answer in time.
 #[test]
