--- a/crates/apricotfold-policy/src/admission_policy.rs
+++ b/crates/apricotfold-policy/src/admission_policy.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, RateLimit, RefusalReason, WorkClass};
+use apricotfold_model::{
+    CallPriority, RateLimit, RefusalReason, RetrySafety, TenantName, WorkClass,
+};
 
 use crate::{AdmissionEvents, AdmissionId, AdmissionLimits, ExpectedWaits, LoadReport};
 
@@ -55,7 +57,7 @@
 }
 
 /// A request that arrives at a target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct AdmissionRequest {
     /// Work class, which decides the queue and the slots that the request may use.
     pub class: WorkClass,
@@ -63,10 +65,16 @@
     pub priority: CallPriority,
     /// Origin of the request, which decides how long it may wait in the queue.
     pub standing: CallStanding,
+    /// Whether the request may run more than once. One that may not is not started so late that its
+    /// deadline would cut it off.
+    pub repeat: RetrySafety,
     /// Latest time at which an answer is still useful; bounds the time spent waiting for a slot.
     pub useful_until: Instant,
     /// Time at which the caller stops waiting for an answer.
     pub deadline: Instant,
+    /// Tenant that gets a fair share of the slots; `None` in meshes without tenants and for calls of
+    /// running requests.
+    pub tenant: Option<TenantName>,
 }
 
 /// Decides which requests a target runs, which are queued, and which are refused.
--- a/crates/apricotfold-policy/src/deadline_queue.rs
+++ b/crates/apricotfold-policy/src/deadline_queue.rs
@@ -5,10 +5,14 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{CallPriority, RateLimit, RefusalReason, WorkClass};
+use apricotfold_model::{
+    CallPriority, RateLimit, RefusalReason, RetrySafety, TenantName, WorkClass,
+};
 
 use crate::decay::DecayingSum;
 use crate::rate_gate::RateGate;
+use crate::service_time::ServiceTimes;
+use crate::tenant_share::TenantShares;
 use crate::{
     Admission, AdmissionEvent, AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionPolicy,
     AdmissionRequest, CallStanding, LoadReport,
@@ -31,9 +35,9 @@
 /// with less time left wastes its slot.
 const MIN_SERVICE_SHARE: f64 = 0.5;
 
-/// Weight of a new sample in the moving average of service times, which follows a change within
-/// about ten requests.
-const ESTIMATE_WEIGHT: f64 = 0.1;
+/// The same for a request that must not run twice. If its deadline cuts it off, its caller cannot
+/// safely repeat it.
+const MIN_SERVICE_SHARE_ONCE: f64 = 1.0;
 
 /// Time constant of the decaying counts of started requests per priority.
 const SHARE_WINDOW: Duration = Duration::from_secs(1);
@@ -65,18 +69,24 @@
     pub nested: [Duration; PRIORITIES],
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RunningWork {
     class: WorkClass,
+    repeat: RetrySafety,
     started: Instant,
+    tenant: Option<TenantName>,
+    /// Service time that was charged to the tenant at the start.
+    charged: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct WaitingWork {
     id: AdmissionId,
     class: WorkClass,
     priority: CallPriority,
     standing: CallStanding,
+    repeat: RetrySafety,
+    tenant: Option<TenantName>,
     /// Latest start time with which it is still answered in time.
     start_by: Instant,
 }
@@ -91,7 +101,8 @@
 /// Admits requests that can be answered in time and refuses all others on arrival.
 ///
 /// Queued requests start by priority, then by [`CallStanding`] (those whose refusal would waste the
-/// most work first), then by arrival. A request is queued only if its expected wait, including more
+/// most work first), then by the slot time that their tenant had lately, least first, then by
+/// arrival. A request is queued only if its expected wait, including more
 /// urgent work that will overtake it, stays within a share of its spare time. Refusals are
 /// immediate, so that the caller can retry later or use another target.
 #[derive(Debug)]
@@ -103,10 +114,10 @@
     running: HashMap<AdmissionId, RunningWork>,
     long_running: u32,
     waiting: Vec<WaitingWork>,
-    short_service: Option<Duration>,
-    long_service: Option<Duration>,
+    services: ServiceTimes,
     /// Decaying counts of started requests, indexed by [`priority_index`].
     starts: [DecayingSum; PRIORITIES],
+    shares: TenantShares,
 }
 
 impl DeadlineQueue {
@@ -120,18 +131,14 @@
             running: HashMap::new(),
             long_running: 0,
             waiting: Vec::new(),
-            short_service: None,
-            long_service: None,
+            services: ServiceTimes::default(),
             starts: [DecayingSum::new(SHARE_WINDOW); PRIORITIES],
+            shares: TenantShares::default(),
         }
     }
 
     fn service(&self, class: WorkClass) -> Duration {
-        let estimate = match class {
-            WorkClass::Short => self.short_service,
-            WorkClass::Long => self.long_service,
-        };
-        estimate.unwrap_or_default()
+        self.services.mean(class)
     }
 
     /// Mean service time of the running requests, which determines when the next slot becomes free.
@@ -175,13 +182,10 @@
         &self,
         priority: CallPriority,
         standing: CallStanding,
+        tenant: Option<&TenantName>,
         now: Instant,
     ) -> Duration {
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|known| known.order() >= (priority, standing))
-            .count();
+        let ahead = self.count_ahead((priority, standing), tenant, now);
         if ahead == 0 && self.free_slots() > 0 && self.is_gate_open(now) {
             return Duration::ZERO;
         }
@@ -195,10 +199,30 @@
         let rate_wait = self
             .gate
             .map_or(Duration::ZERO, |gate| gate.wait(position, now));
-        let available_share = 1.0 - self.urgent_share(priority, now);
+        let overtaking = tenant.map_or(0.0, |tenant| self.shares.overtaking_share(tenant, now));
+        let urgent = self.urgent_share(priority, now);
+        let available_share = ((1.0 - urgent) * (1.0 - overtaking)).max(1.0 - MAX_URGENT_SHARE);
         slot_wait.max(rate_wait).div_f64(available_share)
     }
 
+    /// Returns the number of queued requests that start before one that arrives now.
+    fn count_ahead(
+        &self,
+        order: (CallPriority, CallStanding),
+        tenant: Option<&TenantName>,
+        now: Instant,
+    ) -> usize {
+        let Some(tenant) = tenant else {
+            let ahead = self.waiting.iter().filter(|known| known.order() >= order);
+            return ahead.count();
+        };
+        let above = self.waiting.iter().filter(|known| known.order() > order);
+        let equals = self.waiting.iter().filter(|known| known.order() == order);
+        let queued = equals.map(|known| known.tenant.as_ref());
+        let service = self.service(WorkClass::Short);
+        above.count() + self.shares.ahead(tenant, queued, service, now)
+    }
+
     /// Estimates the share of slots that goes to more urgent work, which overtakes queued requests.
     fn urgent_share(&self, priority: CallPriority, now: Instant) -> f64 {
         let count = |sum: &DecayingSum| sum.value_at(now);
@@ -213,9 +237,27 @@
         (urgent / total).min(MAX_URGENT_SHARE)
     }
 
-    fn start(&mut self, id: AdmissionId, class: WorkClass, priority: CallPriority, now: Instant) {
-        let started = now;
-        self.running.insert(id, RunningWork { class, started });
+    fn start(&mut self, work: WaitingWork, now: Instant) {
+        let WaitingWork {
+            id,
+            class,
+            priority,
+            repeat,
+            tenant,
+            ..
+        } = work;
+        let charged = self.service(class);
+        if let Some(tenant) = &tenant {
+            self.shares.charge(tenant, charged.as_secs_f64(), now);
+        }
+        let work = RunningWork {
+            class,
+            repeat,
+            started: now,
+            tenant,
+            charged,
+        };
+        self.running.insert(id, work);
         if let Some(gate) = &mut self.gate {
             gate.pass(now);
         }
@@ -225,8 +267,13 @@
         self.starts[priority_index(priority)].add(1.0, now);
     }
 
-    fn stop(&mut self, id: AdmissionId) -> Option<RunningWork> {
+    fn stop(&mut self, id: AdmissionId, now: Instant) -> Option<RunningWork> {
         let ended = self.running.remove(&id)?;
+        if let Some(tenant) = &ended.tenant {
+            let taken = now.saturating_duration_since(ended.started).as_secs_f64();
+            let correction = taken - ended.charged.as_secs_f64();
+            self.shares.charge(tenant, correction, now);
+        }
         if ended.class == WorkClass::Long {
             self.long_running -= 1;
         }
@@ -241,7 +288,31 @@
                 best = Some(index);
             }
         }
-        best.map(|index| self.waiting.remove(index))
+        let index = best.map(|first| self.fairest(first, now))?;
+        Some(self.waiting.remove(index))
+    }
+
+    /// Returns the queued request to start instead of `first`, the earliest of its rank: that of the
+    /// tenant that had the least slot time. A request without a tenant keeps its place.
+    fn fairest(&self, first: usize, now: Instant) -> usize {
+        let order = self.waiting[first].order();
+        let mut best: Option<(usize, f64)> = None;
+        for (index, work) in self.waiting.iter().enumerate().skip(first) {
+            if work.order() != order || !self.may_run(work.class, now) {
+                continue;
+            }
+            let Some(tenant) = &work.tenant else {
+                if index == first {
+                    return first;
+                }
+                continue;
+            };
+            let used = self.shares.used(tenant, now);
+            if best.is_none_or(|(_, least)| used < least) {
+                best = Some((index, used));
+            }
+        }
+        best.map_or(first, |(index, _)| index)
     }
 
     /// Estimates the queueing times of requests that arrive now. Nodes report them to the nodes
@@ -254,7 +325,7 @@
                 CallPriority::Normal,
                 CallPriority::Critical,
             ]
-            .map(|priority| self.expected_wait(priority, standing, now))
+            .map(|priority| self.expected_wait(priority, standing, None, now))
         };
         ExpectedWaits {
             new: by_priority(CallStanding::New),
@@ -274,51 +345,56 @@
         if self.draining {
             return (Admission::Refuse(RefusalReason::Draining), events);
         }
-        let service = self.service(offer.class);
-        if now + service.mul_f64(MIN_SERVICE_SHARE) >= offer.deadline {
+        let service = self.services.mean_of(offer.class, offer.repeat);
+        let min_share = match offer.repeat {
+            RetrySafety::Idempotent => MIN_SERVICE_SHARE,
+            RetrySafety::AtMostOnce => MIN_SERVICE_SHARE_ONCE,
+        };
+        if now + service.mul_f64(min_share) >= offer.deadline {
             return (Admission::Refuse(RefusalReason::DeadlineTooClose), events);
         }
-        let overtakes = !self.waiting.iter().any(|known| {
-            known.order() >= (offer.priority, offer.standing) && self.may_run(known.class, now)
-        });
-        if overtakes && self.may_run(offer.class, now) {
-            self.start(id, offer.class, offer.priority, now);
-            return (Admission::Run, events);
-        }
+        // A request that must not run twice can start now with little time left, but not later.
         let useful = offer.useful_until.min(offer.deadline);
-        let spare = useful.saturating_duration_since(now + service);
-        let wait = self.expected_wait(offer.priority, offer.standing, now);
-        if wait > spare.mul_f64(offer.standing.wait_share()) {
-            return (Admission::Refuse(RefusalReason::Overloaded), events);
-        }
-        self.waiting.push(WaitingWork {
+        let reserve = self.services.reserve(offer.class, offer.repeat);
+        let spare = useful
+            .saturating_duration_since(now + service)
+            .min(offer.deadline.saturating_duration_since(now + reserve));
+        let work = WaitingWork {
             id,
             class: offer.class,
             priority: offer.priority,
             standing: offer.standing,
+            repeat: offer.repeat,
+            tenant: offer.tenant.clone(),
             start_by: now + spare,
-        });
+        };
+        let overtakes = !self
+            .waiting
+            .iter()
+            .any(|known| known.order() >= work.order() && self.may_run(known.class, now));
+        if overtakes && self.may_run(offer.class, now) {
+            self.start(work, now);
+            return (Admission::Run, events);
+        }
+        let wait = self.expected_wait(offer.priority, offer.standing, offer.tenant.as_ref(), now);
+        if wait > spare.mul_f64(offer.standing.wait_share()) {
+            return (Admission::Refuse(RefusalReason::Overloaded), events);
+        }
+        self.waiting.push(work);
         events.extend(self.expire(now));
         (Admission::Wait, events)
     }
 
     fn release(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
-        if let Some(ended) = self.stop(id) {
+        if let Some(ended) = self.stop(id, now) {
             let service = now.saturating_duration_since(ended.started);
-            let estimate = match ended.class {
-                WorkClass::Short => &mut self.short_service,
-                WorkClass::Long => &mut self.long_service,
-            };
-            let blended = estimate.map_or(service, |known| {
-                known.mul_f64(1.0 - ESTIMATE_WEIGHT) + service.mul_f64(ESTIMATE_WEIGHT)
-            });
-            *estimate = Some(blended);
+            self.services.record(ended.class, ended.repeat, service);
         }
         self.expire(now)
     }
 
     fn cancel(&mut self, id: AdmissionId, now: Instant) -> AdmissionEvents {
-        if self.stop(id).is_none() {
+        if self.stop(id, now).is_none() {
             self.waiting.retain(|known| known.id != id);
         }
         self.expire(now)
@@ -334,8 +410,8 @@
             events.push(AdmissionEvent::Refuse(work.id, reason));
         }
         while let Some(work) = self.take_next(now) {
-            self.start(work.id, work.class, work.priority, now);
             events.push(AdmissionEvent::Start(work.id));
+            self.start(work, now);
         }
         events
     }
