Add versions of targets and the formats of rollout orders

Canary rollouts need the version that a target announces (`info.version`) at all nodes, and orders and status texts of the platform. Announcements and records carry an optional version; records of earlier releases still read, and the digest of a record without a version is theirs.

--- a/crates/apricotfold-model/src/ids.rs
+++ b/crates/apricotfold-model/src/ids.rs
@@ -10,6 +10,8 @@
 pub type RegionName = CompactString;
 /// Name of a service.
 pub type ServiceName = CompactString;
+/// Version of a service's program, as its targets announce it.
+pub type VersionName = CompactString;
 /// Name of a profile.
 pub type ProfileName = CompactString;
 /// Version of a profile; increases with each publish and withdrawal.
--- a/crates/apricotfold-model/src/instance.rs
+++ b/crates/apricotfold-model/src/instance.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use strum::{Display, EnumString, IntoStaticStr};
 
-use crate::{DataCentreName, NodeId, ServiceName};
+use crate::{DataCentreName, NodeId, ServiceName, VersionName};
 
 /// Id of an instance. A restarted target usually gets a new id, but may reuse the old one.
 pub type InstanceId = CompactString;
@@ -85,6 +85,8 @@
     pub state: InstanceState,
     /// Remaining warm-up time, during which the target is slower than usual.
     pub cold: Duration,
+    /// Version of the target's program, if it announces one.
+    pub version: Option<VersionName>,
 }
 
 impl InstanceAnnouncement {
@@ -136,6 +138,9 @@
     /// Bandwidth of the instance's network link in Mbit/s; 0 if it is unknown.
     #[serde(default)]
     pub link_mbps: u32,
+    /// Version of the target's program; `None` if it announces none, and from earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<VersionName>,
 }
 
 impl InstanceRecord {
--- a/crates/apricotfold-model/src/lib.rs
+++ b/crates/apricotfold-model/src/lib.rs
@@ -16,6 +16,7 @@
 mod profile;
 mod proxy_config;
 mod rate_limit;
+mod rollout;
 mod route_table;
 mod settings;
 mod snapshot;
@@ -33,7 +34,7 @@
 pub use field::{FieldError, FieldErrors, parse_json};
 pub use ids::{
     BundleDigest, ClusterName, DataCentreName, ListenerName, NodeId, ProfileName, ProfileVersion,
-    PublishId, RegionName, SecretName, ServiceName,
+    PublishId, RegionName, SecretName, ServiceName, VersionName,
 };
 pub use instance::{
     AnnouncementNumber, InstanceAnnouncement, InstanceId, InstanceRecord, InstanceState, NodeEpoch,
@@ -47,6 +48,7 @@
 };
 pub use proxy_config::{ProxyConfig, SharedRetryLimit};
 pub use rate_limit::RateLimit;
+pub use rollout::{RawRolloutOrder, RolloutOrder, RolloutState, RolloutStatus};
 pub use route_table::{
     CallerLimits, HostName, RawCallerLimits, RawRouteTable, RawTableRoute, RetrySafety, RouteName,
     RouteTable, TableRoute, TableService, TableVersion, WeightedService,
--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -364,6 +364,10 @@
             let (state, slots) = (record.state, record.slots);
             let life = (&record.instance, record.born, record.life_order());
             (&record.node, life, &record.service, state, slots).hash(&mut hasher);
+            // Earlier releases know no versions; without one, the digest is theirs.
+            if let Some(version) = &record.version {
+                version.hash(&mut hasher);
+            }
             sum.wrapping_add(hasher.finish())
         })
     }
--- a/crates/apricotfold-policy/src/local_instance.rs
+++ b/crates/apricotfold-policy/src/local_instance.rs
@@ -162,6 +162,7 @@
         }
         let changed = known.service != announcement.service
             || known.slots != announcement.slots
+            || known.version != announcement.version
             || known.state != announcement.state;
         *known = announcement;
         if changed {
--- a/crates/apricotfold-policy/tests/instance_registry.rs
+++ b/crates/apricotfold-policy/tests/instance_registry.rs
@@ -27,6 +27,7 @@
         announced: None,
         cold_ms: 0,
         link_mbps: 0,
+        version: None,
     }
 }
 
--- a/crates/apricotfold-policy/tests/local_instance.rs
+++ b/crates/apricotfold-policy/tests/local_instance.rs
@@ -16,6 +16,7 @@
         slots: 9,
         state,
         cold: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/apricotfold-policy/tests/relay_choice.rs
+++ b/crates/apricotfold-policy/tests/relay_choice.rs
@@ -21,6 +21,7 @@
         announced: None,
         cold_ms: 0,
         link_mbps: 0,
+        version: None,
     }
 }
 
--- a/crates/apricotfold-proxy/src/adapters.rs
+++ b/crates/apricotfold-proxy/src/adapters.rs
@@ -5,7 +5,7 @@
 
 use apricotfold_model::{
     ApiKeyDigest, CallOutcome, FieldErrors, InstanceAnnouncement, InstanceId, RateLimit,
-    RefusalReason, RouteTable, ServiceName, StartTimeMillis,
+    RefusalReason, RolloutOrder, RolloutStatus, RouteTable, ServiceName, StartTimeMillis,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -144,3 +144,23 @@
     /// Returns the invalid fields; one invalid field makes the whole table unusable.
     fn decode(&self, text: &str) -> Result<RouteTable, FieldErrors>;
 }
+
+/// Location and format of rollout orders and of their status in the store.
+pub trait RolloutSource: Send + Sync {
+    /// Returns the prefix of the keys of orders, which the name of the service follows. It has a prefix
+    /// in common with [`TableSource::key`], so that one watch covers both.
+    fn order_prefix(&self) -> &str;
+
+    /// Returns the key of the status of a service's rollout.
+    fn status_key(&self, service: &str) -> String;
+
+    /// Decodes an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns the invalid fields; the order is then ignored.
+    fn decode_order(&self, text: &str) -> Result<RolloutOrder, FieldErrors>;
+
+    /// Encodes a status.
+    fn encode_status(&self, status: &RolloutStatus) -> String;
+}
