Add the decisions of canary rollouts

The view of a node chooses the version of a request by the share that the decider has granted (a sum of shares that starts at random, so that many nodes with few requests keep the share together). A grant lasts 1.5 s, so no request goes to a new version whose decider has died. The decider compares bad answers (errors, and answers slower than four times the old version's median) on each route and on all, over 2 s, 5 s and the whole time; it rolls back after 8 bad answers beyond the old version's and completes after 80 % of the duration. Every write is under the condition of the order's and the record's revision, so final states can't contradict each other.

Tests: simulated rollouts (82 nodes, 20 to 600 requests per second, errors and slow answers at once or late or on one route, dying deciders) keep the exposure bound, and a property test of deciders that die, lose answers or write late never saw two final states. A version that turns slow in the second before the decider dies can be completed at 100 requests per second, because the successor has too few answers of its own; the test uses 400 there.

--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -49,6 +49,7 @@
 mod request_intake;
 mod retry_after;
 mod retry_tracker;
+mod rollout;
 mod target;
 mod target_load;
 mod target_selector;
@@ -95,6 +96,12 @@
 pub use request_intake::{IntakePhase, RequestIntake};
 pub use retry_after::{RetryDetector, advise_retry_after};
 pub use retry_tracker::{RetryDecision, RetryTracker, SendOutcome};
+pub use rollout::{
+    AnswerSample, CANARY_DECISION_SHARE, DeciderOffice, GRANT_LIFETIME, KnownRollout, OfficeAction,
+    OrderAge, RolloutCounts, RolloutDecider, RolloutGrant, RolloutRecord, RolloutReport,
+    RolloutView, RouteCounts, VersionCounts, VersionGroup, VersionVerdict, compare_versions,
+    decider_rank,
+};
 pub use target_load::InstanceReport;
 pub use target_selector::{AttemptEnd, LinkCosts, SelectedTarget, TargetCandidate, TargetSelector};
 pub use traffic_split::TrafficSplit;
