Carry out canary rollouts

Orders are read and watched with the route table (prefix of both keys instead of the one key; one listing instead of one read), records with the nodes' entries (prefix apricotfold/), and both are passed on in the exchange with relays. Requests use the new version at most once: retries and hedges go to the old one. Without an order, no message and no store call is added.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -195,6 +195,21 @@
     /// The open watches of the store were opened anew, because their answers may be lost.
     #[strum(serialize = "AF5011", message = "watch reopened")]
     WatchReopened,
+    /// The operators have ordered a canary rollout.
+    #[strum(serialize = "AF5012", message = "rollout ordered")]
+    RolloutOrdered,
+    /// A rollout order was ignored because it is invalid.
+    #[strum(serialize = "AF5013", message = "rollout refused")]
+    RolloutRefused,
+    /// The record of a rollout was written or changed.
+    #[strum(serialize = "AF5014", message = "rollout changed")]
+    RolloutChanged,
+    /// The node that decides on a rollout has found the new version bad.
+    #[strum(serialize = "AF5015", message = "rollout stopped")]
+    RolloutStopped,
+    /// The node that decides on a rollout has ended it.
+    #[strum(serialize = "AF5016", message = "rollout decided")]
+    RolloutDecided,
 }
 
 /// Logs an event at the given level; its code and message precede the formatted text.
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -28,6 +28,7 @@
 use crate::lifecycle::{Lifecycle, ProcessPhase};
 use crate::link_meter::LinkMeter;
 use crate::peer_exchange::InstanceList;
+use crate::rollout::RolloutKeeper;
 use crate::store_health::StoreHealth;
 use crate::table_cache::TableCache;
 
@@ -91,6 +92,8 @@
     pub protocol: Arc<dyn CallProtocol>,
     /// Newest route table.
     pub tables: TableCache,
+    /// Canary rollouts.
+    pub rollouts: RolloutKeeper,
     /// Admission of requests to the local target.
     pub admission: AdmissionController,
     /// Requests that have crashed targets.
@@ -140,6 +143,7 @@
         config: ProxyConfig,
         protocol: Arc<dyn CallProtocol>,
         tables: TableCache,
+        rollouts: RolloutKeeper,
         clock: Arc<dyn WallClock>,
     ) -> Self {
         let seed = if config.seed == 0 {
@@ -156,6 +160,7 @@
             clock,
             protocol,
             tables,
+            rollouts,
             admission: AdmissionController::with_rule(Box::new(DeadlineQueue::new(limits))),
             target_connections: ConnectionPool::new(TARGET_POOL),
             peer_connections: ConnectionPool::new(PEER_POOL),
@@ -408,6 +413,7 @@
             announced: Some(announced),
             cold_ms: target.map_or(0, |target| saturating_millis(target.cold)),
             link_mbps: config.link_mbps(),
+            version: target.and_then(|target| target.version.clone()),
         })
     }
 
@@ -478,6 +484,12 @@
         LocalityTier::Remote
     }
 
+    /// Returns whether an instance that has been known for `age` may still be cold, whatever it
+    /// announced.
+    pub fn is_young(age: Duration) -> bool {
+        age < COLD_PERIOD
+    }
+
     /// Returns whether an instance that has been known for `age` is still cold.
     pub fn is_cold(record: &InstanceRecord, age: Duration) -> bool {
         age < COLD_PERIOD.min(Duration::from_millis(record.cold_ms))
--- a/crates/apricotfold-proxy/src/entry_attempt.rs
+++ b/crates/apricotfold-proxy/src/entry_attempt.rs
@@ -3,12 +3,13 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{CallOutcome, InstanceRecord, RefusalReason, log_event};
-use apricotfold_policy::{AttemptEnd, InstanceReport};
+use apricotfold_policy::{AnswerSample, AttemptEnd, InstanceReport, NestedCapacity};
 use http::header;
 
 use crate::entry_call::{ChosenTarget, EntryCall};
 use crate::peer_call;
 use crate::target_call::{self, CallContext, TargetRefusal, TargetResponse};
+use crate::telemetry;
 
 /// Largest response that is buffered completely, so that one that breaks off can be fetched from
 /// another target. Larger responses are streamed.
@@ -18,12 +19,18 @@
 /// attempt's own timeouts come first because only they know whether the request was sent.
 const GIVE_UP_MARGIN: Duration = Duration::from_millis(10);
 
+/// Part of the time of an attempt that is not the target's, at most: a round trip between regions and
+/// its jitter. An attempt that is dropped has taken the target the rest of its time.
+const TRANSIT_TIME: Duration = Duration::from_millis(100);
+
 /// Reports the end of an attempt to the target selector, also when the caller disconnects and the
 /// attempt is dropped.
 struct AttemptGuard<'a> {
     call: &'a EntryCall<'a>,
     record: &'a InstanceRecord,
     open: bool,
+    started: Instant,
+    young: bool,
 }
 
 impl AttemptGuard<'_> {
@@ -46,6 +53,19 @@
         }
     }
 
+    /// Counts the end of the attempt for the rollout of the service, if there is one.
+    fn record_sample(&self, failed: bool, time: Option<Duration>) {
+        let mut view = self.call.engine.rollouts.view();
+        if view.is_empty() {
+            return;
+        }
+        let time = time.filter(|_| !self.young);
+        let route = &self.call.routed.route.name;
+        let version = self.record.version.as_ref();
+        let sample = AnswerSample { failed, time };
+        view.record_answer(&self.record.service, route, version, sample);
+    }
+
     /// Records that the node did not say what became of the request. It may have ended together with
     /// its target, so that only this node can tell what the target was running.
     fn record_unanswered(&self) {
@@ -66,6 +86,9 @@
             let mut selector = self.call.engine.selector();
             selector.finish(&self.record.node, route, end, None, Instant::now());
             drop(selector);
+            if let Some(time) = self.started.elapsed().checked_sub(TRANSIT_TIME) {
+                self.record_sample(false, Some(time));
+            }
             self.record_unanswered();
         }
     }
@@ -84,7 +107,10 @@
             call: self,
             record: &chosen.record,
             open: true,
+            started: Instant::now(),
+            young: chosen.young,
         };
+        self.record_attempt(&chosen.record);
         let context = self.context(chosen, hedge);
         let sent = async {
             let answer = if chosen.record.node == engine.node() {
@@ -118,6 +144,11 @@
                         bytes: answer_bytes(answer),
                     }
                 };
+                // An error for want of capacity elsewhere says nothing about the target's version.
+                if answer.calls != NestedCapacity::Refusal {
+                    let failed = answer.status.is_server_error();
+                    guard.record_sample(failed, Some(answer.service));
+                }
                 guard.finish(end, Some(answer.report));
             }
             Err(refusal) => {
@@ -139,12 +170,23 @@
                 } else {
                     attempt_end(refusal)
                 };
+                if refusal.outcome != CallOutcome::NotRun && end != AttemptEnd::Cancelled {
+                    guard.record_sample(true, None);
+                }
                 guard.finish(end, refusal.report);
             }
         }
         result
     }
 
+    /// Counts the attempt for the rollout of the service, if there is one.
+    fn record_attempt(&self, record: &InstanceRecord) {
+        let mut view = self.engine.rollouts.view();
+        if !view.is_empty() && view.record_attempt(&record.service, record.version.as_ref()) {
+            telemetry::count_canary_attempt();
+        }
+    }
+
     /// Records that an instance has stated in its answer that it leaves.
     fn record_departure(&self, record: &InstanceRecord) {
         let mut registry = self.engine.registry();
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -9,7 +9,7 @@
 };
 use apricotfold_policy::{
     CallStanding, NestedCapacity, RequestFingerprint, RetryDecision, RetryTracker, RunSummary,
-    SelectedTarget, SendOutcome, TargetCandidate, advise_retry_after,
+    SelectedTarget, SendOutcome, TargetCandidate, VersionGroup, advise_retry_after,
 };
 use http::Response;
 use smallvec::SmallVec;
@@ -51,6 +51,8 @@
     /// Tenant of the request; `None` in tables without tenants, on public routes and for nested calls.
     pub(crate) access: Option<TenantAccess>,
     parent: Option<ParentRun>,
+    /// Whether the next attempt goes to the version that is being rolled out, if it has a target.
+    canary: bool,
 }
 
 /// The request at the local target that made this call.
@@ -63,6 +65,8 @@
 pub(crate) struct ChosenTarget {
     pub(crate) record: InstanceRecord,
     pub(crate) pick: SelectedTarget,
+    /// Whether the target may still be cold, so that its times say nothing about its version.
+    pub(crate) young: bool,
 }
 
 /// Why no target was selected, and the expected wait for a slot if it is known.
@@ -97,6 +101,7 @@
             standing,
             access,
             parent,
+            canary: false,
         }
     }
 
@@ -114,6 +119,7 @@
                 expected_wait,
             ));
         }
+        self.canary = self.engine.rollouts.draws_canary(&service);
         let mut counted = false;
         loop {
             if self.block_left().is_some() {
@@ -132,6 +138,8 @@
                     return Ok(self.refuse(outcome, reason, expected_wait));
                 }
             };
+            // A request is exposed to the new version once; retries and hedges go to the old one.
+            self.canary = false;
             self.tried.push(chosen.record.node.clone());
             if !counted {
                 self.count_first(&service);
@@ -185,6 +193,7 @@
                 budget.record_external_retry(now);
             }
         });
+        self.engine.rollouts.view().record_request(service);
     }
 
     /// Returns whether another call of the parent request has ended without a response, so that a
@@ -220,14 +229,48 @@
         Ok(chosen)
     }
 
-    /// Selects the best target that has not been tried, without starting an attempt.
+    /// Selects the best target that has not been tried, without starting an attempt. A request that is
+    /// meant for the new version of a rollout uses the others if that has no suitable target.
     pub(crate) fn find_target(&self, service: &ServiceName) -> Result<ChosenTarget, NoTarget> {
+        if self.canary
+            && let Ok(chosen) = self.find_in_group(service, VersionGroup::New)
+        {
+            return Ok(chosen);
+        }
+        let open = self.engine.rollouts.view().is_open(service);
+        let group = if open {
+            VersionGroup::Old
+        } else {
+            VersionGroup::Any
+        };
+        self.find_in_group(service, group)
+    }
+
+    fn find_in_group(
+        &self,
+        service: &ServiceName,
+        group: VersionGroup,
+    ) -> Result<ChosenTarget, NoTarget> {
         let engine = self.engine;
         let now = Instant::now();
         let own_node = engine.node();
         let registry = engine.registry();
-        let instances: SmallVec<[(&InstanceRecord, Duration); 16]> =
+        let mut instances: SmallVec<[(&InstanceRecord, Duration); 16]> =
             registry.ready(service, now).collect();
+        {
+            let view = engine.rollouts.view();
+            if !view.is_empty() {
+                let admits = |any_left| {
+                    let view = &view;
+                    move |(record, _): &(&InstanceRecord, Duration)| {
+                        view.admits(service, group, record.version.as_ref(), any_left)
+                    }
+                };
+                let any_left = !instances.iter().any(admits(false));
+                let admitted = instances.iter().copied().filter(admits(any_left));
+                instances = admitted.collect();
+            }
+        }
         let candidates: SmallVec<[TargetCandidate<'_>; 16]> = instances
             .iter()
             .map(|(record, age)| TargetCandidate {
@@ -259,8 +302,12 @@
         if !pick.is_worth_trying(useful.saturating_duration_since(now)) {
             return Err((RefusalReason::Overloaded, Some(pick.queueing / 2)));
         }
-        let record = instances[pick.index].0.clone();
-        Ok(ChosenTarget { record, pick })
+        let (record, age) = instances[pick.index];
+        Ok(ChosenTarget {
+            record: record.clone(),
+            pick,
+            young: Engine::is_young(age),
+        })
     }
 
     /// Returns the priority and standing of the request. A nested call has at least the priority of
--- a/crates/apricotfold-proxy/src/instance_watcher.rs
+++ b/crates/apricotfold-proxy/src/instance_watcher.rs
@@ -13,6 +13,7 @@
 
 use crate::engine::Engine;
 use crate::registration::{NODE_PREFIX, NodeEntry};
+use crate::rollout::keeper::RECORD_PREFIX;
 use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher, next_batch};
 use crate::telemetry;
 
@@ -23,6 +24,9 @@
     longest: Duration::from_millis(2_500),
 };
 
+/// Prefix of all keys that nodes write: entries and records of rollouts.
+const WATCH_PREFIX: &str = "apricotfold/";
+
 /// Pause between the first listing and the first watch.
 const START_PAUSE: Duration = Duration::from_millis(600);
 
@@ -51,9 +55,9 @@
         // The first listing may be stale: the watch from its revision on delivers what is missing.
         // After a failure the store may have dropped the history that such a watch needs.
         let listing = if *failures == 0 {
-            self.store.list_stale(NODE_PREFIX).await
+            self.store.list_stale(WATCH_PREFIX).await
         } else {
-            self.store.list(NODE_PREFIX).await
+            self.store.list(WATCH_PREFIX).await
         };
         telemetry::count_store_call("list", listing.is_ok());
         let listing = listing?;
@@ -68,14 +72,16 @@
         let mut doubts = self.engine.store_health.watch_doubts();
         loop {
             doubts.mark_unchanged();
-            let mut watch = self.store.watch(NODE_PREFIX, revision + 1).await?;
+            let mut watch = self.store.watch(WATCH_PREFIX, revision + 1).await?;
             while let Some(batch) = next_batch(&mut watch, &mut doubts).await {
                 telemetry::count_store_call("watch", batch.is_ok());
                 let batch = batch?;
                 self.engine.store_health.record_answer("watch");
                 revision = revision.max(batch.revision);
                 self.apply_batch(&batch);
-                if !batch.events.is_empty() {
+                // Records of rollouts are rare and must arrive soon.
+                let changed = batch.events.iter().any(is_node_entry);
+                if changed {
                     tokio::time::sleep(pace.next_pause()).await;
                 }
             }
@@ -83,6 +89,10 @@
     }
 
     fn apply_listing(&self, listing: &RangeResponse) {
+        for entry in &listing.entries {
+            let rollouts = &self.engine.rollouts;
+            rollouts.apply_record_entry(&self.engine, entry);
+        }
         let records: Vec<InstanceRecord> = listing
             .entries
             .iter()
@@ -111,11 +121,14 @@
         for event in &batch.events {
             match event {
                 WatchEvent::Put(entry) => {
+                    let rollouts = &self.engine.rollouts;
+                    rollouts.apply_record_entry(&self.engine, entry);
                     if let Some(record) = self.read_entry(entry) {
                         self.apply_record(record);
                     }
                 }
                 WatchEvent::Delete(key) => {
+                    self.engine.rollouts.remove_record(key);
                     if let Some(node) = key.strip_prefix(NODE_PREFIX) {
                         let node = node.into();
                         log_event!(info, InstanceChanged, "the entry of {node} was deleted");
@@ -145,3 +158,11 @@
         read.record.filter(|record| record.node == node)
     }
 }
+
+fn is_node_entry(event: &WatchEvent) -> bool {
+    let key = match event {
+        WatchEvent::Put(entry) => &entry.key,
+        WatchEvent::Delete(key) => key,
+    };
+    !key.starts_with(RECORD_PREFIX)
+}
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -38,6 +38,7 @@
 mod relay_poller;
 pub mod request_codec;
 mod response_codec;
+mod rollout;
 mod run;
 mod settings_file;
 mod status_server;
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -10,7 +10,7 @@
     InstanceRecord, InstanceState, NodeEpoch, NodeId, TableVersion, TargetIncarnation, log_event,
     saturating_millis,
 };
-use apricotfold_policy::{STORE_SILENCE, WatchProgress, choose_followers};
+use apricotfold_policy::{KnownRollout, STORE_SILENCE, WatchProgress, choose_followers};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use futures_util::future::select_ok;
@@ -74,6 +74,9 @@
     #[serde(default)]
     progress_only: bool,
     record: Option<InstanceRecord>,
+    /// Digest of the rollouts known to the node; 0 if there are none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    rollouts: u64,
     /// Empty; earlier releases, which share crash counts here, need it.
     #[serde(skip_deserializing)]
     crashes: BTreeMap<NodeId, u32>,
@@ -101,6 +104,9 @@
     /// Incarnation beside the asking node that has announced its departure, as far as the peer knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     departed: Option<TargetIncarnation>,
+    /// All rollouts that the peer knows, if the digests differ.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    rollouts: Option<Vec<KnownRollout>>,
     /// The peer's time of day; `None` from earlier releases.
     #[serde(default)]
     clock: Option<ClockReading>,
@@ -109,6 +115,14 @@
     crashes: BTreeMap<NodeId, u32>,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(digest: &u64) -> bool {
+    *digest == 0
+}
+
 /// Time of day of a node, which others only display.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -312,6 +326,7 @@
         record: engine
             .local_record()
             .filter(|_| scope != ExchangeScope::Progress),
+        rollouts: engine.rollouts.view().digest(),
         crashes: BTreeMap::new(),
     };
     let (started, sent) = (Instant::now(), engine.clock.now());
@@ -405,6 +420,12 @@
             Err(cause) => log_event!(warn, ExchangeFailed, "{address}: instances: {cause}"),
         }
     }
+    if let Some(rollouts) = &answer.rollouts {
+        let complete = answer.follows_store && !engine.follows_store();
+        engine
+            .rollouts
+            .apply_known(engine, rollouts.clone(), complete);
+    }
 }
 
 /// Applies a departure that an earlier process of this node has acknowledged.
@@ -498,6 +519,13 @@
                 .compressed(digest, || registry.confirmed().cloned().collect())
         })
     };
+    let rollouts = {
+        let view = engine.rollouts.view();
+        // A node without a table has not read the orders either.
+        let read = !asked.table_only && engine.tables.version() > 0;
+        let differs = read && view.digest() != asked.rollouts;
+        differs.then(|| view.known(Instant::now()))
+    };
     if !asked.table_only {
         engine.record_poll();
     }
@@ -520,6 +548,7 @@
         records,
         refuting_epoch,
         departed,
+        rollouts,
         clock: Some(ClockReading {
             node: engine.node(),
             unix_ms: unix_millis(engine.clock.now()),
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -7,7 +7,7 @@
 use apricotfold_store::ConfigStore;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::adapters::{AnnounceProtocol, CallProtocol, TableSource};
+use crate::adapters::{AnnounceProtocol, CallProtocol, RolloutSource, TableSource};
 use crate::announce_server::AnnounceHandler;
 use crate::caller_server::{CallerHandler, serve_callers};
 use crate::connection::{RequestHandler, listen, serve};
@@ -20,6 +20,7 @@
 use crate::peer_server::PeerHandler;
 use crate::registration::Registration;
 use crate::relay_poller::RelayPoller;
+use crate::rollout::{RolloutKeeper, run_office, run_reports};
 use crate::settings_file::{SettingsReader, follow};
 use crate::status_server::{MetricsHandler, ReadyHandler};
 use crate::store_health::{follow_returns, watch_keys};
@@ -45,6 +46,8 @@
     pub announcements: Arc<dyn AnnounceProtocol>,
     /// Location and format of the route table in the store.
     pub tables: Arc<dyn TableSource>,
+    /// Location and format of rollout orders in the store.
+    pub rollouts: Arc<dyn RolloutSource>,
     /// Client of the store.
     pub store: Arc<dyn ConfigStore>,
     /// Time of day of the instance.
@@ -68,6 +71,7 @@
         config.clone(),
         adapters.calls,
         tables,
+        RolloutKeeper::new(adapters.rollouts),
         adapters.clock,
     ));
     let mut terminate = signal(SignalKind::terminate())?;
@@ -106,6 +110,8 @@
     tokio::spawn(watch_keys(engine.clone(), tables));
     let entries = InstanceWatcher::new(engine.clone(), adapters.store.clone());
     tokio::spawn(watch_keys(engine.clone(), entries));
+    tokio::spawn(run_office(engine.clone(), adapters.store.clone()));
+    tokio::spawn(run_reports(engine.clone()));
     tokio::spawn(Registration::new(engine.clone(), adapters.store).run());
     tokio::spawn(peer_exchange::run(engine.clone()));
     tokio::spawn(crash_gossip::run(engine.clone()));
--- a/crates/apricotfold-proxy/src/table_watcher.rs
+++ b/crates/apricotfold-proxy/src/table_watcher.rs
@@ -55,7 +55,8 @@
         loop {
             let key = self.engine.tables.key();
             doubts.mark_unchanged();
-            let mut watch = self.store.watch(key, revision + 1).await?;
+            let prefix = self.prefix();
+            let mut watch = self.store.watch(prefix, revision + 1).await?;
             loop {
                 let next = next_batch(&mut watch, &mut doubts);
                 let Ok(Some(batch)) = tokio::time::timeout(WATCH_TIMEOUT, next).await else {
@@ -65,6 +66,7 @@
                 let batch = batch?;
                 self.engine.store_health.record_answer("watch");
                 revision = revision.max(batch.revision);
+                self.apply_orders(&batch.events);
                 let Some(text) = newest_text(&batch.events, key) else {
                     continue;
                 };
@@ -87,22 +89,40 @@
         }
     }
 
-    /// Reads the table; with `stale`, the read may return data that is some seconds old. Returns
-    /// the store's revision.
+    /// Returns the prefix of the keys of the table and of rollout orders.
+    fn prefix(&self) -> &str {
+        let key = self.engine.tables.key();
+        self.engine.rollouts.watch_prefix(key)
+    }
+
+    fn apply_orders(&self, events: &[WatchEvent]) {
+        for event in events {
+            match event {
+                WatchEvent::Put(entry) => self.engine.rollouts.apply_order_entry(entry),
+                WatchEvent::Delete(key) => self.engine.rollouts.remove_order(key),
+            }
+        }
+    }
+
+    /// Reads the table and the rollout orders; with `stale`, the read may return data that is some
+    /// seconds old. Returns the store's revision. One read covers both, since a later watch begins at
+    /// its revision.
     async fn read_table(&self, stale: bool) -> Result<Revision, StoreError> {
         let key = self.engine.tables.key();
         let started = Instant::now();
         let answer = if stale {
-            self.store.get_stale(key).await
+            self.store.list_stale(self.prefix()).await
         } else {
-            self.store.get(key).await
+            self.store.list(self.prefix()).await
         };
-        telemetry::count_store_call("get", answer.is_ok());
+        telemetry::count_store_call("list", answer.is_ok());
         let answer = answer?;
         telemetry::record_table_read(started.elapsed());
-        self.engine.store_health.record_answer("get");
+        self.engine.store_health.record_answer("list");
         self.engine.start_epoch(answer.revision);
-        if let Some(entry) = answer.entries.first() {
+        let rollouts = &self.engine.rollouts;
+        rollouts.apply_order_listing(&answer.entries, !stale);
+        if let Some(entry) = answer.entries.iter().find(|entry| entry.key == key) {
             self.engine.tables.update(&entry.value);
         }
         Ok(answer.revision)
--- a/crates/apricotfold-proxy/src/telemetry.rs
+++ b/crates/apricotfold-proxy/src/telemetry.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use apricotfold_model::{CallOutcome, RefusalReason, WorkClass};
+use apricotfold_model::{CallOutcome, RefusalReason, RolloutState, WorkClass};
 use apricotfold_policy::OffsetMillis;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -89,6 +89,22 @@
     counter!("apricotfold_log_lines_dropped_total").increment(lines);
 }
 
+/// Counts a rollout that has reached a state, as far as this node has heard of it.
+pub fn count_rollout_state(state: RolloutState) {
+    let state: &'static str = state.into();
+    counter!("apricotfold_rollouts_total", "state" => state).increment(1);
+}
+
+/// Counts a message about a rollout to another node.
+pub fn count_rollout_message() {
+    counter!("apricotfold_rollout_messages_total").increment(1);
+}
+
+/// Counts an attempt at a target of a version that is being rolled out.
+pub fn count_canary_attempt() {
+    counter!("apricotfold_canary_attempts_total").increment(1);
+}
+
 /// Sets the gauges of the node's state.
 pub fn publish_state(state: &StateMetrics) {
     gauge!("apricotfold_route_table_version").set(to_float(state.table_version));
--- a/crates/apricotfold-proxy/tests/lost_watches.rs
+++ b/crates/apricotfold-proxy/tests/lost_watches.rs
@@ -15,8 +15,8 @@
 /// 2.5 s apart.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Prefix of the nodes' entries.
-const ENTRIES: &str = "apricotfold/nodes/";
+/// Prefix of the nodes' entries and of all else that nodes write.
+const ENTRIES: &str = "apricotfold/";
 
 /// Time from a node's start after which it no longer asks peers because it has just started.
 const SETTLE_TIME: Duration = Duration::from_secs(7);
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -24,7 +24,7 @@
 
 use caller::exchange;
 use clock::JumpingClock;
-use protocol::{TestAnnouncements, TestCalls, TestTables};
+use protocol::{TestAnnouncements, TestCalls, TestRollouts, TestTables};
 use store::{ClientLink, MemoryStore};
 use target::ScriptedTarget;
 
@@ -44,6 +44,8 @@
     pub target: ScriptedTarget,
     /// Time of day of the node's instance.
     pub clock: Arc<JumpingClock>,
+    /// Version that the target announces.
+    pub version: Option<String>,
     /// Start time of the target's current incarnation.
     born: AtomicU64,
     /// Runtime of a proxy that can be killed.
@@ -161,6 +163,7 @@
             config,
             target,
             clock,
+            version: None,
             born: AtomicU64::new(1),
             process: None,
         };
@@ -176,6 +179,24 @@
             config: config(name, target.address),
             target,
             clock: Arc::default(),
+            version: None,
+            born: AtomicU64::new(1),
+            process: None,
+        };
+        node.start_process(store).await;
+        node.announce(1, "ready").await;
+        node
+    }
+
+    /// Starts a proxy that can be killed with a target of a version.
+    pub async fn start_version(name: &str, version: &str, store: &Arc<MemoryStore>) -> Self {
+        let target = ScriptedTarget::start(&format!("i-{name}")).await;
+        let mut node = Self {
+            name: name.to_owned(),
+            config: config(name, target.address),
+            target,
+            clock: Arc::default(),
+            version: Some(version.to_owned()),
             born: AtomicU64::new(1),
             process: None,
         };
@@ -263,7 +284,7 @@
         let body = serde_json::json!({
             "instance": instance, "born": born, "number": number,
             "service": SERVICE, "slots": 4, "state": state,
-            "address": self.target.address,
+            "address": self.target.address, "version": self.version,
         });
         let answer = exchange(
             self.config.announce_address,
@@ -371,6 +392,7 @@
         calls: Arc::new(TestCalls),
         announcements: Arc::new(TestAnnouncements),
         tables: Arc::new(TestTables),
+        rollouts: Arc::new(TestRollouts),
         store,
         clock,
     };
--- a/crates/apricotfold-proxy/tests/support/protocol.rs
+++ b/crates/apricotfold-proxy/tests/support/protocol.rs
@@ -4,11 +4,12 @@
 
 use apricotfold_model::{
     ApiKeyDigest, CallOutcome, FieldErrors, InstanceAnnouncement, InstanceState, RateLimit,
-    RawRouteTable, RefusalReason, RouteTable, parse_json,
+    RawRolloutOrder, RawRouteTable, RefusalReason, RolloutOrder, RolloutStatus, RouteTable,
+    parse_json,
 };
 use apricotfold_proxy::adapters::{
     AnnounceMessage, AnnounceProtocol, CallHead, CallProtocol, CallRefusal, RefusalHead,
-    ResponseHead, TableSource, TargetHead,
+    ResponseHead, RolloutSource, TableSource, TargetHead,
 };
 use bytes::Bytes;
 use http::request::Parts;
@@ -105,6 +106,7 @@
     slots: u32,
     state: InstanceState,
     address: std::net::SocketAddr,
+    version: Option<String>,
 }
 
 #[derive(serde::Deserialize)]
@@ -130,6 +132,7 @@
                     slots: raw.slots,
                     state: raw.state,
                     cold: Duration::ZERO,
+                    version: raw.version.map(Into::into),
                 }))
             }
             "/leave" => {
@@ -159,3 +162,28 @@
         RouteTable::try_from(parse_json::<RawRouteTable>(text)?)
     }
 }
+
+/// Prefix of the keys of rollout orders in the test store.
+pub const ORDER_PREFIX: &str = "tables/rollouts/";
+
+pub struct TestRollouts;
+
+impl RolloutSource for TestRollouts {
+    fn order_prefix(&self) -> &str {
+        ORDER_PREFIX
+    }
+
+    fn status_key(&self, service: &str) -> String {
+        format!("status/{service}")
+    }
+
+    fn decode_order(&self, text: &str) -> Result<RolloutOrder, FieldErrors> {
+        Ok(RolloutOrder::try_from(parse_json::<RawRolloutOrder>(
+            text,
+        )?)?)
+    }
+
+    fn encode_status(&self, status: &RolloutStatus) -> String {
+        format!("{} {}", status.target_version, status.state)
+    }
+}
--- a/crates/apricotfold-proxy/tests/support/store.rs
+++ b/crates/apricotfold-proxy/tests/support/store.rs
@@ -145,7 +145,7 @@
         })
     }
 
-    /// Returns the number of reads of single keys for which this client accepted old data.
+    /// Returns the number of reads of the operators' keys for which this client accepted old data.
     pub fn stale_reads(&self) -> usize {
         self.stale_reads.load(Ordering::Relaxed)
     }
@@ -263,6 +263,14 @@
         self.list(key)
     }
 
+    fn list_stale<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, RangeResponse> {
+        // Listings of what nodes write are not counted, only reads of what operators write.
+        if TABLE_KEY.starts_with(prefix) {
+            self.stale_reads.fetch_add(1, Ordering::Relaxed);
+        }
+        self.list(prefix)
+    }
+
     fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, RangeResponse> {
         let answer = self.answer(move |state| {
             let entries = state.entries.values();
