--- a/crates/apricotfold-policy/src/rollout/view.rs
+++ b/crates/apricotfold-policy/src/rollout/view.rs
@@ -102,17 +102,19 @@
         age: OrderAge,
         now: Instant,
     ) -> bool {
+        let age_known = age;
         let (age, found) = match age {
-            OrderAge::Known(age) => (age, false),
+            // A node that hears of an old order has not seen its rollout.
+            OrderAge::Known(age) => (age, age > order.duration * 2),
             OrderAge::Found => (Duration::ZERO, true),
         };
         let mut ordered = now.checked_sub(age).unwrap_or(now);
         if let Some(known) = self.rollouts.get_mut(&order.service)
             && known.revision >= revision
         {
-            if known.revision == revision && !found {
+            if known.revision == revision && matches!(age_known, OrderAge::Known(_)) {
                 known.ordered = known.ordered.min(ordered);
-                known.found = false;
+                known.found = found;
             }
             return false;
         }
@@ -150,10 +152,12 @@
         true
     }
 
-    /// Keeps the orders of these services only: the others are no longer in the store.
-    pub fn retain_orders(&mut self, services: &[ServiceName]) {
-        self.rollouts
-            .retain(|service, _| services.contains(service));
+    /// Keeps the orders with these revisions only: the others are no longer in the store.
+    pub fn retain_orders(&mut self, listed: &[(ServiceName, EntryRevision)]) {
+        self.rollouts.retain(|service, rollout| {
+            let mut listed = listed.iter();
+            listed.any(|(known, revision)| known == service && *revision == rollout.revision)
+        });
     }
 
     /// Removes orders that are at least this old and not of these services: they were withdrawn.
@@ -182,7 +186,7 @@
         if known.is_some_and(|(known, _)| *known >= revision) {
             return false;
         }
-        let open = self.is_open(&service);
+        let open = self.is_open(&service) && !self.is_found(&service);
         let rollout = self.rollouts.get_mut(&service);
         let current = rollout
             .as_ref()
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -12,6 +12,7 @@
     SelectedTarget, SendOutcome, TargetCandidate, VersionGroup, advise_retry_after,
 };
 use http::Response;
+use rand::RngExt;
 use smallvec::SmallVec;
 
 use crate::adapters::{CallRefusal, RequestId};
@@ -119,7 +120,9 @@
                 expected_wait,
             ));
         }
-        self.canary = self.engine.rollouts.draws_canary(&service);
+        let engine = self.engine;
+        let random = || engine.selector().random().random();
+        self.canary = engine.rollouts.draws_canary(&service, random);
         let mut counted = false;
         loop {
             if self.block_left().is_some() {
--- a/crates/apricotfold-proxy/src/rollout/keeper.rs
+++ b/crates/apricotfold-proxy/src/rollout/keeper.rs
@@ -77,23 +77,29 @@
     }
 
     /// Chooses the targets of a new request. Returns whether it may use only the new version.
-    pub fn draws_canary(&self, service: &str) -> bool {
+    pub fn draws_canary(&self, service: &str, random: impl FnOnce() -> f64) -> bool {
         let mut view = self.view();
         if view.is_empty() {
             return false;
         }
-        let random = rand::rng().random();
-        view.choose_group(service, random, Instant::now()) == VersionGroup::New
+        view.choose_group(service, random(), Instant::now()) == VersionGroup::New
     }
 
     /// Applies the orders in a listing. With `fresh`, orders that it lacks are no longer in the store.
     pub fn apply_order_listing(&self, entries: &[StoreEntry], fresh: bool) {
-        let mut services = Vec::new();
-        for entry in entries {
-            services.extend(self.apply_order(entry, OrderAge::Found));
-        }
         if fresh {
-            self.view().retain_orders(&services);
+            let prefix = self.source.order_prefix();
+            let listed: Vec<_> = entries
+                .iter()
+                .filter_map(|entry| {
+                    let service = entry.key.strip_prefix(prefix)?;
+                    Some((service.into(), entry_revision(entry.mod_revision)))
+                })
+                .collect();
+            self.view().retain_orders(&listed);
+        }
+        for entry in entries {
+            self.apply_order(entry, OrderAge::Found);
         }
     }
 
@@ -102,18 +108,20 @@
         self.apply_order(entry, OrderAge::Known(Duration::ZERO));
     }
 
-    fn apply_order(&self, entry: &StoreEntry, age: OrderAge) -> Option<ServiceName> {
-        let service = entry.key.strip_prefix(self.source.order_prefix())?;
+    fn apply_order(&self, entry: &StoreEntry, age: OrderAge) {
+        let Some(service) = entry.key.strip_prefix(self.source.order_prefix()) else {
+            return;
+        };
         let order = match self.source.decode_order(&entry.value) {
             Ok(order) if order.service == service => order,
             Ok(order) => {
                 let named = order.service;
                 log_event!(warn, RolloutRefused, "{} names {named}", entry.key);
-                return None;
+                return;
             }
             Err(errors) => {
                 log_event!(warn, RolloutRefused, "{}: {errors}", entry.key);
-                return None;
+                return;
             }
         };
         let text = format!(
@@ -126,7 +134,6 @@
             log_event!(info, RolloutOrdered, "{text}, revision {revision}");
             self.notify();
         }
-        Some(service.into())
     }
 
     /// Removes an order whose key was deleted.
@@ -173,10 +180,20 @@
         }
     }
 
-    /// Removes a record whose key was deleted, as at the end of its lease.
+    /// Removes a record whose key was deleted, as at the end of its lease. A watch may deliver the end of
+    /// a former record after this node has written its own, which its renewals show to last.
     pub fn remove_record(&self, key: &str) {
-        if let Some(service) = key.strip_prefix(RECORD_PREFIX) {
-            self.view().remove_record(service, Instant::now());
+        let Some(service) = key.strip_prefix(RECORD_PREFIX) else {
+            return;
+        };
+        let now = Instant::now();
+        let held = {
+            let desks = self.desks.lock().expect("no panic while locked");
+            let desk = desks.get(service);
+            desk.is_some_and(|desk| desk.office.is_certain(now))
+        };
+        if !held {
+            self.view().remove_record(service, now);
             self.notify();
         }
     }
--- a/crates/apricotfold-proxy/src/rollout/mod.rs
+++ b/crates/apricotfold-proxy/src/rollout/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod keeper;
 mod messages;
+mod notices;
 mod office;
 mod reports;
 
--- a/crates/apricotfold-proxy/src/rollout/office.rs
+++ b/crates/apricotfold-proxy/src/rollout/office.rs
@@ -14,7 +14,7 @@
 use futures_util::future::join_all;
 
 use super::keeper::{RECORD_PREFIX, entry_revision};
-use super::messages::{self, RolloutMessage};
+use super::messages::RolloutMessage;
 use crate::engine::Engine;
 use crate::lifecycle::ProcessPhase;
 use crate::store_health::retry_pause;
@@ -115,11 +115,12 @@
     }
 }
 
-struct OrderWork<'a> {
-    engine: &'a Arc<Engine>,
+/// Work on one open order.
+pub(super) struct OrderWork<'a> {
+    pub(super) engine: &'a Arc<Engine>,
     store: &'a dyn ConfigStore,
-    order: RolloutOrder,
-    revision: EntryRevision,
+    pub(super) order: RolloutOrder,
+    pub(super) revision: EntryRevision,
 }
 
 impl OrderWork<'_> {
@@ -137,7 +138,7 @@
     }
 
     /// Runs a closure with the desk of the order.
-    fn with_desk<T>(&self, run: impl FnOnce(&mut DeciderDesk) -> T) -> T {
+    pub(super) fn with_desk<T>(&self, run: impl FnOnce(&mut DeciderDesk) -> T) -> T {
         let mut desks = self
             .engine
             .rollouts
@@ -184,6 +185,13 @@
             (found, vacant.map(|since| since + delay))
         };
         let (step, turns_bad) = self.with_desk(|desk| {
+            let lost = found == 0 && desk.office.holds() && !desk.office.is_certain(now);
+            if lost {
+                // The watch has delivered the end of the lease.
+                desk.office.release();
+                desk.decider = None;
+                desk.lease = None;
+            }
             let decision = desk.decider.as_mut();
             let decision = decision.and_then(|decider| decider.decide(now));
             let stopped = desk
@@ -235,65 +243,6 @@
         decider_rank(self.service(), &own, followers.iter())
     }
 
-    fn describe(&self) -> String {
-        self.with_desk(|desk| {
-            let Some(decider) = &desk.decider else {
-                return "no counts".to_owned();
-            };
-            let total = decider.total();
-            let sum = |count: fn(&apricotfold_policy::RouteCounts) -> u32| -> u32 {
-                total.routes.values().map(count).sum()
-            };
-            format!(
-                "new {}/{} failed, old {}/{}, exposed {} of {} requests, after {:?}",
-                sum(|route| route.new.failed),
-                sum(|route| route.new.ended),
-                sum(|route| route.old.failed),
-                sum(|route| route.old.ended),
-                total.exposed,
-                total.requests,
-                decider.age(Instant::now())
-            )
-        })
-    }
-
-    /// Tells the nodes that have reported, without waiting for their answers.
-    fn tell_nodes(&self, message: RolloutMessage) {
-        let nodes: Vec<_> = self.with_desk(|desk| {
-            let decider = desk.decider.as_ref();
-            decider.map_or_else(Vec::new, |decider| decider.nodes().cloned().collect())
-        });
-        let own = self.engine.node();
-        if let RolloutMessage::Stop {
-            service,
-            order_revision,
-        } = &message
-        {
-            let grant = apricotfold_policy::RolloutGrant {
-                share: 0.0,
-                stop: true,
-            };
-            let mut view = self.engine.rollouts.view();
-            view.apply_grant(service, *order_revision, grant, Instant::now());
-        }
-        let message = Arc::new(message);
-        for node in nodes.into_iter().filter(|node| *node != own) {
-            let address = {
-                let registry = self.engine.registry();
-                registry.record(&node).map(|record| record.address)
-            };
-            let Some(address) = address else {
-                continue;
-            };
-            let (engine, message) = (self.engine.clone(), message.clone());
-            tokio::spawn(async move {
-                if let Err(cause) = messages::send(&engine, address, &message).await {
-                    log_event!(debug, ExchangeFailed, "{address}: rollout: {cause}");
-                }
-            });
-        }
-    }
-
     async fn write(&self, state: RolloutState, expected: EntryRevision) -> Result<(), StoreError> {
         let record = RolloutRecord {
             service: self.order.service.clone(),
@@ -428,7 +377,18 @@
             self.ensure_decider();
         }
         match record {
-            Some(entry) => self.engine.rollouts.apply_record_entry(self.engine, entry),
+            Some(entry) => {
+                // What was known before may be of another history of the store.
+                let found = entry_revision(entry.mod_revision);
+                let service = self.service();
+                let mut view = self.engine.rollouts.view();
+                let known = view.record(service).map(|(revision, _)| *revision);
+                if known.is_some_and(|known| known > found) {
+                    view.remove_record(service, Instant::now());
+                }
+                drop(view);
+                self.engine.rollouts.apply_record_entry(self.engine, entry);
+            }
             None => self.engine.rollouts.remove_record(&record_key),
         }
     }
--- a/crates/apricotfold-proxy/tests/rollouts.rs
+++ b/crates/apricotfold-proxy/tests/rollouts.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use apricotfold_model::NodeId;
+use apricotfold_policy::decider_rank;
 use support::store::MemoryStore;
 use support::target::TargetMode;
 use support::{SERVICE, TestNode, table};
@@ -142,8 +144,23 @@
     assert!(mesh.nodes[3].target.calls("late").is_empty());
 }
 
-/// Guards against a rollout that stands still, or is decided twice, because its decider dies before or
-/// after the first status.
+/// Guards against a rollout that stands still because its decider dies before it has written the first
+/// status.
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_first_candidate() {
+    let mut mesh = Mesh::start().await;
+    let names: Vec<NodeId> = mesh.nodes.iter().map(|node| (&*node.name).into()).collect();
+    let service = SERVICE.into();
+    // Of the nodes with the old version, one of which may be lost.
+    let first = (0..3).min_by_key(|index| decider_rank(&service, &names[*index], names.iter()));
+    mesh.order();
+    mesh.nodes[first.expect("a node")].kill_process().await;
+    mesh.load(DURATION).await;
+    assert_eq!(mesh.status().as_deref(), Some("v2 completed"));
+}
+
+/// Guards against a rollout that stands still, or is decided twice, because its decider dies after the
+/// first status.
 #[tokio::test(flavor = "multi_thread")]
 async fn dying_deciders() {
     for (mode, expected) in [
