--- a/crates/apricotfold-policy/tests/unequal_targets.rs
+++ b/crates/apricotfold-policy/tests/unequal_targets.rs
@@ -120,6 +120,7 @@
     let candidates: Vec<TargetCandidate<'_>> = names
         .iter()
         .map(|node| TargetCandidate {
+            inbound_wait: Duration::ZERO,
             node,
             tier: LocalityTier::SameDataCentre,
             slots: SLOTS,
