Share tenants' quotas between nodes

Each tenant's limit is owned by one node, which leases shares of it to the nodes where the tenant's requests enter and hands out the rest as single tokens. The entry node takes a token before it selects a target, and returns it if the request has not run. Tenants without a quota take no token, and without quotas in the route table no message is sent.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -162,6 +162,15 @@
     /// An exchange with a peer failed or timed out.
     #[strum(serialize = "AF4010", message = "peer exchange failed")]
     ExchangeFailed,
+    /// The number of tenants whose quotas this node owns changed.
+    #[strum(serialize = "AF4011", message = "quota owner changed")]
+    QuotaOwnerChanged,
+    /// The owner of quotas does not answer.
+    #[strum(serialize = "AF4012", message = "quota owner silent")]
+    QuotaOwnerSilent,
+    /// A message about quotas is invalid or out of date.
+    #[strum(serialize = "AF4013", message = "quota message refused")]
+    QuotaMessageRefused,
     /// The store responds again after an outage.
     #[strum(serialize = "AF5001", message = "store available")]
     StoreAvailable,
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -44,6 +44,7 @@
 mod picker;
 mod plan;
 mod poll_order;
+mod quota;
 mod rate_gate;
 mod relay_choice;
 mod request_intake;
@@ -88,6 +89,11 @@
 pub use picker::{ChoiceReason, PickCandidate, TargetPicker};
 pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
 pub use poll_order::{PollOrder, RemoteOrder};
+pub use quota::{
+    LEASE_TIME, MessageFault, MessageNumber, OwnerCandidates, OwnerChange, QuotaHolder, QuotaNode,
+    QuotaOwner, QuotaShare, RENEWAL_INTERVAL, ShareAsk, ShareGrant, TakeResult, choose_candidates,
+    divide_fairly,
+};
 pub use rate_gate::RateGate;
 pub use relay_choice::{
     FollowRole, RelayNodes, RemoteRelays, choose_followers, choose_remote_relays, choose_role,
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -28,6 +28,7 @@
 use crate::lifecycle::{Lifecycle, ProcessPhase};
 use crate::link_meter::LinkMeter;
 use crate::peer_exchange::InstanceList;
+use crate::quota::QuotaGate;
 use crate::store_health::StoreHealth;
 use crate::table_cache::TableCache;
 
@@ -111,6 +112,8 @@
     pub registration: watch::Sender<u64>,
     /// Departures of the local target, see [`DepartureKeeper`].
     pub departures: DepartureKeeper,
+    /// Quotas of the tenants.
+    pub quotas: QuotaGate,
     /// Whether this node watches the store itself; if not, it polls relays.
     following: watch::Sender<bool>,
     /// When another node last polled this one.
@@ -149,6 +152,7 @@
         };
         let limits = AdmissionLimits::new(&TARGET_LIMITS, 0);
         let link_meter = LinkMeter::new(config.link_rate);
+        let node = config.node.clone();
         let timely_from = Instant::now() + config.longest_announcement_delay();
         Self {
             crashes: CrashTracker::default(),
@@ -165,6 +169,7 @@
             lifecycle: Lifecycle::new(),
             registration: watch::Sender::new(0),
             departures: DepartureKeeper::default(),
+            quotas: QuotaGate::new(node),
             following: watch::Sender::new(true),
             polled: Mutex::default(),
             registry: Mutex::default(),
--- a/crates/apricotfold-proxy/src/entry_call.rs
+++ b/crates/apricotfold-proxy/src/entry_call.rs
@@ -21,6 +21,7 @@
 use crate::engine::Engine;
 use crate::entry_access::TenantAccess;
 use crate::entry_route::RoutedCall;
+use crate::quota::{QuotaRefusal, QuotaToken};
 use crate::target_call::{CallRequest, TargetRefusal, TargetResponse};
 use crate::telemetry;
 
@@ -50,6 +51,8 @@
     pub(crate) standing: CallStanding,
     /// Tenant of the request; `None` in tables without tenants, on public routes and for nested calls.
     pub(crate) access: Option<TenantAccess>,
+    /// Token of the tenant's quota that the request uses.
+    token: Option<QuotaToken>,
     parent: Option<ParentRun>,
 }
 
@@ -96,6 +99,7 @@
             tried: SmallVec::new(),
             standing,
             access,
+            token: None,
             parent,
         }
     }
@@ -114,6 +118,9 @@
                 expected_wait,
             ));
         }
+        if let Err((reason, due)) = self.take_token().await {
+            return Ok(self.refuse(CallOutcome::NotRun, reason, Some(due)));
+        }
         let mut counted = false;
         loop {
             if self.block_left().is_some() {
@@ -137,6 +144,7 @@
                 self.count_first(&service);
                 counted = true;
             }
+            self.set_token_spent(true);
             let (result, chosen) = self.send_hedged(chosen, &service).await;
             if result.is_err() && self.is_replaced(&chosen) {
                 // The node may be tried again, because another instance now runs there.
@@ -149,12 +157,36 @@
                 Ok(_) => (SendOutcome::FailedAnswer, RefusalReason::ConnectionLost),
                 Err(refusal) => (send_end(&refusal), refusal.reason),
             };
-            if let Some(answer) = self.decide(end, reason, &chosen, &service) {
+            let answer = self.decide(end, reason, &chosen, &service);
+            self.set_token_spent(self.retries.outcome() != CallOutcome::NotRun);
+            if let Some(answer) = answer {
                 return Ok(answer);
             }
         }
     }
 
+    /// Takes a token of the tenant's quota. A nested call uses that of its parent.
+    async fn take_token(&mut self) -> Result<(), QuotaRefusal> {
+        let Some(access) = self.access.as_ref().filter(|_| self.parent.is_none()) else {
+            return Ok(());
+        };
+        if let Some(quota) = access.tenant.quota {
+            let name = &access.tenant.name;
+            let deadline = self.routed.deadline;
+            let quotas = &self.engine.quotas;
+            let token = quotas.acquire(self.engine, name, quota, deadline).await?;
+            self.token = Some(token);
+        }
+        Ok(())
+    }
+
+    /// Sets whether the request may have run and so uses its token up.
+    fn set_token_spent(&mut self, spent: bool) {
+        if let Some(token) = &mut self.token {
+            token.set_spent(spent);
+        }
+    }
+
     /// Returns whether a newer table has withdrawn the key of the request.
     fn is_key_withdrawn(&self) -> bool {
         let Some(access) = &self.access else {
@@ -414,6 +446,8 @@
         let retry_after = match (outcome, reason) {
             (CallOutcome::NotRun, RefusalReason::PoisonRequest) => self.block_left(),
             (CallOutcome::NotRun, RefusalReason::UnknownKey) => None,
+            // The time at which a token is due.
+            (CallOutcome::NotRun, RefusalReason::OverQuota) => expected_wait,
             (CallOutcome::NotRun, _) => {
                 let expected_wait = expected_wait.unwrap_or(DEFAULT_RETRY_DELAY);
                 advise_retry_after(expected_wait, left, self.engine.selector().random())
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -7,7 +7,7 @@
 use apricotfold_policy::JumpDetector;
 
 use crate::engine::Engine;
-use crate::telemetry;
+use crate::{quota, telemetry};
 
 /// Interval at which expired state is removed and metrics are published.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -49,6 +49,7 @@
         engine.peer_connections.prune();
         engine.selector().prune(UNUSED_AGE, now);
         engine.prune_rate_limits();
+        quota::tick(&engine);
         publish_metrics(&engine);
     }
 }
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -34,6 +34,7 @@
 mod peer_call;
 mod peer_exchange;
 mod peer_server;
+mod quota;
 mod registration;
 mod relay_poller;
 pub mod request_codec;
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -22,6 +22,7 @@
     WireCallContext, WireRefusal, WireReport, read_header, write_header,
 };
 use crate::peer_exchange::{EXCHANGE_HEADER, respond_to_exchange};
+use crate::quota::{self, QUOTA_HEADER};
 use crate::target_call::{self, CallContext, CallRequest, TargetRefusal};
 
 /// Serves the calls and state exchanges of other proxies.
@@ -43,6 +44,7 @@
         let (mut parts, incoming) = request.into_parts();
         let exchange = parts.headers.contains_key(EXCHANGE_HEADER);
         let crashes = parts.headers.contains_key(CRASHES_HEADER);
+        let quotas = parts.headers.contains_key(QUOTA_HEADER);
         let context: Option<WireCallContext> = read_header(&parts.headers, &CALL_HEADER);
         parts.headers.remove(CALL_HEADER);
         let rate_limit: Option<RateLimit> = read_header(&parts.headers, &RATE_LIMIT_HEADER);
@@ -60,6 +62,9 @@
         if crashes {
             return Ok(crash_gossip::respond(&self.engine, &body));
         }
+        if quotas {
+            return Ok(quota::respond(&self.engine, &body));
+        }
         let Some(path) = parts.uri.path_and_query().cloned() else {
             return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::BadRequest, false));
         };
--- /dev/null
+++ b/crates/apricotfold-proxy/src/quota/state.rs
@@ -0,0 +1,71 @@
+//! State of [`QuotaGate`](super::QuotaGate).
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use apricotfold_model::{NodeId, TableVersion, TenantDirectory, log_event};
+use apricotfold_policy::{QuotaNode, STORE_SILENCE, choose_candidates};
+
+use crate::engine::Engine;
+
+/// Another node that this one asks.
+#[derive(Debug, Default)]
+pub struct PeerState {
+    /// Whether a message is on its way or about to be sent.
+    pub busy: bool,
+    /// When the last message was sent.
+    pub sent: Option<Instant>,
+}
+
+/// Decisions about quotas, and what they are based on.
+#[derive(Debug)]
+pub struct GateState {
+    /// Decisions of this node.
+    pub quotas: QuotaNode,
+    /// Nodes that this one asks.
+    pub peers: HashMap<NodeId, PeerState>,
+    /// Number of the latest survey.
+    pub survey: u64,
+    version: TableVersion,
+}
+
+impl GateState {
+    /// Starts without any shares.
+    pub fn new(node: NodeId) -> Self {
+        // Short numbers make short messages; two processes of a node rarely draw the same.
+        let process = u64::from(rand::random::<u32>());
+        Self {
+            quotas: QuotaNode::new(node, process, Instant::now()),
+            peers: HashMap::new(),
+            survey: 0,
+            version: 0,
+        }
+    }
+
+    /// Adopts a changed table. Returns whether any tenant has a quota.
+    pub fn update_table(&mut self, engine: &Engine) -> bool {
+        let version = engine.tables.version();
+        if version != self.version {
+            self.version = version;
+            let cached = engine.tables.current();
+            let tenants = cached.table.tenants.iter().flat_map(TenantDirectory::iter);
+            let quotas = tenants.filter_map(|known| Some((known.name.clone(), known.quota?)));
+            self.quotas.set_quotas(quotas.collect());
+        }
+        self.quotas.has_quotas()
+    }
+
+    /// Determines the owners anew. Returns whether this node owns limits that it did not own before.
+    pub fn update_owners(&mut self, engine: &Engine, now: Instant) -> bool {
+        // What the store has decides: a node that is cut off is gone from there.
+        let candidates = choose_candidates(engine.registry().confirmed());
+        let age = engine.store_health.age();
+        let in_contact = age.is_some_and(|age| age <= STORE_SILENCE);
+        let change = self.quotas.update_owners(candidates, in_contact, now);
+        if change.grown || change.after < change.before {
+            let (before, after) = (change.before, change.after);
+            log_event!(info, QuotaOwnerChanged, "{before} before, {after} now");
+        }
+        change.grown
+    }
+}
--- a/crates/apricotfold-proxy/src/telemetry.rs
+++ b/crates/apricotfold-proxy/src/telemetry.rs
@@ -79,6 +79,22 @@
     counter!("apricotfold_exchange_sent_bytes_total").increment(bytes as u64);
 }
 
+/// Counts the decision on a token of a tenant's quota.
+pub fn count_quota_decision(refused: Option<RefusalReason>) {
+    let result: &'static str = refused.map_or("granted", Into::into);
+    counter!("apricotfold_quota_decisions_total", "result" => result).increment(1);
+}
+
+/// Counts a message about quotas to another node.
+pub fn count_quota_message() {
+    counter!("apricotfold_quota_messages_total").increment(1);
+}
+
+/// Sets the number of tenants whose quotas this node owns.
+pub fn publish_quotas(owned: usize) {
+    gauge!("apricotfold_quotas_owned").set(to_float(owned as u64));
+}
+
 /// Records the time of reading the route table from the store.
 pub fn record_table_read(elapsed: Duration) {
     histogram!("apricotfold_table_read_seconds").record(elapsed.as_secs_f64());
