--- a/crates/apricotfold-policy/tests/support/quota_mesh.rs
+++ b/crates/apricotfold-policy/tests/support/quota_mesh.rs
@@ -174,10 +174,17 @@
         self.now - self.start
     }
 
-    /// Returns the node that owns a tenant's limit, by all nodes that the store has.
+    /// Returns the number of running nodes.
+    pub fn alive(&self) -> usize {
+        self.nodes.iter().filter(|node| node.alive).count()
+    }
+
+    /// Returns the node that owns a tenant's limit, by all nodes that the store has; the first node if it
+    /// has none.
     pub fn owner(&self, tenant: usize) -> usize {
-        let owner = Self::candidates(&self.present);
-        let owner = owner.owner(&self.names[tenant]).expect("a node").clone();
+        let candidates = Self::candidates(&self.present);
+        let owner = candidates.owner(&self.names[tenant]);
+        let owner = owner.cloned().unwrap_or_else(|| node_id(0));
         (0..self.nodes.len())
             .find(|index| node_id(*index) == owner)
             .expect("known")
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -148,6 +148,30 @@
         node
     }
 
+    /// Starts a proxy that others reach over a link, and announces its target. Returns the address at which
+    /// the link takes faults.
+    pub async fn start_behind_link(name: &str, store: &Arc<MemoryStore>) -> (Self, SocketAddr) {
+        let target = ScriptedTarget::start(&format!("i-{name}")).await;
+        let config = config(name, target.address);
+        let link_config = LinkConfig {
+            address: free_address(),
+            upstream: config.peer_address,
+            admin_address: free_address(),
+            to_upstream: LinkImpairment::default(),
+            to_client: LinkImpairment::default(),
+            seed: 1,
+        };
+        let link = LinkServer::bind(&link_config).await.expect("a link");
+        store.set_link(ClientLink {
+            bandwidth: None,
+            public_address: Some((config.peer_address, link.address())),
+        });
+        tokio::spawn(link.run(std::future::pending()));
+        let node = Self::start_with(config, target, store).await;
+        node.announce(1, "ready").await;
+        (node, link_config.admin_address)
+    }
+
     async fn start_with(
         config: ProxyConfig,
         target: ScriptedTarget,
