--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -7,7 +7,7 @@
 use apricotfold_policy::JumpDetector;
 
 use crate::engine::Engine;
-use crate::telemetry;
+use crate::{quota, telemetry};
 
 /// Interval at which expired state is removed and metrics are published.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -50,6 +50,7 @@
         engine.selector().prune(UNUSED_AGE, now);
         engine.prune_rate_limits();
         engine.inbound_waits().prune(now);
+        quota::tick(&engine);
         publish_metrics(&engine);
     }
 }
