Build the proxy without random features of other packages

Cause: rand::random and rand::rng need a feature that only a build of the whole workspace turns on, so the platform's build command failed. Change: both numbers come from random_seed.

--- a/crates/apricotfold-policy/tests/quota_faults.rs
+++ b/crates/apricotfold-policy/tests/quota_faults.rs
@@ -68,12 +68,11 @@
         for (fault, pause) in &faults {
             let owner = mesh.owner(0);
             match *fault {
-                Fault::Restart(node) => mesh.restart(node),
+                Fault::Restart(node) | Fault::Start(node) => mesh.restart(node),
                 Fault::RestartOwner => mesh.restart(owner),
                 Fault::RestartAll => (0..NODES).for_each(|node| mesh.restart(node)),
                 Fault::Kill(node) => mesh.kill(node),
                 Fault::KillOwner => mesh.kill(owner),
-                Fault::Start(node) => mesh.restart(node),
                 Fault::Partition(nodes, time) => {
                     for node in (0..NODES).filter(|node| nodes & (1 << node) != 0) {
                         mesh.set_side(node, 1);
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -1,7 +1,7 @@
 //! State shared by the proxy's tasks.
 
 use std::collections::HashMap;
-use std::hash::{BuildHasher, RandomState};
+use std::hash::{BuildHasher, Hash, RandomState};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -537,7 +537,7 @@
     mutex.lock().expect("no panic while locked")
 }
 
-/// Returns a seed that differs between nodes and between starts.
-fn random_seed(node: &NodeId) -> u64 {
-    RandomState::new().hash_one(node)
+/// Returns a number that differs between names and between starts of the process.
+pub(crate) fn random_seed(name: &impl Hash) -> u64 {
+    RandomState::new().hash_one(name)
 }
--- a/crates/apricotfold-proxy/src/quota/state.rs
+++ b/crates/apricotfold-proxy/src/quota/state.rs
@@ -6,7 +6,7 @@
 use apricotfold_model::{NodeId, TableVersion, TenantDirectory, log_event};
 use apricotfold_policy::{QuotaNode, STORE_SILENCE, choose_candidates};
 
-use crate::engine::Engine;
+use crate::engine::{Engine, random_seed};
 
 /// Another node that this one asks.
 #[derive(Debug, Default)]
@@ -33,7 +33,7 @@
     /// Starts without any shares.
     pub fn new(node: NodeId) -> Self {
         // Short numbers make short messages; two processes of a node rarely draw the same.
-        let process = u64::from(rand::random::<u32>());
+        let process = random_seed(&node) & u64::from(u32::MAX);
         Self {
             quotas: QuotaNode::new(node, process, Instant::now()),
             peers: HashMap::new(),
--- a/crates/apricotfold-proxy/src/rollout/keeper.rs
+++ b/crates/apricotfold-proxy/src/rollout/keeper.rs
@@ -10,12 +10,11 @@
     VersionGroup,
 };
 use apricotfold_store::{Revision, StoreEntry};
-use rand::RngExt;
 use tokio::sync::watch;
 
 use super::office::DeciderDesk;
 use crate::adapters::RolloutSource;
-use crate::engine::Engine;
+use crate::engine::{Engine, random_seed};
 use crate::telemetry;
 
 /// Prefix of the keys of rollout records; the name of the service follows.
@@ -49,7 +48,7 @@
             view: Mutex::default(),
             desks: Mutex::default(),
             changes: watch::Sender::new(0),
-            session: rand::rng().random(),
+            session: random_seed(&"rollout session"),
         }
     }
 
