Lease more of a quota while few nodes are silent

Change: the part that is held back follows the part of the nodes that have not answered; the settling time is 1.5 s.

--- a/crates/apricotfold-policy/src/quota/owner.rs
+++ b/crates/apricotfold-policy/src/quota/owner.rs
@@ -11,8 +11,15 @@
     divide_fairly, round_down,
 };
 
-/// Time after which a new owner has heard of the shares of all nodes in contact.
-const SETTLING_TIME: Duration = Duration::from_secs(3);
+/// Time in which a former owner may go on leasing, since nodes learn of a new one at different times.
+const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+
+/// Part of what nobody holds that a new owner leases in this time although it knows all shares.
+const SETTLING_SHARE: f64 = 0.6;
+
+/// Factor by which the part of the limit that silent nodes may hold exceeds their part of the nodes:
+/// a tenant's requests enter at some nodes more than at others.
+const SILENT_FACTOR: f64 = 2.0;
 
 /// Part of the limit, as far as nobody is known to hold it, that a new owner leases before it knows all
 /// shares. With the whole limit in use elsewhere, 1.25 times the rate stays under the bound of a
@@ -86,8 +93,8 @@
 pub struct QuotaOwner {
     owned: HashMap<TenantName, OwnedTenant>,
     standby: HashMap<TenantName, TokenBucket>,
-    /// Whether all nodes have reported their shares.
-    surveyed: bool,
+    /// Part of the nodes that have reported their shares.
+    heard: f64,
 }
 
 impl QuotaOwner {
@@ -108,7 +115,9 @@
             tenant.quota = quota;
             self.owned.insert(name.clone(), tenant);
         }
-        self.surveyed &= !grown;
+        if grown {
+            self.heard = 0.0;
+        }
         grown
     }
 
@@ -123,20 +132,20 @@
         self.owned.contains_key(tenant)
     }
 
-    /// Records that all nodes have reported their shares.
-    pub fn finish_survey(&mut self) {
-        self.surveyed = true;
+    /// Records which part of the nodes, from 0 to 1, have reported their shares.
+    pub fn record_survey(&mut self, heard: f64) {
+        self.heard = heard;
     }
 
     /// Records what a node holds, without granting anything.
     pub fn learn(&mut self, node: &NodeId, ask: &ShareAsk, now: Instant) {
-        let surveyed = self.surveyed;
+        let heard = self.heard;
         if let Some(tenant) = self.owned.get_mut(&ask.0) {
-            tenant.settle(surveyed, now);
+            tenant.settle(heard, now);
             if !tenant.leases.contains_key(node) {
                 tenant.learn(node, ask, now);
             }
-            tenant.settle(surveyed, now);
+            tenant.settle(heard, now);
         }
     }
 
@@ -149,7 +158,7 @@
         now: Instant,
     ) -> ShareGrant {
         if let Some(tenant) = self.owned.get_mut(&ask.0) {
-            return tenant.answer(node, ask, self.surveyed, now);
+            return tenant.answer(node, ask, self.heard, now);
         }
         // It starts empty: when all nodes restart, many may take each other's places for a moment.
         let bucket = self
@@ -178,15 +187,21 @@
     }
 
     /// Returns the rate that may be leased.
-    fn rate(&self, surveyed: bool, now: Instant) -> f64 {
+    fn rate(&self, heard: f64, now: Instant) -> f64 {
         let limit = self.quota.rate;
         let age = now.saturating_duration_since(self.since);
-        let known = age >= LEASE_TIME || (surveyed && age >= SETTLING_TIME);
-        if known {
+        if age >= LEASE_TIME {
             return limit;
         }
+        let settling = if age < SETTLING_TIME {
+            SETTLING_SHARE
+        } else {
+            1.0
+        };
+        let heard = 1.0 - SILENT_FACTOR * (1.0 - heard);
+        let share = (heard * settling).max(CAUTIOUS_SHARE);
         let inherited = self.inherited.min(limit);
-        let cautious = ((limit - inherited) * CAUTIOUS_SHARE).max(CAUTIOUS_RATE);
+        let cautious = ((limit - inherited) * share).max(CAUTIOUS_RATE);
         (inherited + cautious).min(limit)
     }
 
@@ -205,11 +220,11 @@
     }
 
     /// Drops expired shares and sets what is left for tokens.
-    fn settle(&mut self, surveyed: bool, now: Instant) {
+    fn settle(&mut self, heard: f64, now: Instant) {
         self.rest.refill(now);
         self.leases.retain(|_, lease| lease.expires > now);
         let leased = self.leased(None);
-        let rate = self.rate(surveyed, now) - leased.rate;
+        let rate = self.rate(heard, now) - leased.rate;
         self.rest.set(rate, self.burst() - leased.burst, now);
     }
 
@@ -230,17 +245,11 @@
         self.leases.insert(node.clone(), lease);
     }
 
-    fn answer(
-        &mut self,
-        node: &NodeId,
-        ask: &ShareAsk,
-        surveyed: bool,
-        now: Instant,
-    ) -> ShareGrant {
-        self.settle(surveyed, now);
+    fn answer(&mut self, node: &NodeId, ask: &ShareAsk, heard: f64, now: Instant) -> ShareGrant {
+        self.settle(heard, now);
         self.learn(node, ask, now);
         let share = if ask.3 > 0.0 {
-            self.divide(node, surveyed, now)
+            self.divide(node, heard, now)
         } else {
             QuotaShare::default()
         };
@@ -253,9 +262,9 @@
         } else {
             self.leases.remove(node);
         }
-        self.settle(surveyed, now);
+        self.settle(heard, now);
         let tokens = self.rest.take_up_to(ask.4.ceil(), now);
-        let rest = self.rate(surveyed, now) - self.leased(None).rate;
+        let rest = self.rate(heard, now) - self.leased(None).rate;
         // About half of the nodes lack tokens at a time, and each of them gets its turn.
         let nodes = f64::from(u32::try_from(self.leases.len()).unwrap_or(u32::MAX));
         let hold = hold_millis(tokens >= ask.4, rest * 2.0 / nodes.max(1.0));
@@ -263,8 +272,8 @@
     }
 
     /// Returns the fair share of a node, as far as others leave it free.
-    fn divide(&self, node: &NodeId, surveyed: bool, now: Instant) -> QuotaShare {
-        let limit = self.rate(surveyed, now);
+    fn divide(&self, node: &NodeId, heard: f64, now: Instant) -> QuotaShare {
+        let limit = self.rate(heard, now);
         let nodes: Vec<_> = self.leases.iter().collect();
         let index = nodes.iter().position(|(other, _)| *other == node);
         let Some(index) = index else {
--- a/crates/apricotfold-policy/tests/quota_owner.rs
+++ b/crates/apricotfold-policy/tests/quota_owner.rs
@@ -30,7 +30,7 @@
 fn settled(start: Instant) -> (QuotaOwner, Instant) {
     let mut owner = QuotaOwner::default();
     assert!(owner.set_owned([(&tenant(), QUOTA)].into_iter(), start));
-    owner.finish_survey();
+    owner.record_survey(1.0);
     (owner, start + Duration::from_secs(4))
 }
 
--- a/crates/apricotfold-policy/tests/support/quota_mesh.rs
+++ b/crates/apricotfold-policy/tests/support/quota_mesh.rs
@@ -319,9 +319,10 @@
                 quotas.owner.learn(&node_id(other), &ask, now);
             }
         }
-        if silent.is_empty() {
-            self.nodes[index].quotas.owner.finish_survey();
-        } else {
+        let others = u32::try_from(self.nodes.len() - 1).expect("few");
+        let unheard = f64::from(u32::try_from(silent.len()).expect("few")) / f64::from(others);
+        self.nodes[index].quotas.owner.record_survey(1.0 - unheard);
+        if !silent.is_empty() {
             self.nodes[index].survey = Some((silent, now + Duration::from_secs(1)));
         }
     }
--- a/crates/apricotfold-proxy/src/quota/survey.rs
+++ b/crates/apricotfold-proxy/src/quota/survey.rs
@@ -30,6 +30,7 @@
             .collect()
     };
     let message = QuotaMessage::Survey(own);
+    let nodes = open.len();
     while started.elapsed() < LEASE_TIME {
         let asked = open.into_iter().map(|(node, address)| {
             let (engine, message) = (&engine, &message);
@@ -57,10 +58,23 @@
         }
         drop(answers);
         open = silent;
+        let heard = heard_part(open.len(), nodes);
+        {
+            let mut state = engine.quotas.lock();
+            if state.survey != number {
+                return;
+            }
+            state.quotas.owner.record_survey(heard);
+        }
         if open.is_empty() {
-            engine.quotas.lock().quotas.owner.finish_survey();
             return;
         }
         tokio::time::sleep(REPEAT_INTERVAL).await;
     }
 }
+
+/// Returns the part of the nodes that have answered.
+fn heard_part(silent: usize, nodes: usize) -> f64 {
+    let count = |nodes| f64::from(u32::try_from(nodes).unwrap_or(u32::MAX));
+    1.0 - count(silent) / count(nodes).max(1.0)
+}
