--- a/crates/apricotfold-policy/src/quota/holder.rs
+++ b/crates/apricotfold-policy/src/quota/holder.rs
@@ -1,6 +1,6 @@
 //! Spends a node's shares of tenants' limits.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{TenantName, TenantQuota};
@@ -68,7 +68,7 @@
 /// Shares of all tenants at this node.
 #[derive(Debug, Default)]
 pub struct QuotaHolder {
-    held: HashMap<TenantName, HeldShare>,
+    held: BTreeMap<TenantName, HeldShare>,
 }
 
 impl QuotaHolder {
--- a/crates/apricotfold-policy/src/quota/node.rs
+++ b/crates/apricotfold-policy/src/quota/node.rs
@@ -97,6 +97,7 @@
 
     /// Replaces the limits of all tenants.
     pub fn set_quotas(&mut self, quotas: HashMap<TenantName, TenantQuota>) {
+        self.owner.set_limits(&quotas);
         self.quotas = quotas;
         if self.quotas.is_empty() {
             self.holder.clear();
--- a/crates/apricotfold-policy/src/quota/owner.rs
+++ b/crates/apricotfold-policy/src/quota/owner.rs
@@ -1,6 +1,6 @@
 //! Leases shares of tenants' limits to nodes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{NodeId, TenantName, TenantQuota, saturating_millis};
@@ -15,17 +15,17 @@
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 
 /// Part of the limit, as far as nobody is known to hold it, that a new owner leases before it knows all
-/// shares. With the whole limit in use elsewhere, 1.25 times the rate stays under the bound of a
-/// window.
-const CAUTIOUS_SHARE: f64 = 0.25;
+/// shares. With the whole limit in use elsewhere, and another node standing in for the owner, 1.28
+/// times the rate stays under the bound of a window.
+const CAUTIOUS_SHARE: f64 = 0.2;
 
 /// Requests per second that a new owner may lease in any case, out of the slack of 20 in each window.
 const CAUTIOUS_RATE: f64 = 1.0;
 
 /// Share of the rate, and requests per second, that a node hands out for an owner that does not answer.
 /// The owner may go on leasing the whole limit.
-const STANDBY_SHARE: f64 = 0.04;
-const STANDBY_RATE: f64 = 0.4;
+const STANDBY_SHARE: f64 = 0.08;
+const STANDBY_RATE: f64 = 0.8;
 
 /// Tokens with which an owner starts, so that the first requests of a small tenant need not wait.
 const FIRST_TOKENS: f64 = 2.0;
@@ -75,7 +75,7 @@
     since: Instant,
     /// Rate of the shares that another owner, or an earlier process, has leased.
     inherited: f64,
-    leases: HashMap<NodeId, NodeLease>,
+    leases: BTreeMap<NodeId, NodeLease>,
     /// What no node holds.
     rest: TokenBucket,
 }
@@ -112,6 +112,15 @@
         grown
     }
 
+    /// Adopts changed limits of tenants that this node owns.
+    pub fn set_limits(&mut self, limits: &HashMap<TenantName, TenantQuota>) {
+        for (name, tenant) in &mut self.owned {
+            if let Some(limit) = limits.get(name) {
+                tenant.quota = *limit;
+            }
+        }
+    }
+
     /// Returns the names of the tenants that this node owns.
     pub fn owned(&self) -> impl Iterator<Item = &TenantName> {
         self.owned.keys()
@@ -172,7 +181,7 @@
             quota,
             since: now,
             inherited: 0.0,
-            leases: HashMap::new(),
+            leases: BTreeMap::new(),
             rest,
         }
     }
@@ -270,13 +279,18 @@
         let Some(index) = index else {
             return QuotaShare::default();
         };
+        let mut parts = LEASED_PARTS.iter().rev();
+        let part = parts.find(|(least, _)| self.quota.rate >= *least);
+        let part = part.map_or(0.0, |(_, part)| *part);
+        // Without a leased rate, what a node may keep is not refilled by itself, and lacks in the rest.
+        let steady = if part > 0.0 { STEADY_BURST } else { MIN_BURST };
         let wanted_rates: Vec<f64> = nodes
             .iter()
             .map(|(_, lease)| (lease.demand * DEMAND_MARGIN).max(MIN_RATE))
             .collect();
         let wanted_bursts: Vec<f64> = wanted_rates
             .iter()
-            .map(|rate| (rate * BURST_TIME).max(rate.clamp(MIN_BURST, STEADY_BURST)))
+            .map(|rate| (rate * BURST_TIME).max(rate.clamp(MIN_BURST, steady)))
             .collect();
         let others = self.leased(Some(node));
         let burst = self.burst();
@@ -286,9 +300,6 @@
         if burst < 1.0 {
             return QuotaShare::default();
         }
-        let mut parts = LEASED_PARTS.iter().rev();
-        let part = parts.find(|(least, _)| self.quota.rate >= *least);
-        let part = part.map_or(0.0, |(_, part)| *part);
         let leasable = limit * part;
         let fair_rate = divide_fairly(leasable, &wanted_rates)[index];
         QuotaShare {
--- a/crates/apricotfold-policy/src/quota/ranking.rs
+++ b/crates/apricotfold-policy/src/quota/ranking.rs
@@ -27,9 +27,10 @@
             (Reverse(bandwidth), hash([&record.node]), &record.node)
         })
         .collect();
-    ranked.sort_unstable();
-    ranked.dedup_by(|a, b| a.2 == b.2);
-    ranked.truncate(MAX_CANDIDATES);
+    if ranked.len() > MAX_CANDIDATES {
+        ranked.select_nth_unstable(MAX_CANDIDATES - 1);
+        ranked.truncate(MAX_CANDIDATES);
+    }
     let mut nodes: Vec<NodeId> = ranked
         .into_iter()
         .map(|(_, _, node)| node.clone())
--- a/crates/apricotfold-policy/tests/quota_faults.rs
+++ b/crates/apricotfold-policy/tests/quota_faults.rs
@@ -16,12 +16,12 @@
 
 #[derive(Clone, Debug)]
 enum Fault {
+    /// Restarts a node, or starts it if it was killed.
     Restart(usize),
     RestartOwner,
     RestartAll,
     Kill(usize),
     KillOwner,
-    Start(usize),
     /// Cuts the nodes whose bits are set off from the others and the store, for some milliseconds.
     Partition(u16, u64),
     Wait(u64),
@@ -34,7 +34,6 @@
         Just(Fault::RestartAll),
         (0..NODES).prop_map(Fault::Kill),
         Just(Fault::KillOwner),
-        (0..NODES).prop_map(Fault::Start),
         (1u16..512, 500..LONGEST_PARTITION).prop_map(|(nodes, time)| Fault::Partition(nodes, time)),
         (100u64..6_000).prop_map(Fault::Wait),
     ]
@@ -73,7 +72,6 @@
                 Fault::RestartAll => (0..NODES).for_each(|node| mesh.restart(node)),
                 Fault::Kill(node) => mesh.kill(node),
                 Fault::KillOwner => mesh.kill(owner),
-                Fault::Start(node) => mesh.restart(node),
                 Fault::Partition(nodes, time) => {
                     for node in (0..NODES).filter(|node| nodes & (1 << node) != 0) {
                         mesh.set_side(node, 1);
--- a/crates/apricotfold-policy/tests/quota_owner.rs
+++ b/crates/apricotfold-policy/tests/quota_owner.rs
@@ -99,7 +99,7 @@
         assert_eq!(grant.0, None);
         given += grant.1;
     }
-    assert!((35.0..50.0).contains(&given), "{given}");
+    assert!((75.0..95.0).contains(&given), "{given}");
 }
 
 /// Guards against a share that is used after its end or above a limit that was lowered, and against a
--- a/crates/apricotfold-policy/tests/quota_window.rs
+++ b/crates/apricotfold-policy/tests/quota_window.rs
@@ -54,7 +54,8 @@
         let case = format!("seed {seed}, {rate}/s");
         let mut mesh = Mesh::new(82, &[rate], seed);
         let usual = rate / 1.6;
-        mesh.run(seconds(6), &spread(0, 10..13, usual));
+        // Until 6 s after their start, owners lease only a part of the limit.
+        mesh.run(seconds(8), &spread(0, 10..13, usual));
         let (ran, refused) = run(&mut mesh, seconds(10), &spread(0, 10..13, usual));
         assert!(refused <= ran * 0.005 + 1.0, "{case}: {ran}, {refused}");
         mesh.run(seconds(2), &spread(0, 40..43, usual));
@@ -98,11 +99,6 @@
             mesh.restart(owner);
             mesh.run(seconds(6), &demand);
             let case = format!("{entry}, {rate}/s, {:?}", mesh.count(0, Duration::ZERO));
-            println!(
-                "{case} peak {} of {}",
-                mesh.peak(0, Duration::ZERO),
-                bound(rate)
-            );
             check(&mesh, 0, rate, &case);
         }
     }
@@ -134,11 +130,6 @@
                 }
                 mesh.run(seconds(12), &demand);
                 let case = format!("{entry}, {rate}/s, owner cut off {owner_cut_off}");
-                println!(
-                    "{case} peak {} of {}",
-                    mesh.peak(0, Duration::ZERO),
-                    bound(rate)
-                );
                 check(&mesh, 0, rate, &case);
             }
         }
@@ -152,7 +143,8 @@
         mesh.set_side(node, 1);
     }
     let (ran, refused) = run(&mut mesh, seconds(9), &usual);
-    println!("below the limit, partitioned: {ran} ran, {refused} refused");
+    // Nodes that are cut off have little more than one token each at this rate.
+    assert!(refused <= (ran + refused) * 0.25, "{ran}, {refused}");
 }
 
 /// Guards against a limit that stays in force after it was lowered.
@@ -165,7 +157,6 @@
         let lowered = mesh.elapsed();
         mesh.run(seconds(15), &demand);
         let peak = to_float(mesh.peak(0, lowered));
-        println!("{entry}: {peak} of {}", bound(20.0));
         assert!(peak <= bound(20.0), "{entry}: {peak}");
         let (ran, _) = mesh.count(0, lowered + seconds(5));
         // Ten seconds of the limit, less what lies in the buckets of nodes that ask too rarely.
@@ -206,6 +197,5 @@
     mesh.run(seconds(10), &demand);
     let bytes = to_float(mesh.bytes - bytes) / 10.0 / 82.0;
     let messages = to_float(mesh.messages - messages) / 10.0 / 82.0;
-    println!("{bytes:.0} bytes/s, {messages:.2} messages/s per node");
     assert!(bytes < 1_000.0, "{bytes} bytes/s, {messages} messages/s");
 }
--- a/crates/apricotfold-policy/tests/support/quota_mesh.rs
+++ b/crates/apricotfold-policy/tests/support/quota_mesh.rs
@@ -1,7 +1,7 @@
 //! Simulated nodes that share quotas, with partitions and restarts. Time passes in steps.
 #![allow(dead_code, reason = "each test file uses a part of these helpers")]
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceRecord, InstanceState, NodeId, TenantName, TenantQuota};
@@ -21,6 +21,9 @@
 const MAX_WAIT: Duration = Duration::from_millis(200);
 const TICK: Duration = Duration::from_millis(250);
 
+/// Number of checks after which a node determines the owners anew.
+const TICKS_PER_UPDATE: usize = 4;
+
 /// Time after which the store drops a node that has died or is cut off.
 const LAPSE_TIME: Duration = Duration::from_secs(4);
 
@@ -51,7 +54,7 @@
     lost_since: Option<Instant>,
     /// Nodes that the store had when this one last reached it.
     known: Vec<bool>,
-    links: HashMap<usize, Link>,
+    links: BTreeMap<usize, Link>,
     waiting: Vec<(usize, Instant)>,
     survey: Option<(Vec<usize>, Instant)>,
 }
@@ -94,6 +97,7 @@
     flights: Vec<Flight>,
     random: StdRng,
     processes: u64,
+    ticks: usize,
 }
 
 fn node_id(index: usize) -> NodeId {
@@ -141,6 +145,7 @@
             flights: Vec::new(),
             random: StdRng::seed_from_u64(seed),
             processes: 0,
+            ticks: 0,
         };
         for index in 0..count {
             let node = mesh.process(index);
@@ -159,7 +164,7 @@
             side: 0,
             lost_since: None,
             known: vec![false; self.present.len()],
-            links: HashMap::new(),
+            links: BTreeMap::new(),
             waiting: Vec::new(),
             survey: None,
         }
@@ -236,8 +241,10 @@
         self.deliver();
         if ticks {
             self.update_store();
+            self.ticks += 1;
             for index in 0..self.nodes.len() {
-                self.tick(index);
+                let updates = (self.ticks + index).is_multiple_of(TICKS_PER_UPDATE);
+                self.tick(index, updates || self.nodes[index].quotas.is_unknown());
             }
         }
         for known in demand {
@@ -272,21 +279,15 @@
         }
     }
 
-    fn tick(&mut self, index: usize) {
+    fn tick(&mut self, index: usize, updates: bool) {
         if !self.nodes[index].alive {
             return;
         }
-        let in_contact = self.nodes[index].side == 0;
-        if in_contact {
-            self.nodes[index].known.clone_from(&self.present);
-        }
-        let candidates = Self::candidates(&self.nodes[index].known);
         let now = self.now;
-        let node = &mut self.nodes[index];
-        if node.quotas.update_owners(candidates, in_contact, now).grown {
-            let others = (0..self.present.len()).filter(|other| *other != index);
-            node.survey = Some((others.collect(), now));
+        if updates {
+            self.update_owners(index);
         }
+        let node = &mut self.nodes[index];
         for owner in node.quotas.due(now) {
             let owner = index_of(&owner);
             if owner == index {
@@ -298,6 +299,20 @@
         self.survey(index);
     }
 
+    fn update_owners(&mut self, index: usize) {
+        let in_contact = self.nodes[index].side == 0;
+        if in_contact {
+            self.nodes[index].known.clone_from(&self.present);
+        }
+        let candidates = Self::candidates(&self.nodes[index].known);
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.quotas.update_owners(candidates, in_contact, now).grown {
+            let others = (0..self.present.len()).filter(|other| *other != index);
+            node.survey = Some((others.collect(), now));
+        }
+    }
+
     fn survey(&mut self, index: usize) {
         let now = self.now;
         let Some((open, next)) = self.nodes[index].survey.take() else {
--- a/crates/apricotfold-proxy/src/quota/state.rs
+++ b/crates/apricotfold-proxy/src/quota/state.rs
@@ -1,13 +1,17 @@
 //! State of [`QuotaGate`](super::QuotaGate).
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use apricotfold_model::{NodeId, TableVersion, TenantDirectory, log_event};
 use apricotfold_policy::{QuotaNode, STORE_SILENCE, choose_candidates};
 
 use crate::engine::Engine;
 
+/// Interval at which the owners are determined anew. It costs a look at all known nodes, and a share outlasts
+/// the loss of its owner by far.
+const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Another node that this one asks.
 #[derive(Debug, Default)]
 pub struct PeerState {
@@ -27,6 +31,8 @@
     /// Number of the latest survey.
     pub survey: u64,
     version: TableVersion,
+    /// When the owners were last determined; `None` if the table has changed since.
+    updated: Option<Instant>,
 }
 
 impl GateState {
@@ -39,6 +45,7 @@
             peers: HashMap::new(),
             survey: 0,
             version: 0,
+            updated: None,
         }
     }
 
@@ -47,6 +54,7 @@
         let version = engine.tables.version();
         if version != self.version {
             self.version = version;
+            self.updated = None;
             let cached = engine.tables.current();
             let tenants = cached.table.tenants.iter().flat_map(TenantDirectory::iter);
             let quotas = tenants.filter_map(|known| Some((known.name.clone(), known.quota?)));
@@ -55,8 +63,14 @@
         self.quotas.has_quotas()
     }
 
-    /// Determines the owners anew. Returns whether this node owns limits that it did not own before.
+    /// Determines the owners anew, if it is time. Returns whether this node owns limits that it did not own
+    /// before.
     pub fn update_owners(&mut self, engine: &Engine, now: Instant) -> bool {
+        let recent = |updated| now.saturating_duration_since(updated) < UPDATE_INTERVAL;
+        if self.updated.is_some_and(recent) && !self.quotas.is_unknown() {
+            return false;
+        }
+        self.updated = Some(now);
         // What the store has decides: a node that is cut off is gone from there.
         let candidates = choose_candidates(engine.registry().confirmed());
         let age = engine.store_health.age();
