--- a/crates/apricotfold-model/src/proxy_config.rs
+++ b/crates/apricotfold-model/src/proxy_config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use apricotfold_schema::settings as raw;
@@ -70,6 +71,10 @@
     pub retry_limit: SharedRetryLimit,
     /// Bandwidth of the instance's network link in bytes per second; `None` if it is unknown.
     pub link_rate: Option<f64>,
+    /// Memory of the machine in MiB; `None` if it is unknown.
+    pub memory_mb: Option<NonZeroU32>,
+    /// File descriptors that the process may open; `None` if it is unknown.
+    pub fd_limit: Option<NonZeroU32>,
     /// Seed of all random decisions; 0 takes a seed from the operating system.
     pub seed: u64,
 }
@@ -121,6 +126,8 @@
             ("store_address", self.store_address != other.store_address),
             ("service", self.service != other.service),
             ("link_mbps", self.link_rate != other.link_rate),
+            ("memory_mb", self.memory_mb != other.memory_mb),
+            ("fd_limit", self.fd_limit != other.fd_limit),
         ];
         fields
             .into_iter()
@@ -189,6 +196,8 @@
                 window: millis(settings.retry_window_ms, DEFAULT_RETRY_WINDOW),
             },
             link_rate: (link_rate > 0.0).then_some(link_rate),
+            memory_mb: NonZeroU32::new(settings.memory_mb),
+            fd_limit: NonZeroU32::new(settings.fd_limit),
             seed: settings.seed,
         };
         errors.finish(config)
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -436,6 +436,8 @@
         store_address: ([127, 0, 0, 1], 1).into(),
         lease_min: Duration::from_secs(1),
         link_rate: None,
+        memory_mb: None,
+        fd_limit: None,
         announce_interval: Duration::from_mins(1),
         grace: Duration::from_secs(2),
         retry_limit: SharedRetryLimit {
