Bound what strangers make a node hold, and their connections

A node kept every body that callers, peers and announcements sent, in a buffer that doubled, and every connection that they opened. Limits now follow from memory_mb and fd_limit: half of the memory is the budget for connections and bodies, and each listener has a share of the descriptors. Bodies are lists of pieces of 4 to 64 KiB. Over the budget the body that has held the most for the longest without progress gets 503 and its connection is closed; bodies whose request runs are counted and never given up. At the limit on connections a new one takes the place of one that has sent no head, is idle, or whose body still arrives. Trailers end at 16 KiB, announcements and messages of peers have limits on size and time, and a caller that takes no byte for 15 s is closed. AF1015, apricotfold_limits_reached_total and apricotfold_held_bytes show them.

The cost for an ordinary request is not measured.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -51,6 +51,9 @@
     /// The local target announced its departure, but nobody else has confirmed that it knows of it.
     #[strum(serialize = "AF1014", message = "departure not kept")]
     DepartureNotKept,
+    /// A limit on what strangers may make the node hold was reached.
+    #[strum(serialize = "AF1015", message = "limit reached")]
+    LimitReached,
     /// A profile version took effect on this node.
     #[strum(serialize = "AF2001", message = "version applied")]
     VersionApplied,
--- a/crates/apricotfold-proxy/src/announce_server.rs
+++ b/crates/apricotfold-proxy/src/announce_server.rs
@@ -8,18 +8,21 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use crate::adapters::{AnnounceMessage, AnnounceProtocol};
 use crate::call_body::ResponseBody;
+use crate::callers::message_body::collect_body;
 use crate::connection::{CallerDisconnected, RequestHandler};
 use crate::departure_keeper::keep_departure;
 use crate::engine::Engine;
 use crate::health_check;
 
 /// Largest announcement that is read; typical ones have a few hundred bytes.
-const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
+const MAX_ANNOUNCEMENT_BYTES: u64 = 64 * 1024;
+
+/// Longest time for the body of an announcement to arrive. Targets wait a second for the answer.
+const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time for which the answer to a new target's first announcement waits until the target is in use. The
 /// target waits a second for it, of which the check of the target can take up to 0.7 s.
@@ -42,8 +45,10 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, CallerDisconnected> {
         let (parts, incoming) = request.into_parts();
-        let limited = Limited::new(incoming, MAX_ANNOUNCEMENT_BYTES);
-        let body = limited.collect().await.map_err(|error| {
+        let deadline = Instant::now() + BODY_TIMEOUT;
+        let memory = &self.engine.held_memory;
+        let body = collect_body(incoming, memory, MAX_ANNOUNCEMENT_BYTES, deadline);
+        let body = body.await.map_err(|error| {
             log_event!(warn, AnnouncementIgnored, "reading failed: {error}");
             CallerDisconnected
         })?;
--- a/crates/apricotfold-proxy/src/call_body.rs
+++ b/crates/apricotfold-proxy/src/call_body.rs
@@ -12,6 +12,7 @@
 use tokio::time::Sleep;
 
 use crate::admission::SlotGuard;
+use crate::callers::connection_slots::BusySlot;
 use crate::connection_pool::{ConnectionPool, PooledConnection};
 use crate::crash_tracker::SentRun;
 use crate::lifecycle::InFlightGuard;
@@ -85,7 +86,7 @@
 /// Response body whose request counts as in progress until its end.
 pub struct TrackedBody {
     body: ResponseBody,
-    _in_flight: InFlightGuard,
+    _in_flight: (InFlightGuard, BusySlot),
 }
 
 impl Body for TrackedBody {
@@ -141,7 +142,7 @@
     }
 
     /// Counts the body's request as in progress until the end of the body.
-    pub fn tracked(self, in_flight: InFlightGuard) -> TrackedBody {
+    pub fn tracked(self, in_flight: (InFlightGuard, BusySlot)) -> TrackedBody {
         TrackedBody {
             body: self,
             _in_flight: in_flight,
--- a/crates/apricotfold-proxy/src/caller_connection.rs
+++ b/crates/apricotfold-proxy/src/caller_connection.rs
@@ -7,7 +7,7 @@
 
 use apricotfold_model::{CallerLimits, log_event};
 use apricotfold_policy::{IntakePhase, RequestIntake};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http::{Method, Response, StatusCode};
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -19,11 +19,14 @@
 
 use crate::call_body::ResponseBody;
 use crate::caller_server::{CallerHandler, EntryRefusal, PreparedCall};
+use crate::callers::body_pieces::BodyPieces;
+use crate::callers::connection_slots::ConnectionSlot;
 use crate::connection::CallerDisconnected;
 use crate::connection_pool::set_socket_options;
 use crate::lifecycle::{InFlightGuard, Lifecycle, ProcessPhase};
 use crate::request_codec::{BodyLength, BodyReader, RequestFault, RequestHead, take_head};
 use crate::response_codec::{ResponseFraming, put_end, put_head, put_piece};
+use crate::telemetry;
 
 /// Requests of one connection that may be in progress at once; further requests stay unread.
 const MAX_PIPELINED: usize = 32;
@@ -38,6 +41,9 @@
 /// cause a reset, which can destroy the response on its way to the caller.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Longest time for which a caller may take no byte of its answers, as long as connections may be idle.
+const WRITE_STALL: Duration = Duration::from_secs(15);
+
 /// Interim response that lets a caller send its body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -71,14 +77,23 @@
     intake: RequestIntake,
 }
 
-#[derive(Default)]
 struct ResponseQueue {
     state: Mutex<QueueState>,
     arrived: Notify,
     written: Notify,
+    slot: ConnectionSlot,
 }
 
 impl ResponseQueue {
+    fn new(slot: ConnectionSlot) -> Self {
+        Self {
+            state: Mutex::default(),
+            arrived: Notify::new(),
+            written: Notify::new(),
+            slot,
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, QueueState> {
         self.state.lock().expect("no panic while locked")
     }
@@ -86,7 +101,13 @@
     /// Starts a request whose head was read. Returns `None` if the connection is closing.
     fn begin(self: &Arc<Self>, lifecycle: &Lifecycle, last: bool) -> Option<StartedRequest> {
         let phase = intake_phase(lifecycle.phase());
-        let started = self.lock().intake.begin(phase, last);
+        // A connection that another one has replaced is being closed.
+        let is_open = if self.is_idle() {
+            self.slot.begin_body()
+        } else {
+            self.slot.begin_request()
+        };
+        let started = is_open && self.lock().intake.begin(phase, last);
         started.then(|| StartedRequest {
             queue: self.clone(),
             in_flight: Some(lifecycle.begin_request()),
@@ -112,7 +133,11 @@
     }
 
     fn finish_one(&self) {
-        self.lock().intake.finish(Instant::now());
+        let mut state = self.lock();
+        state.intake.finish(Instant::now());
+        if state.intake.is_idle() {
+            self.slot.finish_requests();
+        }
         self.written.notify_one();
     }
 
@@ -175,10 +200,15 @@
 }
 
 /// Serves a connection until either side closes it.
-pub async fn serve_caller(stream: TcpStream, handler: Arc<CallerHandler>, lifecycle: Lifecycle) {
+pub async fn serve_caller(
+    stream: TcpStream,
+    handler: Arc<CallerHandler>,
+    lifecycle: Lifecycle,
+    slot: ConnectionSlot,
+) {
     set_socket_options(&stream, TCP_USER_TIMEOUT);
     let (input, output) = stream.into_split();
-    let queue = Arc::new(ResponseQueue::default());
+    let queue = Arc::new(ResponseQueue::new(slot));
     let mut reader = CallerReader {
         input,
         buffer: BytesMut::new(),
@@ -189,11 +219,12 @@
     let mut writer = CallerWriter {
         output,
         lifecycle,
-        queue,
+        queue: queue.clone(),
     };
     let whole = tokio::select! {
         // If the caller disconnects, dropping the queue aborts the tasks of its requests.
         () = reader.read_requests() => return,
+        () = queue.slot.replaced() => return,
         result = writer.write_responses() => result,
     };
     if let Err(error) = whole {
@@ -228,6 +259,16 @@
     Idle,
 }
 
+/// How reading a body ends.
+enum BodyEnd {
+    /// The body is complete.
+    Whole(BodyPieces),
+    /// It is incomplete at its deadline.
+    Late,
+    /// The node holds too much.
+    GivenUp,
+}
+
 impl CallerReader {
     /// Reads requests until the caller disconnects. If the connection ends for another reason, it
     /// only watches for a disconnect while the last responses are written.
@@ -301,11 +342,15 @@
                     self.queue
                         .push_interim(PendingResponse::Continue, &self.lifecycle);
                 }
-                if let Some(body) = self.read_body(body, call.deadline()).await? {
-                    return Ok(self.start(call, body));
+                if !has_body {
+                    return self.start(call, BodyPieces::default());
                 }
+                let refusal = match self.read_body(body, call.deadline()).await? {
+                    BodyEnd::Whole(body) => return self.start(call, body),
+                    BodyEnd::Late => self.handler.refuse_late(&call),
+                    BodyEnd::GivenUp => self.handler.refuse_overfull(&call),
+                };
                 self.queue.end();
-                let refusal = self.handler.refuse_late(&call);
                 Ok(PendingResponse::Ready(Box::new(refusal)))
             }
             Err(EntryRefusal(response)) => {
@@ -318,10 +363,14 @@
         }
     }
 
-    fn start(&self, call: PreparedCall, body: Bytes) -> PendingResponse {
+    /// Starts a request, unless another connection has replaced this one.
+    fn start(&self, call: PreparedCall, body: BodyPieces) -> Result<PendingResponse, ReadEnd> {
+        if !self.queue.slot.begin_request() {
+            return Err(ReadEnd::Disconnected);
+        }
         let handler = self.handler.clone();
         let task = tokio::spawn(async move { handler.run(call, body).await });
-        PendingResponse::Running(ResponseTask(task))
+        Ok(PendingResponse::Running(ResponseTask(task)))
     }
 
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<RequestHead, ReadEnd> {
@@ -361,20 +410,29 @@
         }
     }
 
-    /// Reads a body. Returns `None` if it is incomplete at the deadline.
+    /// Reads a body, until its deadline or until the node holds too much.
     async fn read_body(
         &mut self,
         mut body: BodyReader,
         deadline: Instant,
-    ) -> Result<Option<Bytes>, ReadEnd> {
+    ) -> Result<BodyEnd, ReadEnd> {
+        let mut memory = self.handler.begin_body();
         loop {
-            if let Some(whole) = body.take(&mut self.buffer).map_err(ReadEnd::Refused)? {
-                return Ok(Some(whole));
+            let whole = body.take(&mut self.buffer).map_err(ReadEnd::Refused)?;
+            let occupied = whole.as_ref().map_or(body.occupied(), BodyPieces::len);
+            if memory.hold(occupied).is_err() {
+                return Ok(BodyEnd::GivenUp);
+            }
+            if let Some(whole) = whole {
+                return Ok(BodyEnd::Whole(whole.counted(memory.pass_on())));
             }
             let more = read_more(&mut self.input, &mut self.buffer);
-            match tokio::time::timeout_at(deadline.into(), more).await {
-                Ok(read) => read?,
-                Err(_) => return Ok(None),
+            tokio::select! {
+                read = tokio::time::timeout_at(deadline.into(), more) => match read {
+                    Ok(read) => read?,
+                    Err(_) => return Ok(BodyEnd::Late),
+                },
+                () = memory.given_up() => return Ok(BodyEnd::GivenUp),
             }
         }
     }
@@ -422,7 +480,7 @@
                 PendingResponse::Ready(response) => *response,
                 PendingResponse::Running(mut task) => (&mut task.0).await??,
                 PendingResponse::Continue => {
-                    self.output.write_all(CONTINUE_RESPONSE).await?;
+                    self.send(CONTINUE_RESPONSE).await?;
                     self.queue.finish_one();
                     continue;
                 }
@@ -436,6 +494,27 @@
         }
     }
 
+    /// Sends bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller takes no byte for [`WRITE_STALL`].
+    async fn send(&mut self, bytes: &[u8]) -> eyre::Result<()> {
+        let mut left = bytes;
+        while !left.is_empty() {
+            match tokio::time::timeout(WRITE_STALL, self.output.write(left)).await {
+                Ok(Ok(written @ 1..)) => left = &left[written..],
+                Ok(Ok(_)) => eyre::bail!("the connection takes no bytes"),
+                Ok(Err(error)) => return Err(error.into()),
+                Err(_) => {
+                    telemetry::count_limit("write-time");
+                    eyre::bail!("the caller took no byte for {WRITE_STALL:?}");
+                }
+            }
+        }
+        Ok(())
+    }
+
     async fn next_entry(&self) -> Option<PendingEntry> {
         loop {
             {
@@ -479,7 +558,7 @@
             self.write_pieces(&mut body, framing, &mut bytes).await?;
         }
         put_end(&mut bytes, framing);
-        self.output.write_all(&bytes).await?;
+        self.send(&bytes).await?;
         Ok(())
     }
 
@@ -501,7 +580,7 @@
                 put_piece(bytes, framing, &piece);
             }
             if bytes.len() >= READ_BYTES {
-                self.output.write_all(bytes).await?;
+                self.send(bytes).await?;
                 bytes.clear();
             }
         }
--- a/crates/apricotfold-proxy/src/caller_server.rs
+++ b/crates/apricotfold-proxy/src/caller_server.rs
@@ -5,7 +5,6 @@
 
 use apricotfold_model::{CallOutcome, CallerLimits, RefusalReason, WorkClass, log_event};
 use apricotfold_policy::advise_retry_after;
-use bytes::Bytes;
 use http::Response;
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -14,6 +13,9 @@
 use crate::adapters::{CallHead, CallRefusal};
 use crate::call_body::ResponseBody;
 use crate::caller_connection::serve_caller;
+use crate::callers::body_pieces::BodyPieces;
+use crate::callers::connection_slots::ConnectionSlots;
+use crate::callers::held_memory::BodyMemory;
 use crate::connection::{CallerDisconnected, accept};
 use crate::engine::Engine;
 use crate::entry_access::TenantAccess;
@@ -124,7 +126,7 @@
     pub async fn run(
         self: Arc<Self>,
         call: PreparedCall,
-        body: Bytes,
+        body: BodyPieces,
     ) -> Result<Response<ResponseBody>, CallerDisconnected> {
         let id = call.head.request_id.as_deref().unwrap_or("-");
         let mut disconnect = DisconnectLog {
@@ -151,6 +153,17 @@
         self.refuse(&call.head, RefusalReason::BodyLate, &call.parts, arrived)
     }
 
+    /// Refuses a request whose body the node cannot hold.
+    pub fn refuse_overfull(&self, call: &PreparedCall) -> Response<ResponseBody> {
+        let arrived = call.routed.arrived;
+        self.refuse(&call.head, RefusalReason::Overloaded, &call.parts, arrived)
+    }
+
+    /// Counts the memory of a body that begins to arrive.
+    pub fn begin_body(&self) -> BodyMemory {
+        self.engine.held_memory.begin()
+    }
+
     /// Refuses a request before a target is selected.
     fn refuse(
         &self,
@@ -202,9 +215,14 @@
 
 /// Accepts callers until the process ends.
 pub async fn serve_callers(listener: TcpListener, handler: Arc<CallerHandler>) {
-    let lifecycle = handler.engine.lifecycle.clone();
+    let engine = &handler.engine;
+    let lifecycle = engine.lifecycle.clone();
+    let slots = ConnectionSlots::new(engine.limits.caller_connections, &engine.held_memory);
     loop {
         let stream = accept(&listener).await;
-        tokio::spawn(serve_caller(stream, handler.clone(), lifecycle.clone()));
+        if let Some(slot) = slots.accept() {
+            let served = serve_caller(stream, handler.clone(), lifecycle.clone(), slot);
+            tokio::spawn(served);
+        }
     }
 }
--- /dev/null
+++ b/crates/apricotfold-proxy/src/callers/held_memory.rs
@@ -0,0 +1,186 @@
+//! The node's memory budget, shared by its listeners.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use apricotfold_model::log_event;
+use apricotfold_policy::{HeldBytes, HoldDecision, HolderId};
+use tokio::sync::Notify;
+
+use crate::telemetry;
+
+/// Shortest interval between log lines about a limit. A flood reaches it thousands of times a second.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The body cannot be held; its request has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryExceeded;
+
+struct HeldState {
+    bytes: HeldBytes,
+    /// Signals of the holders, by which they learn that they are given up.
+    signals: std::collections::HashMap<HolderId, Arc<Notify>>,
+}
+
+/// Counts what strangers make the node hold, and gives up bodies over the budget.
+pub struct HeldMemory {
+    state: Mutex<HeldState>,
+    log: LimitLog,
+}
+
+impl HeldMemory {
+    /// Creates a count with a budget in bytes.
+    pub fn new(budget: usize) -> Self {
+        Self {
+            state: Mutex::new(HeldState {
+                bytes: HeldBytes::new(budget),
+                signals: std::collections::HashMap::new(),
+            }),
+            log: LimitLog::default(),
+        }
+    }
+
+    /// Adds a body that begins to arrive.
+    pub fn begin(self: &Arc<Self>) -> BodyMemory {
+        let signal = Arc::new(Notify::new());
+        let mut state = self.lock();
+        let id = state.bytes.add(Instant::now());
+        state.signals.insert(id, signal.clone());
+        BodyMemory {
+            memory: self.clone(),
+            id,
+            occupied: 0,
+            signal,
+        }
+    }
+
+    /// Counts memory that is never given up.
+    pub fn reserve(self: &Arc<Self>, bytes: usize) -> RunningMemory {
+        self.lock().bytes.reserve(bytes);
+        RunningMemory {
+            memory: self.clone(),
+            bytes,
+        }
+    }
+
+    /// Returns the number of bytes that are counted.
+    pub fn total(&self) -> usize {
+        self.lock().bytes.total()
+    }
+
+    fn hold(&self, id: HolderId, bytes: usize) -> Result<(), MemoryExceeded> {
+        loop {
+            let mut state = self.lock();
+            let given_up = match state.bytes.hold(id, bytes, Instant::now()) {
+                HoldDecision::Granted => return Ok(()),
+                HoldDecision::GiveUp(given_up) => given_up,
+            };
+            let held = state.bytes.remove(given_up);
+            if let Some(signal) = state.signals.remove(&given_up) {
+                signal.notify_one();
+            }
+            drop(state);
+            self.log
+                .record("memory", || format!("a body with {held} bytes is given up"));
+            if given_up == id {
+                return Err(MemoryExceeded);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HeldState> {
+        self.state.lock().expect("no panic while locked")
+    }
+}
+
+/// Memory of a body that is arriving.
+pub struct BodyMemory {
+    memory: Arc<HeldMemory>,
+    id: HolderId,
+    occupied: usize,
+    signal: Arc<Notify>,
+}
+
+impl BodyMemory {
+    /// Counts `occupied` bytes in all.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body must be given up.
+    pub fn hold(&mut self, occupied: usize) -> Result<(), MemoryExceeded> {
+        if occupied == self.occupied {
+            return Ok(());
+        }
+        self.occupied = occupied;
+        self.memory.hold(self.id, occupied)
+    }
+
+    /// Waits until the body must be given up for another one.
+    pub async fn given_up(&self) {
+        self.signal.notified().await;
+    }
+
+    /// Ends the possibility to give the body up, because its request is about to run.
+    pub fn pass_on(self) -> RunningMemory {
+        let bytes = self.memory.lock().bytes.pass_on(self.id);
+        RunningMemory {
+            memory: self.memory.clone(),
+            bytes,
+        }
+    }
+}
+
+impl Drop for BodyMemory {
+    fn drop(&mut self) {
+        let mut state = self.memory.lock();
+        state.bytes.remove(self.id);
+        state.signals.remove(&self.id);
+    }
+}
+
+/// Memory that is not given up, counted until it is dropped.
+pub struct RunningMemory {
+    memory: Arc<HeldMemory>,
+    bytes: usize,
+}
+
+impl std::fmt::Debug for RunningMemory {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{} bytes", self.bytes)
+    }
+}
+
+impl Drop for RunningMemory {
+    fn drop(&mut self) {
+        self.memory.lock().bytes.release(self.bytes);
+    }
+}
+
+/// Counts how often a limit was reached, and logs it at most once per [`LOG_INTERVAL`].
+#[derive(Default)]
+pub struct LimitLog {
+    last: Mutex<Option<Instant>>,
+    unlogged: AtomicU64,
+}
+
+impl LimitLog {
+    /// Records that a limit was reached.
+    pub fn record(&self, limit: &'static str, text: impl FnOnce() -> String) {
+        telemetry::count_limit(limit);
+        let now = Instant::now();
+        let mut last = self.last.lock().expect("no panic while locked");
+        if last.is_some_and(|last| now.duration_since(last) < LOG_INTERVAL) {
+            self.unlogged.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        *last = Some(now);
+        let more = self.unlogged.swap(0, Ordering::Relaxed);
+        log_event!(
+            warn,
+            LimitReached,
+            "{limit}: {}, {more} more before",
+            text()
+        );
+    }
+}
--- a/crates/apricotfold-proxy/src/connection.rs
+++ b/crates/apricotfold-proxy/src/connection.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::call_body::ResponseBody;
+use crate::callers::connection_slots::{BusySlot, ConnectionSlot, ConnectionSlots};
 use crate::connection_pool::set_socket_options;
 use crate::lifecycle::{Lifecycle, ProcessPhase};
 
@@ -81,10 +82,18 @@
 }
 
 /// Accepts and serves connections until the process ends.
-pub async fn serve(listener: TcpListener, handler: Arc<dyn RequestHandler>, lifecycle: Lifecycle) {
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn RequestHandler>,
+    lifecycle: Lifecycle,
+    slots: Arc<ConnectionSlots>,
+) {
     loop {
         let stream = accept(&listener).await;
-        tokio::spawn(serve_connection(stream, handler.clone(), lifecycle.clone()));
+        if let Some(slot) = slots.accept() {
+            let served = serve_connection(stream, handler.clone(), lifecycle.clone(), slot);
+            tokio::spawn(served);
+        }
     }
 }
 
@@ -92,15 +101,22 @@
     stream: TcpStream,
     handler: Arc<dyn RequestHandler>,
     lifecycle: Lifecycle,
+    slot: ConnectionSlot,
 ) {
+    let slot = Arc::new(slot);
     set_socket_options(&stream, TCP_USER_TIMEOUT);
     let requests = lifecycle.clone();
+    let busy_slot = slot.clone();
     let service = service_fn(move |request| {
         let in_flight = requests.begin_request();
-        let answer = handler.clone().handle(request);
+        let busy = BusySlot::begin(&busy_slot);
+        let handler = handler.clone();
         async move {
-            let answer = answer.await?;
-            Ok::<_, CallerDisconnected>(answer.map(|body| body.tracked(in_flight)))
+            let Some(busy) = busy else {
+                return Err(CallerDisconnected);
+            };
+            let answer = handler.handle(request).await?;
+            Ok::<_, CallerDisconnected>(answer.map(|body| body.tracked((in_flight, busy))))
         }
     });
     let connection = http1::Builder::new()
@@ -123,6 +139,7 @@
                 }
                 return;
             }
+            () = slot.replaced() => return,
             Ok(()) = phases.changed() => {}
         }
     }
--- a/crates/apricotfold-proxy/src/connection_pool.rs
+++ b/crates/apricotfold-proxy/src/connection_pool.rs
@@ -5,9 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -16,6 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::callers::body_pieces::SentBody;
 use crate::telemetry;
 
 /// Longest wait for a pooled connection to become ready. The last bytes of a response and the ready
@@ -69,7 +68,7 @@
 /// A connection that carries one request at a time.
 pub struct PooledConnection {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SentBody>,
     /// Longest idle time that the other end announced, if it did.
     pub announced_idle: Option<Duration>,
     _task: ConnectionTask,
@@ -105,7 +104,7 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<SentBody>,
         max_idle: Duration,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, PooledConnection), SendFailure> {
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
+use std::num::NonZeroU32;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -13,8 +14,8 @@
 };
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, DeadlineQueue, InstanceRegistry, InstanceReport,
-    LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, ParentThrottle, PeerOffsets,
-    RetryBudget, RetryDetector, TargetSelector, TrafficSplit,
+    LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, NodeLimits, ParentThrottle,
+    PeerOffsets, RetryBudget, RetryDetector, TargetSelector, TrafficSplit,
 };
 use apricotfold_store::Revision;
 use arc_swap::ArcSwap;
@@ -22,6 +23,7 @@
 
 use crate::adapters::CallProtocol;
 use crate::admission::AdmissionController;
+use crate::callers::held_memory::HeldMemory;
 use crate::connection_pool::{ConnectionPool, PoolConfig};
 use crate::crash_tracker::CrashTracker;
 use crate::departure_keeper::DepartureKeeper;
@@ -107,6 +109,10 @@
     pub store_health: StoreHealth,
     /// Phase of the process and the requests in progress.
     pub lifecycle: Lifecycle,
+    /// Limits on what strangers may make the node hold.
+    pub limits: NodeLimits,
+    /// Memory that strangers make the node hold.
+    pub held_memory: Arc<HeldMemory>,
     /// Counter that is incremented when this node's entry in the store must be rewritten.
     pub registration: watch::Sender<u64>,
     /// Departures of the local target, see [`DepartureKeeper`].
@@ -149,6 +155,8 @@
         };
         let limits = AdmissionLimits::new(&TARGET_LIMITS, 0);
         let link_meter = LinkMeter::new(config.link_rate);
+        let memory_mb = config.memory_mb.map(NonZeroU32::get);
+        let node_limits = NodeLimits::new(memory_mb, config.fd_limit.map(NonZeroU32::get));
         let timely_from = Instant::now() + config.longest_announcement_delay();
         Self {
             crashes: CrashTracker::default(),
@@ -163,6 +171,8 @@
             link_meter,
             store_health: StoreHealth::new(),
             lifecycle: Lifecycle::new(),
+            limits: node_limits,
+            held_memory: Arc::new(HeldMemory::new(node_limits.held_bytes)),
             registration: watch::Sender::new(0),
             departures: DepartureKeeper::default(),
             following: watch::Sender::new(true),
--- a/crates/apricotfold-proxy/src/health_check.rs
+++ b/crates/apricotfold-proxy/src/health_check.rs
@@ -4,12 +4,11 @@
 
 use apricotfold_model::InstanceAnnouncement;
 use apricotfold_policy::TargetReply;
-use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::Full;
 
 use crate::call_body::{ConnectionLease, ResponseBody};
+use crate::callers::body_pieces::BodyPieces;
 use crate::engine::Engine;
 
 /// Timeout of the check; announcements are acknowledged within a second.
@@ -36,7 +35,7 @@
     let Ok(host) = announcement.address.to_string().parse() else {
         return TargetReply::Unasked;
     };
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(BodyPieces::default().to_sent());
     *request.method_mut() = Method::GET;
     *request.uri_mut() = uri;
     request.headers_mut().insert(HOST, host);
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -54,6 +54,7 @@
 }
 
 fn publish_metrics(engine: &Engine) {
+    telemetry::publish_held_bytes(engine.held_memory.total());
     let report = engine.report();
     let (suspects, blocked) = engine.crashes.sizes();
     let metrics = telemetry::StateMetrics {
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod call_body;
 mod caller_connection;
 mod caller_server;
+pub mod callers;
 mod compressed_json;
 mod connection;
 mod connection_pool;
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -16,11 +16,12 @@
 use futures_util::future::select_ok;
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body::Body;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use rand::seq::IteratorRandom;
 use serde::Serialize;
 
 use crate::call_body::{ConnectionLease, ResponseBody};
+use crate::callers::body_pieces::BodyPieces;
 use crate::compressed_json::{compress, decompress};
 use crate::engine::Engine;
 use crate::table_cache::TableTransfer;
@@ -351,7 +352,8 @@
     kind: HeaderName,
     message: &impl Serialize,
 ) -> eyre::Result<ResponseBody> {
-    let mut request = Request::new(Full::new(Bytes::from(serde_json::to_vec(message)?)));
+    let mut request =
+        Request::new(BodyPieces::from(Bytes::from(serde_json::to_vec(message)?)).to_sent());
     *request.method_mut() = Method::POST;
     let headers = request.headers_mut();
     headers.insert(kind, HeaderValue::from_static("1"));
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -9,10 +9,10 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::call_body::ResponseBody;
+use crate::callers::message_body::{BodyFault, collect_body};
 use crate::connection::{CallerDisconnected, RequestHandler};
 use crate::crash_gossip::{self, CRASHES_HEADER};
 use crate::engine::Engine;
@@ -24,6 +24,16 @@
 use crate::peer_exchange::{EXCHANGE_HEADER, respond_to_exchange};
 use crate::target_call::{self, CallContext, CallRequest, TargetRefusal};
 
+/// Largest body of a call that is read even if this node's table allows less, because the peer may
+/// have a newer table: the largest body in the deployments.
+const MAX_CALL_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Largest message of a peer. All instances of the design size take a few megabytes.
+const MAX_MESSAGE_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Longest time for a message to arrive, enough for the largest one on a link of 10 Mbit/s.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Serves the calls and state exchanges of other proxies.
 pub struct PeerHandler {
     engine: Arc<Engine>,
@@ -49,16 +59,43 @@
         parts.headers.remove(RATE_LIMIT_HEADER);
         let tenant: Option<TenantName> = read_header(&parts.headers, &TENANT_HEADER);
         parts.headers.remove(TENANT_HEADER);
-        let body = incoming.collect().await.map_err(|error| {
-            log::debug!("reading the request of a peer failed: {error}");
-            CallerDisconnected
-        })?;
-        let body = body.to_bytes();
+        let context = context.map(|context| CallContext {
+            rate_limit,
+            tenant,
+            ..context.into_context(arrived)
+        });
+        let is_message = exchange || crashes;
+        let (most, deadline) = match &context {
+            Some(context) if !is_message => {
+                let table = self.engine.tables.current().table.limits.body_bytes;
+                (table.max(MAX_CALL_BYTES), context.deadline)
+            }
+            _ => (MAX_MESSAGE_BYTES, arrived + MESSAGE_TIMEOUT),
+        };
+        let body = match collect_body(incoming, &self.engine.held_memory, most, deadline).await {
+            Ok(body) => body,
+            Err(BodyFault::Broken(cause)) => {
+                log::debug!("reading the request of a peer failed: {cause}");
+                return Err(CallerDisconnected);
+            }
+            Err(fault) if is_message => {
+                log_event!(warn, ExchangeFailed, "message of a peer not read: {fault}");
+                return Err(CallerDisconnected);
+            }
+            Err(fault) => {
+                let reason = match fault {
+                    BodyFault::Late => RefusalReason::BodyLate,
+                    BodyFault::MemoryExceeded => RefusalReason::Overloaded,
+                    BodyFault::TooLarge | BodyFault::Broken(_) => RefusalReason::BadRequest,
+                };
+                return Ok(self.refuse(CallOutcome::NotRun, reason, false));
+            }
+        };
         if exchange {
-            return Ok(respond_to_exchange(&self.engine, &body));
+            return Ok(respond_to_exchange(&self.engine, &body.to_bytes()));
         }
         if crashes {
-            return Ok(crash_gossip::respond(&self.engine, &body));
+            return Ok(crash_gossip::respond(&self.engine, &body.to_bytes()));
         }
         let Some(path) = parts.uri.path_and_query().cloned() else {
             return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::BadRequest, false));
@@ -69,11 +106,6 @@
         if self.engine.lifecycle.phase() != ProcessPhase::Serving {
             return Ok(self.refuse(CallOutcome::NotRun, RefusalReason::Draining, false));
         }
-        let context = CallContext {
-            rate_limit,
-            tenant,
-            ..context.into_context(arrived)
-        };
         let call = CallRequest {
             id: self.engine.protocol.read_call(&parts.headers).request_id,
             method: parts.method,
--- a/crates/apricotfold-proxy/src/request_codec.rs
+++ b/crates/apricotfold-proxy/src/request_codec.rs
@@ -4,17 +4,23 @@
 //! before it. Callers' connections are therefore parsed here, with `httparse`, and their requests
 //! run concurrently. See `docs/platform.md`, section 5.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, Version};
 
+use crate::callers::body_pieces::{BodyPieces, PieceCollector};
+
 /// Largest number of headers in a request.
 const MAX_HEADERS: usize = 128;
 
 /// Longest chunk-size line in bytes, including extensions.
 const MAX_CHUNK_LINE: usize = 256;
 
+/// Largest size of all trailers of a body, as large as a head. Trailers are skipped, so they would
+/// otherwise cost time without end.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// Why a request cannot be parsed. Its connection is closed after the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestFault {
@@ -169,10 +175,12 @@
 pub struct BodyReader {
     length: BodyLength,
     max_bytes: u64,
-    body: BytesMut,
+    body: PieceCollector,
     /// Bytes of the current chunk that are still missing, including its line end.
     chunk_left: usize,
     last_chunk: bool,
+    /// Bytes of trailers that were skipped.
+    trailer_bytes: usize,
 }
 
 impl BodyReader {
@@ -188,9 +196,10 @@
         Ok(Self {
             length,
             max_bytes,
-            body: BytesMut::new(),
+            body: PieceCollector::default(),
             chunk_left: 0,
             last_chunk: false,
+            trailer_bytes: 0,
         })
     }
 
@@ -199,23 +208,30 @@
     /// # Errors
     ///
     /// Returns why the body cannot be parsed.
-    pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, RequestFault> {
+    pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<BodyPieces>, RequestFault> {
         match self.length {
             BodyLength::Known(length) => {
                 let length = usize::try_from(length).map_err(|_| RequestFault::BodyTooLarge)?;
                 let wanted = (length - self.body.len()).min(buffer.len());
-                self.body.unsplit(buffer.split_to(wanted));
+                let expected = Some(length - self.body.len());
+                self.body.take(buffer, wanted, expected);
                 Ok((self.body.len() == length).then(|| self.finish()))
             }
             BodyLength::Chunked => self.take_chunks(buffer),
         }
     }
 
-    fn finish(&mut self) -> Bytes {
-        std::mem::take(&mut self.body).freeze()
+    /// Returns the memory that the body occupies so far.
+    #[must_use]
+    pub fn occupied(&self) -> usize {
+        self.body.occupied()
+    }
+
+    fn finish(&mut self) -> BodyPieces {
+        std::mem::take(&mut self.body).finish()
     }
 
-    fn take_chunks(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, RequestFault> {
+    fn take_chunks(&mut self, buffer: &mut BytesMut) -> Result<Option<BodyPieces>, RequestFault> {
         loop {
             if self.last_chunk {
                 return self.take_trailers(buffer);
@@ -257,7 +273,7 @@
     /// Removes bytes of the current chunk. Returns whether the chunk is complete.
     fn take_chunk_bytes(&mut self, buffer: &mut BytesMut) -> Result<bool, RequestFault> {
         let data = self.chunk_left.saturating_sub(2).min(buffer.len());
-        self.body.unsplit(buffer.split_to(data));
+        self.body.take(buffer, data, None);
         self.chunk_left -= data;
         if self.chunk_left > 2 || buffer.len() < 2 {
             return Ok(false);
@@ -271,7 +287,7 @@
     }
 
     /// Skips the trailers, which concern one connection, up to the empty line after them.
-    fn take_trailers(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, RequestFault> {
+    fn take_trailers(&mut self, buffer: &mut BytesMut) -> Result<Option<BodyPieces>, RequestFault> {
         loop {
             let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
                 if buffer.len() > MAX_CHUNK_LINE {
@@ -280,6 +296,10 @@
                 return Ok(None);
             };
             buffer.advance(end + 2);
+            self.trailer_bytes += end + 2;
+            if self.trailer_bytes > MAX_TRAILER_BYTES {
+                return Err(RequestFault::HeadTooLarge);
+            }
             if end == 0 {
                 return Ok(Some(self.finish()));
             }
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -10,6 +10,7 @@
 use crate::adapters::{AnnounceProtocol, CallProtocol, TableSource};
 use crate::announce_server::AnnounceHandler;
 use crate::caller_server::{CallerHandler, serve_callers};
+use crate::callers::connection_slots::ConnectionSlots;
 use crate::connection::{RequestHandler, listen, serve};
 use crate::crash_gossip;
 use crate::engine::Engine;
@@ -73,20 +74,32 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let announcements = AnnounceHandler::new(engine.clone(), adapters.announcements);
-    let mut handlers: Vec<(_, Arc<dyn RequestHandler>)> = vec![
-        (config.announce_address, Arc::new(announcements)),
-        (config.ready_address, Arc::new(ReadyHandler(engine.clone()))),
+    let limits = engine.limits;
+    let mut handlers: Vec<(_, Arc<dyn RequestHandler>, _)> = vec![
+        (
+            config.announce_address,
+            Arc::new(announcements),
+            limits.status_connections,
+        ),
+        (
+            config.ready_address,
+            Arc::new(ReadyHandler(engine.clone())),
+            limits.status_connections,
+        ),
         (
             config.peer_address,
             Arc::new(PeerHandler::new(engine.clone())),
+            limits.peer_connections,
         ),
     ];
     if let Some(address) = config.metrics_address {
-        handlers.push((address, Arc::new(MetricsHandler(metrics))));
+        let handler = Arc::new(MetricsHandler(metrics));
+        handlers.push((address, handler, limits.status_connections));
     }
-    for (address, handler) in handlers {
+    for (address, handler, limit) in handlers {
         let listener = listen(address).await?;
-        tokio::spawn(serve(listener, handler, engine.lifecycle.clone()));
+        let slots = ConnectionSlots::new(limit, &engine.held_memory);
+        tokio::spawn(serve(listener, handler, engine.lifecycle.clone(), slots));
     }
     let callers = listen(config.caller_address).await?;
     let handler = CallerHandler::new(engine.clone());
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -11,16 +11,15 @@
     AdmissionRequest, BULK_MIN_BYTES, CallStanding, InstanceReport, NestedCapacity,
     RequestFingerprint, RunSummary,
 };
-use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body::Body;
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::adapters::{RequestId, ResponseHead, TargetHead};
 use crate::admission::SlotGuard;
 use crate::call_body::{ConnectionLease, ResponseBody};
+use crate::callers::body_pieces::{BodyPieces, SentBody};
 use crate::connection_pool::{PooledConnection, SendFailure};
 use crate::crash_tracker::SentRun;
 use crate::engine::Engine;
@@ -52,15 +51,15 @@
     /// Headers without the hop-by-hop ones.
     pub headers: HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: BodyPieces,
     /// Request id that the caller chose, if any.
     pub id: Option<RequestId>,
 }
 
 impl CallRequest {
     /// Builds the request for the next hop with the given headers.
-    pub fn build(&self, headers: HeaderMap) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    pub fn build(&self, headers: HeaderMap) -> Request<SentBody> {
+        let mut request = Request::new(self.body.to_sent());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = Uri::from(self.path.clone());
         *request.headers_mut() = headers;
--- a/crates/apricotfold-proxy/src/telemetry.rs
+++ b/crates/apricotfold-proxy/src/telemetry.rs
@@ -84,6 +84,16 @@
     histogram!("apricotfold_table_read_seconds").record(elapsed.as_secs_f64());
 }
 
+/// Counts how often a limit on strangers was reached; `limit` names it.
+pub fn count_limit(limit: &'static str) {
+    counter!("apricotfold_limits_reached_total", "limit" => limit).increment(1);
+}
+
+/// Sets the gauge of the memory that strangers make the node hold.
+pub fn publish_held_bytes(bytes: usize) {
+    gauge!("apricotfold_held_bytes").set(to_float(bytes as u64));
+}
+
 /// Counts log lines that were dropped.
 pub fn count_dropped_lines(lines: u64) {
     counter!("apricotfold_log_lines_dropped_total").increment(lines);
--- a/crates/apricotfold-proxy/tests/request_codec.rs
+++ b/crates/apricotfold-proxy/tests/request_codec.rs
@@ -25,7 +25,7 @@
                     open = Some((method, path, body));
                     break;
                 };
-                requests.push((method, path, whole));
+                requests.push((method, path, whole.to_bytes()));
             }
             let Some(head) = take_head(&mut buffer, MAX_HEAD)? else {
                 break;
@@ -145,7 +145,67 @@
         let mut buffer = BytesMut::from(body.as_slice());
         buffer.extend_from_slice(&extra);
         let whole = reader.take(&mut buffer).expect("valid").expect("whole");
+        let whole = whole.to_bytes();
         prop_assert_eq!(whole.as_ref(), body.as_slice());
         prop_assert_eq!(buffer.as_ref(), extra.as_slice());
     }
+
+    /// Guards against a chunked body that depends on how it arrives, and against pieces that occupy
+    /// much more memory than their bytes.
+    #[test]
+    fn chunks_in_pieces(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..400), 0..40),
+        extension in "(;[a-z]{1,8}(=[a-z0-9]{1,16})?)?",
+        trailers in prop::collection::vec("[a-z]{1,8}: [a-z0-9]{0,16}", 0..8),
+        piece in 1_usize..3_000,
+    ) {
+        let mut bytes = Vec::new();
+        for chunk in &chunks {
+            bytes.extend_from_slice(format!("{:x}{extension}\r\n", chunk.len()).as_bytes());
+            bytes.extend_from_slice(chunk);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\n");
+        for trailer in &trailers {
+            bytes.extend_from_slice(format!("{trailer}\r\n").as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        let sent = chunks.concat();
+        let mut reader = BodyReader::new(BodyLength::Chunked, 1 << 20).expect("small");
+        let mut buffer = BytesMut::new();
+        let mut whole = None;
+        for part in bytes.chunks(piece) {
+            prop_assert!(whole.is_none());
+            buffer.extend_from_slice(part);
+            whole = reader.take(&mut buffer).expect("valid");
+            prop_assert!(reader.occupied() <= sent.len() * 3 + 4_096);
+        }
+        let whole = whole.expect("whole").to_bytes();
+        prop_assert_eq!(whole.as_ref(), sent.as_slice());
+    }
+
+    /// Guards against heads with many short fields that are parsed beyond the limit on fields, or
+    /// not at all within it.
+    #[test]
+    fn many_fields(count in 0_usize..400, piece in 1_usize..600) {
+        let text = format!("GET / HTTP/1.1\r\n{}\r\n", "a:b\r\n".repeat(count));
+        let read = read_all(text.as_bytes().chunks(piece));
+        if count <= 128 {
+            prop_assert_eq!(read.map(|requests| requests.len()), Ok(1));
+        } else {
+            prop_assert_eq!(read, Err(RequestFault::HeadTooLarge));
+        }
+    }
+}
+
+/// Guards against trailers without end, which are skipped and so take time but no memory.
+#[test]
+fn endless_trailers() {
+    let mut reader = BodyReader::new(BodyLength::Chunked, MAX_BODY).expect("small");
+    let mut buffer = BytesMut::from("0\r\n");
+    let taken = (0..10_000).find_map(|_| {
+        buffer.extend_from_slice(b"a: b\r\n");
+        reader.take(&mut buffer).err()
+    });
+    assert_eq!(taken, Some(RequestFault::HeadTooLarge));
 }
