Take answers without a valid status for lost connections

Callers got status lines 600 to 999 as the target wrote them, no answer at all after 101, and waited until the deadline while informational responses arrived. The test invalid_status showed these three on the code before this commit; 000, 99, 099, 1000, letters, a missing status and a second status line already gave 502. Answers with 101 or 600 and above, and more than 16 informational responses, now take the path of a lost connection: 502, may-have-run.

--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -1,6 +1,7 @@
 //! Runs a call at the local target.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{
@@ -15,6 +16,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body::Body;
 use hyper::body::Incoming;
+use tokio::sync::Notify;
 
 use crate::adapters::{RequestId, ResponseHead, TargetHead};
 use crate::admission::SlotGuard;
@@ -38,6 +40,12 @@
 /// Margin by which an idle connection is closed before the target's announced timeout.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Informational responses that a target may send before its answer. Targets send none or a few.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
+/// First status code of no class. Callers' parsers may refuse it.
+const FIRST_INVALID_STATUS: u16 = 600;
+
 /// Interval of connection attempts to a target that refused a connection.
 const DOWN_PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -322,11 +330,19 @@
             RetrySafety::Idempotent => MAX_IDLE_IDEMPOTENT,
             RetrySafety::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
         };
-        let request = self.request.build(headers);
-        engine
-            .target_connections
-            .send(address, request, max_idle, self.context.deadline)
-            .await
+        let mut request = self.request.build(headers);
+        let excess = limit_interim_responses(&mut request);
+        let sent =
+            engine
+                .target_connections
+                .send(address, request, max_idle, self.context.deadline);
+        tokio::select! {
+            sent = sent => sent,
+            () = excess.notified() => {
+                telemetry::count_limit("interim-responses");
+                Err(SendFailure::Lost("too many informational responses".to_owned()))
+            }
+        }
     }
 
     fn read_answer(
@@ -340,6 +356,11 @@
     ) -> Result<TargetResponse, TargetRefusal> {
         let engine = self.engine;
         let (mut parts, incoming) = answer.into_parts();
+        if parts.status.is_informational() || parts.status.as_u16() >= FIRST_INVALID_STATUS {
+            let (id, status) = (self.request.log_id(), parts.status);
+            log_event!(warn, AnswerCut, "id={id} invalid status {status}");
+            return Err(self.may_have_run(RefusalReason::ConnectionLost));
+        }
         let head = engine.protocol.read_answer(parts.status, &parts.headers);
         self.check_request_id(&head)?;
         if let Some(pace) = head.pace {
@@ -414,6 +435,19 @@
     }
 }
 
+/// Returns a signal that fires when a target has sent too many informational responses to a request.
+fn limit_interim_responses(request: &mut Request<SentBody>) -> Arc<Notify> {
+    let excess = Arc::new(Notify::new());
+    let signal = excess.clone();
+    let received = AtomicUsize::new(0);
+    hyper::ext::on_informational(request, move |_| {
+        if received.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+            signal.notify_one();
+        }
+    });
+    excess
+}
+
 /// Returns whether the end of an answer can be told from its connection's end.
 fn has_visible_end(headers: &HeaderMap, body: &Incoming) -> bool {
     let framed = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
--- a/crates/apricotfold-proxy/tests/support/target.rs
+++ b/crates/apricotfold-proxy/tests/support/target.rs
@@ -35,6 +35,10 @@
 /// at a time. With `-first`, this applies only to the first request with that path at any
 /// target of the process; later ones get a normal response.
 ///
+/// `status-TEXT/` answers with the status line `HTTP/1.1 TEXT`, where `+` stands for a space; `two-lines`
+/// with a second status line after the first; `endless-interim` with informational responses until
+/// the connection is closed.
+///
 /// `crash` ends the target until [`revive`](Self::revive): its connections and its listener are
 /// closed. `crash-after-head`: after half of a response. `crash-later`: after 300 ms, even if the
 /// caller has disconnected. `crash-silently`: its connections stay open without any response.
@@ -248,6 +252,16 @@
                 return false;
             }
         }
+        if has("endless-interim") {
+            while stream
+                .write_all(b"HTTP/1.1 103 Early\r\n\r\n")
+                .await
+                .is_ok()
+            {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            return false;
+        }
         if has("crash") {
             self.run_crash(stream, &call.path, &head("200 OK")).await;
             return false;
@@ -257,8 +271,19 @@
                 .await;
             return false;
         }
+        let status = call.path.split_once("status-").filter(|_| scripted);
+        let status = status.and_then(|(_, rest)| rest.split_once('/'));
         let text = if has("drop") {
             return false;
+        } else if let Some((status, _)) = status {
+            let status = status.replace('+', " ");
+            format!("{}content-length: {length}\r\n\r\n{body}", head(&status))
+        } else if has("two-lines") {
+            let line = "HTTP/1.1 200 OK\r\n";
+            format!(
+                "{line}{}content-length: {length}\r\n\r\n{body}",
+                head("200 OK")
+            )
         } else if has("cut") {
             let half = &body[..length / 2];
             let text = format!("{}content-length: {length}\r\n\r\n{half}", head("200 OK"));
