Let requests with 128 fields reach other nodes, and log each limit by itself

A caller may send 128 fields, but the servers and clients between nodes took hyper's 100, so that such a request got 502 whenever its target was beside another node. Requests between nodes may have 160 fields now and their answers 132. many_fields_to_a_peer of caller_limits shows it: 502 before, 200 now.

AF1015 is limited per limit, so that a flood of one does not hide another, and also covers callers that take no byte, informational responses, and a table whose largest body the node cannot hold.

--- a/crates/apricotfold-proxy/src/caller_connection.rs
+++ b/crates/apricotfold-proxy/src/caller_connection.rs
@@ -26,7 +26,6 @@
 use crate::lifecycle::{InFlightGuard, Lifecycle, ProcessPhase};
 use crate::request_codec::{BodyLength, BodyReader, RequestFault, RequestHead, take_head};
 use crate::response_codec::{ResponseFraming, put_end, put_head, put_piece};
-use crate::telemetry;
 
 /// Requests of one connection that may be in progress at once; further requests stay unread.
 const MAX_PIPELINED: usize = 32;
@@ -218,6 +217,7 @@
     };
     let mut writer = CallerWriter {
         output,
+        handler: reader.handler.clone(),
         lifecycle,
         queue: queue.clone(),
     };
@@ -461,6 +461,7 @@
 
 struct CallerWriter {
     output: OwnedWriteHalf,
+    handler: Arc<CallerHandler>,
     lifecycle: Lifecycle,
     queue: Arc<ResponseQueue>,
 }
@@ -507,7 +508,7 @@
                 Ok(Ok(_)) => eyre::bail!("the connection takes no bytes"),
                 Ok(Err(error)) => return Err(error.into()),
                 Err(_) => {
-                    telemetry::count_limit("write-time");
+                    self.handler.record_write_stall();
                     eyre::bail!("the caller took no byte for {WRITE_STALL:?}");
                 }
             }
--- a/crates/apricotfold-proxy/src/caller_server.rs
+++ b/crates/apricotfold-proxy/src/caller_server.rs
@@ -159,6 +159,12 @@
         self.refuse(&call.head, RefusalReason::Overloaded, &call.parts, arrived)
     }
 
+    /// Records that a caller was closed because it took no byte of its answers.
+    pub fn record_write_stall(&self) {
+        let text = || "a caller takes no byte of its answers".to_owned();
+        self.engine.held_memory.record_limit("write-time", text);
+    }
+
     /// Counts the memory of a body that begins to arrive.
     pub fn begin_body(&self) -> BodyMemory {
         self.engine.held_memory.begin()
--- a/crates/apricotfold-proxy/src/callers/connection_slots.rs
+++ b/crates/apricotfold-proxy/src/callers/connection_slots.rs
@@ -8,7 +8,7 @@
 };
 use tokio::sync::Notify;
 
-use super::held_memory::{HeldMemory, LimitLog, RunningMemory};
+use super::held_memory::{HeldMemory, RunningMemory};
 
 struct SlotState {
     open: OpenConnections,
@@ -19,7 +19,6 @@
 pub struct ConnectionSlots {
     state: Mutex<SlotState>,
     memory: Arc<HeldMemory>,
-    log: LimitLog,
 }
 
 impl ConnectionSlots {
@@ -31,7 +30,6 @@
                 signals: HashMap::new(),
             }),
             memory: memory.clone(),
-            log: LimitLog::default(),
         })
     }
 
@@ -46,12 +44,12 @@
                     signal.notify_one();
                 }
                 let text = || "the oldest connection without a request is closed".to_owned();
-                self.log.record("connections", text);
+                self.memory.record_limit("connections", text);
                 id
             }
             AcceptDecision::Refused => {
                 let text = || "a connection is refused, all others are busy".to_owned();
-                self.log.record("connections", text);
+                self.memory.record_limit("connections", text);
                 return None;
             }
         };
--- a/crates/apricotfold-proxy/src/callers/held_memory.rs
+++ b/crates/apricotfold-proxy/src/callers/held_memory.rs
@@ -1,6 +1,6 @@
 //! The node's memory budget, shared by its listeners.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
 struct HeldState {
     bytes: HeldBytes,
     /// Signals of the holders, by which they learn that they are given up.
-    signals: std::collections::HashMap<HolderId, Arc<Notify>>,
+    signals: HashMap<HolderId, Arc<Notify>>,
 }
 
 /// Counts what strangers make the node hold, and gives up bodies over the budget.
@@ -35,7 +35,7 @@
         Self {
             state: Mutex::new(HeldState {
                 bytes: HeldBytes::new(budget),
-                signals: std::collections::HashMap::new(),
+                signals: HashMap::new(),
             }),
             log: LimitLog::default(),
         }
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Records that a limit was reached.
+    pub fn record_limit(&self, limit: &'static str, text: impl FnOnce() -> String) {
+        self.log.record(limit, text);
+    }
+
     /// Returns the number of bytes that are counted.
     pub fn total(&self) -> usize {
         self.lock().bytes.total()
@@ -157,25 +162,31 @@
     }
 }
 
-/// Counts how often a limit was reached, and logs it at most once per [`LOG_INTERVAL`].
+/// Counts how often limits are reached, and logs each at most once per [`LOG_INTERVAL`].
 #[derive(Default)]
-pub struct LimitLog {
-    last: Mutex<Option<Instant>>,
-    unlogged: AtomicU64,
+struct LimitLog(Mutex<HashMap<&'static str, LoggedLimit>>);
+
+#[derive(Default)]
+struct LoggedLimit {
+    last: Option<Instant>,
+    unlogged: u64,
 }
 
 impl LimitLog {
-    /// Records that a limit was reached.
-    pub fn record(&self, limit: &'static str, text: impl FnOnce() -> String) {
+    fn record(&self, limit: &'static str, text: impl FnOnce() -> String) {
         telemetry::count_limit(limit);
         let now = Instant::now();
-        let mut last = self.last.lock().expect("no panic while locked");
-        if last.is_some_and(|last| now.duration_since(last) < LOG_INTERVAL) {
-            self.unlogged.fetch_add(1, Ordering::Relaxed);
+        let mut limits = self.0.lock().expect("no panic while locked");
+        let logged = limits.entry(limit).or_default();
+        if logged
+            .last
+            .is_some_and(|last| now.duration_since(last) < LOG_INTERVAL)
+        {
+            logged.unlogged += 1;
             return;
         }
-        *last = Some(now);
-        let more = self.unlogged.swap(0, Ordering::Relaxed);
+        logged.last = Some(now);
+        let more = std::mem::take(&mut logged.unlogged);
         log_event!(
             warn,
             LimitReached,
--- a/crates/apricotfold-proxy/src/connection.rs
+++ b/crates/apricotfold-proxy/src/connection.rs
@@ -17,6 +17,7 @@
 use crate::callers::connection_slots::{BusySlot, ConnectionSlot, ConnectionSlots};
 use crate::connection_pool::set_socket_options;
 use crate::lifecycle::{Lifecycle, ProcessPhase};
+use crate::request_codec::MAX_HEADERS;
 
 /// Time after which a peer that acknowledges no data counts as disconnected.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -29,6 +30,9 @@
 /// of the mesh.
 const BUFFER_BYTES: usize = 256 * 1024;
 
+/// Largest number of headers in a request. It must hold a caller's and those of the mesh.
+const MAX_MESSAGE_HEADERS: usize = MAX_HEADERS + 32;
+
 /// Pause after a failed accept, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -123,6 +127,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
         .max_buf_size(BUFFER_BYTES)
+        .max_headers(MAX_MESSAGE_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut phases = lifecycle.watch();
--- a/crates/apricotfold-proxy/src/connection_pool.rs
+++ b/crates/apricotfold-proxy/src/connection_pool.rs
@@ -43,6 +43,9 @@
     pub idle_timeout: Duration,
     /// Longest time for which sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
     pub tcp_user_timeout: Duration,
+    /// Largest number of headers in a response; `None` for hyper's default of 100, which it parses
+    /// without an allocation.
+    pub max_headers: Option<usize>,
 }
 
 /// Why a request got no response.
@@ -199,7 +202,12 @@
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
         telemetry::count_connection(self.rules.kind);
         set_socket_options(&stream, self.rules.tcp_user_timeout);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let mut builder = http1::Builder::new();
+        if let Some(most) = self.rules.max_headers {
+            builder.max_headers(most);
+        }
+        let (sender, connection) = builder
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
         let task = tokio::spawn(async move {
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -51,6 +51,7 @@
     connect_timeout: Duration::from_millis(250),
     idle_timeout: Duration::from_secs(8),
     tcp_user_timeout: Duration::from_secs(2),
+    max_headers: None,
 };
 
 /// Pool of connections to other proxies. Round trips take at most 60 ms, so the connect timeout
@@ -60,6 +61,8 @@
     connect_timeout: Duration::from_millis(250),
     idle_timeout: Duration::from_secs(10),
     tcp_user_timeout: Duration::from_millis(1_500),
+    // A target's answer with 100 headers, and those of the mesh.
+    max_headers: Some(132),
 };
 
 /// Round-trip times between instances, and the cost of transferred bytes: the links between regions
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -18,6 +18,7 @@
 /// Runs until the process ends.
 pub async fn run_housekeeping(engine: Arc<Engine>) {
     let mut jumps = JumpDetector::default();
+    let mut checked_version = 0;
     loop {
         tokio::time::sleep(INTERVAL).await;
         let now = Instant::now();
@@ -50,6 +51,20 @@
         engine.selector().prune(UNUSED_AGE, now);
         engine.prune_rate_limits();
         publish_metrics(&engine);
+        if engine.tables.version() != checked_version {
+            checked_version = engine.tables.version();
+            check_body_limit(&engine);
+        }
+    }
+}
+
+/// Logs a table that allows larger bodies than this node can hold. They are refused as not run.
+fn check_body_limit(engine: &Engine) {
+    let most = engine.tables.current().table.limits.body_bytes;
+    let budget = engine.limits.held_bytes;
+    if !engine.limits.fits_body(most) {
+        let text = || format!("the table allows {most} bytes, the budget is {budget}");
+        engine.held_memory.record_limit("body-size", text);
     }
 }
 
--- a/crates/apricotfold-proxy/src/request_codec.rs
+++ b/crates/apricotfold-proxy/src/request_codec.rs
@@ -12,7 +12,7 @@
 use crate::callers::body_pieces::{BodyPieces, PieceCollector};
 
 /// Largest number of headers in a request.
-const MAX_HEADERS: usize = 128;
+pub const MAX_HEADERS: usize = 128;
 
 /// Longest chunk-size line in bytes, including extensions.
 const MAX_CHUNK_LINE: usize = 256;
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -339,7 +339,9 @@
         tokio::select! {
             sent = sent => sent,
             () = excess.notified() => {
-                telemetry::count_limit("interim-responses");
+                let id = self.request.log_id();
+                let text = || format!("id={id} of the local target");
+                engine.held_memory.record_limit("interim-responses", text);
                 Err(SendFailure::Lost("too many informational responses".to_owned()))
             }
         }
--- a/crates/apricotfold-proxy/tests/caller_limits.rs
+++ b/crates/apricotfold-proxy/tests/caller_limits.rs
@@ -92,3 +92,17 @@
     assert_eq!(connection.read().await.status, 200);
     assert_eq!(node.target.calls("orders/2")[0].body, b"body");
 }
+
+/// Guards against a request that a caller may send, but that fails if its target is beside another
+/// proxy, because the headers of the mesh take it over a limit there.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_fields_to_a_peer() {
+    let (first, second) = TestNode::start_pair().await;
+    first.announce(2, "draining").await;
+    let mut headers = vec![("request-id", "r-fields"), ("timeout-ms", "1000")];
+    // The host is the last of the 128 fields that a head may have.
+    headers.resize(127, ("a", "b"));
+    let text = request("GET", "/pages/fields", &headers, "");
+    assert_eq!(status(&first, &text).await, 200);
+    assert_eq!(second.target.calls("fields").len(), 1);
+}
