--- a/crates/apricotfold-proxy/src/caller_connection.rs
+++ b/crates/apricotfold-proxy/src/caller_connection.rs
@@ -1,12 +1,10 @@
 //! Serves one caller's connection. Pipelined requests run concurrently, and responses are written
 //! in the order of the requests.
 
-use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{CallerLimits, log_event};
-use apricotfold_policy::{IntakePhase, RequestIntake};
 use bytes::BytesMut;
 use http::{Method, Response, StatusCode};
 use http_body::Body;
@@ -14,16 +12,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::Notify;
-use tokio::task::JoinHandle;
 
 use crate::call_body::ResponseBody;
 use crate::caller_server::{CallerHandler, EntryRefusal, PreparedCall};
 use crate::callers::body_pieces::BodyPieces;
 use crate::callers::connection_slots::ConnectionSlot;
-use crate::connection::CallerDisconnected;
+use crate::callers::response_queue::{
+    PendingEntry, PendingResponse, ResponseQueue, ResponseTask, intake_phase,
+};
 use crate::connection_pool::set_socket_options;
-use crate::lifecycle::{InFlightGuard, Lifecycle, ProcessPhase};
+use crate::lifecycle::{Lifecycle, ProcessPhase};
 use crate::request_codec::{BodyLength, BodyReader, RequestFault, RequestHead, take_head};
 use crate::response_codec::{ResponseFraming, put_end, put_head, put_piece};
 
@@ -46,158 +44,6 @@
 /// Interim response that lets a caller send its body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-/// A response in the queue, which keeps the order of the requests.
-enum PendingResponse {
-    Running(ResponseTask),
-    Ready(Box<Response<ResponseBody>>),
-    /// The interim response that lets the caller send its body.
-    Continue,
-}
-
-/// Task of a request, aborted when the connection ends.
-struct ResponseTask(JoinHandle<Result<Response<ResponseBody>, CallerDisconnected>>);
-
-impl Drop for ResponseTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-struct PendingEntry {
-    method: Method,
-    answer: PendingResponse,
-    _in_flight: InFlightGuard,
-}
-
-/// State shared by the reading and the writing side of a connection.
-#[derive(Default)]
-struct QueueState {
-    pending: VecDeque<PendingEntry>,
-    intake: RequestIntake,
-}
-
-struct ResponseQueue {
-    state: Mutex<QueueState>,
-    arrived: Notify,
-    written: Notify,
-    slot: ConnectionSlot,
-}
-
-impl ResponseQueue {
-    fn new(slot: ConnectionSlot) -> Self {
-        Self {
-            state: Mutex::default(),
-            arrived: Notify::new(),
-            written: Notify::new(),
-            slot,
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, QueueState> {
-        self.state.lock().expect("no panic while locked")
-    }
-
-    /// Starts a request whose head was read. Returns `None` if the connection is closing.
-    fn begin(self: &Arc<Self>, lifecycle: &Lifecycle, last: bool) -> Option<StartedRequest> {
-        let phase = intake_phase(lifecycle.phase());
-        // A connection that another one has replaced is being closed.
-        let is_open = if self.is_idle() {
-            self.slot.begin_body()
-        } else {
-            self.slot.begin_request()
-        };
-        let started = is_open && self.lock().intake.begin(phase, last);
-        started.then(|| StartedRequest {
-            queue: self.clone(),
-            in_flight: Some(lifecycle.begin_request()),
-        })
-    }
-
-    /// Queues an interim response to the request that is being read.
-    fn push_interim(&self, answer: PendingResponse, lifecycle: &Lifecycle) {
-        let mut state = self.lock();
-        state.intake.begin_interim();
-        state.pending.push_back(PendingEntry {
-            method: Method::GET,
-            answer,
-            _in_flight: lifecycle.begin_request(),
-        });
-        self.arrived.notify_one();
-    }
-
-    /// Has no further request started.
-    fn end(&self) {
-        self.lock().intake.end();
-        self.arrived.notify_one();
-    }
-
-    fn finish_one(&self) {
-        let mut state = self.lock();
-        state.intake.finish(Instant::now());
-        if state.intake.is_idle() {
-            self.slot.finish_requests();
-        }
-        self.written.notify_one();
-    }
-
-    /// Returns when the last response was written; `None` before the first one and while a request
-    /// is unanswered.
-    fn idle_since(&self) -> Option<Instant> {
-        self.lock().intake.idle_since()
-    }
-
-    fn is_idle(&self) -> bool {
-        self.lock().intake.is_idle()
-    }
-
-    fn is_ending(&self) -> bool {
-        self.lock().intake.is_ending()
-    }
-
-    /// Waits until at most `most` requests are unanswered.
-    async fn wait_below(&self, most: usize) {
-        while self.lock().intake.unanswered() > most {
-            self.written.notified().await;
-        }
-    }
-}
-
-/// A request that was started and whose response is not queued yet.
-struct StartedRequest {
-    queue: Arc<ResponseQueue>,
-    in_flight: Option<InFlightGuard>,
-}
-
-impl StartedRequest {
-    /// Queues the response.
-    fn push(mut self, method: Method, answer: PendingResponse) {
-        if let Some(in_flight) = self.in_flight.take() {
-            self.queue.lock().pending.push_back(PendingEntry {
-                method,
-                answer,
-                _in_flight: in_flight,
-            });
-            self.queue.arrived.notify_one();
-        }
-    }
-}
-
-impl Drop for StartedRequest {
-    fn drop(&mut self) {
-        if self.in_flight.is_some() {
-            self.queue.lock().intake.abandon();
-        }
-    }
-}
-
-fn intake_phase(phase: ProcessPhase) -> IntakePhase {
-    match phase {
-        ProcessPhase::Serving => IntakePhase::Open,
-        ProcessPhase::Draining => IntakePhase::Draining,
-        ProcessPhase::Closing => IntakePhase::Closing,
-    }
-}
-
 /// Serves a connection until either side closes it.
 pub async fn serve_caller(
     stream: TcpStream,
--- a/crates/apricotfold-proxy/src/callers/mod.rs
+++ b/crates/apricotfold-proxy/src/callers/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod connection_slots;
 pub(crate) mod held_memory;
 pub(crate) mod message_body;
+pub(crate) mod response_queue;
