Keep 64 MiB of memory for the process, and count heads

With half of 88 MiB as the budget, bodies_short_of_end failed in one of three runs: 92 MiB resident after bodies at the peers' listener, whose connections buffer up to 256 KiB each on top. The budget is now the memory less 64 MiB, at most half and at least a quarter of it, and these buffers have 64 KiB, four times the largest head of a caller.

The heads of requests in progress, and the unused end of a body's last piece, were not counted: 32 pipelined heads of 16 KiB on each connection exceed the memory. They count now.

--- a/crates/apricotfold-policy/src/node_limits.rs
+++ b/crates/apricotfold-policy/src/node_limits.rs
@@ -7,11 +7,17 @@
 /// Descriptors assumed if the settings state none: the usual soft limit of a process.
 const DEFAULT_FD_LIMIT: u32 = 1_024;
 
-/// Part of the memory that callers may use, as a divisor. The other half holds the process itself,
-/// its table, its buffers to targets and what the allocator cannot reuse. Half of 160 MiB holds a
-/// body of 64 MiB.
+/// Part of the memory that callers may use at most, as a divisor. Buffers to targets and what the
+/// allocator cannot reuse grow with it. Half of 160 MiB holds a body of 64 MiB.
 const CALLERS_DIVISOR: usize = 2;
 
+/// Part of the memory that callers may use at least, as a divisor, on machines below 85 MiB.
+const LEAST_DIVISOR: usize = 4;
+
+/// Memory of the process itself, its table and instances, and what listeners buffer. With half of
+/// 88 MiB as the budget, 92 MiB were resident.
+const RESERVED_BYTES: usize = 64 * 1024 * 1024;
+
 /// Memory of a connection without a body: its task, its buffers and a head of 16 KiB.
 pub const CONNECTION_BYTES: usize = 32 * 1024;
 
@@ -44,7 +50,9 @@
         let fds = fd_limit.unwrap_or(DEFAULT_FD_LIMIT) as usize;
         // A process with few descriptors keeps half of them for itself.
         let fds = fds.saturating_sub(RESERVED_FDS).max(fds / 2).max(16);
-        let held_bytes = memory / CALLERS_DIVISOR;
+        let held_bytes = memory
+            .saturating_sub(RESERVED_BYTES)
+            .clamp(memory / LEAST_DIVISOR, memory / CALLERS_DIVISOR);
         let affordable = (held_bytes / CONNECTION_BYTES).max(16);
         let part = |divisor: usize| (fds.min(affordable) / divisor).max(1);
         Self {
--- a/crates/apricotfold-proxy/src/caller_connection.rs
+++ b/crates/apricotfold-proxy/src/caller_connection.rs
@@ -180,6 +180,7 @@
         arrived: Instant,
     ) -> Result<PendingResponse, ReadEnd> {
         let has_body = head.body != BodyLength::Known(0);
+        let head_bytes = head.occupied;
         match self.handler.prepare(head.parts, arrived) {
             Ok(call) => {
                 let body =
@@ -188,10 +189,8 @@
                     self.queue
                         .push_interim(PendingResponse::Continue, &self.lifecycle);
                 }
-                if !has_body {
-                    return self.start(call, BodyPieces::default());
-                }
-                let refusal = match self.read_body(body, call.deadline()).await? {
+                let read = self.read_body(body, head_bytes, call.deadline());
+                let refusal = match read.await? {
                     BodyEnd::Whole(body) => return self.start(call, body),
                     BodyEnd::Late => self.handler.refuse_late(&call),
                     BodyEnd::GivenUp => self.handler.refuse_overfull(&call),
@@ -256,17 +255,19 @@
         }
     }
 
-    /// Reads a body, until its deadline or until the node holds too much.
+    /// Reads a body, until its deadline or until the node holds too much. Its memory is counted with
+    /// that of the head.
     async fn read_body(
         &mut self,
         mut body: BodyReader,
+        head_bytes: usize,
         deadline: Instant,
     ) -> Result<BodyEnd, ReadEnd> {
         let mut memory = self.handler.begin_body();
         loop {
             let whole = body.take(&mut self.buffer).map_err(ReadEnd::Refused)?;
-            let occupied = whole.as_ref().map_or(body.occupied(), BodyPieces::len);
-            if memory.hold(occupied).is_err() {
+            let occupied = whole.as_ref().map_or(body.occupied(), BodyPieces::occupied);
+            if memory.hold(head_bytes + occupied).is_err() {
                 return Ok(BodyEnd::GivenUp);
             }
             if let Some(whole) = whole {
--- a/crates/apricotfold-proxy/src/callers/body_pieces.rs
+++ b/crates/apricotfold-proxy/src/callers/body_pieces.rs
@@ -87,11 +87,13 @@
     /// Returns the body.
     #[must_use]
     pub fn finish(mut self) -> BodyPieces {
+        let occupied = self.occupied();
         if !self.last.is_empty() {
             self.whole.push(self.last.freeze());
         }
         BodyPieces {
             length: self.length,
+            occupied,
             pieces: self.whole.into_vec().into(),
             memory: None,
         }
@@ -103,6 +105,8 @@
 pub struct BodyPieces {
     pieces: Arc<[Bytes]>,
     length: usize,
+    /// Memory of the pieces, whose last one may be larger than its bytes.
+    occupied: usize,
     /// Counts the memory until the last clone is dropped.
     memory: Option<Arc<RunningMemory>>,
 }
@@ -121,6 +125,12 @@
         self.length
     }
 
+    /// Returns the memory that the pieces occupy.
+    #[must_use]
+    pub fn occupied(&self) -> usize {
+        self.occupied
+    }
+
     /// Returns whether the body is empty.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -157,6 +167,7 @@
     fn from(bytes: Bytes) -> Self {
         Self {
             length: bytes.len(),
+            occupied: bytes.len(),
             pieces: if bytes.is_empty() {
                 Arc::default()
             } else {
--- a/crates/apricotfold-proxy/src/connection.rs
+++ b/crates/apricotfold-proxy/src/connection.rs
@@ -27,8 +27,9 @@
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Size of the read buffer. It must hold the largest head, which has the caller's headers and those
-/// of the mesh.
-const BUFFER_BYTES: usize = 256 * 1024;
+/// of the mesh; callers' heads have up to 16 KiB in the deployments. A connection keeps a
+/// buffer of this size while a body arrives.
+const BUFFER_BYTES: usize = 64 * 1024;
 
 /// Largest number of headers in a request. It must hold a caller's and those of the mesh.
 const MAX_MESSAGE_HEADERS: usize = MAX_HEADERS + 32;
--- a/crates/apricotfold-proxy/src/request_codec.rs
+++ b/crates/apricotfold-proxy/src/request_codec.rs
@@ -14,6 +14,9 @@
 /// Largest number of headers in a request.
 pub const MAX_HEADERS: usize = 128;
 
+/// Memory of a header in a [`HeaderMap`] besides its name and value, by the size of its entries.
+const HEADER_BYTES: usize = 128;
+
 /// Longest chunk-size line in bytes, including extensions.
 const MAX_CHUNK_LINE: usize = 256;
 
@@ -62,6 +65,8 @@
     pub body: BodyLength,
     /// Whether the caller sends no further request on the connection.
     pub last: bool,
+    /// Memory that the head occupies until its request has an answer.
+    pub occupied: usize,
     /// Whether the caller waits for `100 Continue` before it sends the body.
     pub expects_continue: bool,
 }
@@ -89,7 +94,8 @@
     if length > max_bytes {
         return Err(RequestFault::HeadTooLarge);
     }
-    let head = read_head(&request)?;
+    let mut head = read_head(&request)?;
+    head.occupied = length + head.parts.headers.len() * HEADER_BYTES;
     buffer.advance(length);
     Ok(Some(head))
 }
@@ -134,6 +140,7 @@
         parts,
         body,
         last,
+        occupied: 0,
         expects_continue,
     })
 }
