--- a/crates/apricotfold-proxy/src/caller_connection.rs
+++ b/crates/apricotfold-proxy/src/caller_connection.rs
@@ -1,27 +1,27 @@
 //! Serves one caller's connection. Pipelined requests run concurrently, and responses are written
 //! in the order of the requests.
 
-use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{CallerLimits, log_event};
-use apricotfold_policy::{IntakePhase, RequestIntake};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http::{Method, Response, StatusCode};
 use http_body::Body;
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::Notify;
-use tokio::task::JoinHandle;
 
 use crate::call_body::ResponseBody;
 use crate::caller_server::{CallerHandler, EntryRefusal, PreparedCall};
-use crate::connection::CallerDisconnected;
+use crate::callers::body_pieces::BodyPieces;
+use crate::callers::connection_slots::ConnectionSlot;
+use crate::callers::response_queue::{
+    PendingEntry, PendingResponse, ResponseQueue, ResponseTask, intake_phase,
+};
 use crate::connection_pool::set_socket_options;
-use crate::lifecycle::{InFlightGuard, Lifecycle, ProcessPhase};
+use crate::lifecycle::{Lifecycle, ProcessPhase};
 use crate::request_codec::{BodyLength, BodyReader, RequestFault, RequestHead, take_head};
 use crate::response_codec::{ResponseFraming, put_end, put_head, put_piece};
 
@@ -38,147 +38,22 @@
 /// cause a reset, which can destroy the response on its way to the caller.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Longest time for which a caller may take no byte of its answers, as long as connections may be idle.
+const WRITE_STALL: Duration = Duration::from_secs(15);
+
 /// Interim response that lets a caller send its body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-/// A response in the queue, which keeps the order of the requests.
-enum PendingResponse {
-    Running(ResponseTask),
-    Ready(Box<Response<ResponseBody>>),
-    /// The interim response that lets the caller send its body.
-    Continue,
-}
-
-/// Task of a request, aborted when the connection ends.
-struct ResponseTask(JoinHandle<Result<Response<ResponseBody>, CallerDisconnected>>);
-
-impl Drop for ResponseTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-struct PendingEntry {
-    method: Method,
-    answer: PendingResponse,
-    _in_flight: InFlightGuard,
-}
-
-/// State shared by the reading and the writing side of a connection.
-#[derive(Default)]
-struct QueueState {
-    pending: VecDeque<PendingEntry>,
-    intake: RequestIntake,
-}
-
-#[derive(Default)]
-struct ResponseQueue {
-    state: Mutex<QueueState>,
-    arrived: Notify,
-    written: Notify,
-}
-
-impl ResponseQueue {
-    fn lock(&self) -> MutexGuard<'_, QueueState> {
-        self.state.lock().expect("no panic while locked")
-    }
-
-    /// Starts a request whose head was read. Returns `None` if the connection is closing.
-    fn begin(self: &Arc<Self>, lifecycle: &Lifecycle, last: bool) -> Option<StartedRequest> {
-        let phase = intake_phase(lifecycle.phase());
-        let started = self.lock().intake.begin(phase, last);
-        started.then(|| StartedRequest {
-            queue: self.clone(),
-            in_flight: Some(lifecycle.begin_request()),
-        })
-    }
-
-    /// Queues an interim response to the request that is being read.
-    fn push_interim(&self, answer: PendingResponse, lifecycle: &Lifecycle) {
-        let mut state = self.lock();
-        state.intake.begin_interim();
-        state.pending.push_back(PendingEntry {
-            method: Method::GET,
-            answer,
-            _in_flight: lifecycle.begin_request(),
-        });
-        self.arrived.notify_one();
-    }
-
-    /// Has no further request started.
-    fn end(&self) {
-        self.lock().intake.end();
-        self.arrived.notify_one();
-    }
-
-    fn finish_one(&self) {
-        self.lock().intake.finish(Instant::now());
-        self.written.notify_one();
-    }
-
-    /// Returns when the last response was written; `None` before the first one and while a request
-    /// is unanswered.
-    fn idle_since(&self) -> Option<Instant> {
-        self.lock().intake.idle_since()
-    }
-
-    fn is_idle(&self) -> bool {
-        self.lock().intake.is_idle()
-    }
-
-    fn is_ending(&self) -> bool {
-        self.lock().intake.is_ending()
-    }
-
-    /// Waits until at most `most` requests are unanswered.
-    async fn wait_below(&self, most: usize) {
-        while self.lock().intake.unanswered() > most {
-            self.written.notified().await;
-        }
-    }
-}
-
-/// A request that was started and whose response is not queued yet.
-struct StartedRequest {
-    queue: Arc<ResponseQueue>,
-    in_flight: Option<InFlightGuard>,
-}
-
-impl StartedRequest {
-    /// Queues the response.
-    fn push(mut self, method: Method, answer: PendingResponse) {
-        if let Some(in_flight) = self.in_flight.take() {
-            self.queue.lock().pending.push_back(PendingEntry {
-                method,
-                answer,
-                _in_flight: in_flight,
-            });
-            self.queue.arrived.notify_one();
-        }
-    }
-}
-
-impl Drop for StartedRequest {
-    fn drop(&mut self) {
-        if self.in_flight.is_some() {
-            self.queue.lock().intake.abandon();
-        }
-    }
-}
-
-fn intake_phase(phase: ProcessPhase) -> IntakePhase {
-    match phase {
-        ProcessPhase::Serving => IntakePhase::Open,
-        ProcessPhase::Draining => IntakePhase::Draining,
-        ProcessPhase::Closing => IntakePhase::Closing,
-    }
-}
-
 /// Serves a connection until either side closes it.
-pub async fn serve_caller(stream: TcpStream, handler: Arc<CallerHandler>, lifecycle: Lifecycle) {
+pub async fn serve_caller(
+    stream: TcpStream,
+    handler: Arc<CallerHandler>,
+    lifecycle: Lifecycle,
+    slot: ConnectionSlot,
+) {
     set_socket_options(&stream, TCP_USER_TIMEOUT);
     let (input, output) = stream.into_split();
-    let queue = Arc::new(ResponseQueue::default());
+    let queue = Arc::new(ResponseQueue::new(slot));
     let mut reader = CallerReader {
         input,
         buffer: BytesMut::new(),
@@ -188,12 +63,14 @@
     };
     let mut writer = CallerWriter {
         output,
+        handler: reader.handler.clone(),
         lifecycle,
-        queue,
+        queue: queue.clone(),
     };
     let whole = tokio::select! {
         // If the caller disconnects, dropping the queue aborts the tasks of its requests.
         () = reader.read_requests() => return,
+        () = queue.slot.replaced() => return,
         result = writer.write_responses() => result,
     };
     if let Err(error) = whole {
@@ -228,6 +105,16 @@
     Idle,
 }
 
+/// How reading a body ends.
+enum BodyEnd {
+    /// The body is complete.
+    Whole(BodyPieces),
+    /// It is incomplete at its deadline.
+    Late,
+    /// The node holds too much.
+    GivenUp,
+}
+
 impl CallerReader {
     /// Reads requests until the caller disconnects. If the connection ends for another reason, it
     /// only watches for a disconnect while the last responses are written.
@@ -293,6 +180,7 @@
         arrived: Instant,
     ) -> Result<PendingResponse, ReadEnd> {
         let has_body = head.body != BodyLength::Known(0);
+        let head_bytes = head.occupied;
         match self.handler.prepare(head.parts, arrived) {
             Ok(call) => {
                 let body =
@@ -301,11 +189,13 @@
                     self.queue
                         .push_interim(PendingResponse::Continue, &self.lifecycle);
                 }
-                if let Some(body) = self.read_body(body, call.deadline()).await? {
-                    return Ok(self.start(call, body));
-                }
+                let read = self.read_body(body, head_bytes, call.deadline());
+                let refusal = match read.await? {
+                    BodyEnd::Whole(body) => return self.start(call, body),
+                    BodyEnd::Late => self.handler.refuse_late(&call),
+                    BodyEnd::GivenUp => self.handler.refuse_overfull(&call),
+                };
                 self.queue.end();
-                let refusal = self.handler.refuse_late(&call);
                 Ok(PendingResponse::Ready(Box::new(refusal)))
             }
             Err(EntryRefusal(response)) => {
@@ -318,10 +208,14 @@
         }
     }
 
-    fn start(&self, call: PreparedCall, body: Bytes) -> PendingResponse {
+    /// Starts a request, unless another connection has replaced this one.
+    fn start(&self, call: PreparedCall, body: BodyPieces) -> Result<PendingResponse, ReadEnd> {
+        if !self.queue.slot.begin_request() {
+            return Err(ReadEnd::Disconnected);
+        }
         let handler = self.handler.clone();
         let task = tokio::spawn(async move { handler.run(call, body).await });
-        PendingResponse::Running(ResponseTask(task))
+        Ok(PendingResponse::Running(ResponseTask(task)))
     }
 
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<RequestHead, ReadEnd> {
@@ -361,20 +255,31 @@
         }
     }
 
-    /// Reads a body. Returns `None` if it is incomplete at the deadline.
+    /// Reads a body, until its deadline or until the node holds too much. Its memory is counted with
+    /// that of the head.
     async fn read_body(
         &mut self,
         mut body: BodyReader,
+        head_bytes: usize,
         deadline: Instant,
-    ) -> Result<Option<Bytes>, ReadEnd> {
+    ) -> Result<BodyEnd, ReadEnd> {
+        let mut memory = self.handler.begin_body();
         loop {
-            if let Some(whole) = body.take(&mut self.buffer).map_err(ReadEnd::Refused)? {
-                return Ok(Some(whole));
+            let whole = body.take(&mut self.buffer).map_err(ReadEnd::Refused)?;
+            let occupied = whole.as_ref().map_or(body.occupied(), BodyPieces::occupied);
+            if memory.hold(head_bytes + occupied).is_err() {
+                return Ok(BodyEnd::GivenUp);
+            }
+            if let Some(whole) = whole {
+                return Ok(BodyEnd::Whole(whole.counted(memory.pass_on())));
             }
             let more = read_more(&mut self.input, &mut self.buffer);
-            match tokio::time::timeout_at(deadline.into(), more).await {
-                Ok(read) => read?,
-                Err(_) => return Ok(None),
+            tokio::select! {
+                read = tokio::time::timeout_at(deadline.into(), more) => match read {
+                    Ok(read) => read?,
+                    Err(_) => return Ok(BodyEnd::Late),
+                },
+                () = memory.given_up() => return Ok(BodyEnd::GivenUp),
             }
         }
     }
@@ -403,6 +308,7 @@
 
 struct CallerWriter {
     output: OwnedWriteHalf,
+    handler: Arc<CallerHandler>,
     lifecycle: Lifecycle,
     queue: Arc<ResponseQueue>,
 }
@@ -422,7 +328,7 @@
                 PendingResponse::Ready(response) => *response,
                 PendingResponse::Running(mut task) => (&mut task.0).await??,
                 PendingResponse::Continue => {
-                    self.output.write_all(CONTINUE_RESPONSE).await?;
+                    self.send(CONTINUE_RESPONSE).await?;
                     self.queue.finish_one();
                     continue;
                 }
@@ -436,6 +342,27 @@
         }
     }
 
+    /// Sends bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller takes no byte for [`WRITE_STALL`].
+    async fn send(&mut self, bytes: &[u8]) -> eyre::Result<()> {
+        let mut left = bytes;
+        while !left.is_empty() {
+            match tokio::time::timeout(WRITE_STALL, self.output.write(left)).await {
+                Ok(Ok(written @ 1..)) => left = &left[written..],
+                Ok(Ok(_)) => eyre::bail!("the connection takes no bytes"),
+                Ok(Err(error)) => return Err(error.into()),
+                Err(_) => {
+                    self.handler.record_write_stall();
+                    eyre::bail!("the caller took no byte for {WRITE_STALL:?}");
+                }
+            }
+        }
+        Ok(())
+    }
+
     async fn next_entry(&self) -> Option<PendingEntry> {
         loop {
             {
@@ -479,7 +406,7 @@
             self.write_pieces(&mut body, framing, &mut bytes).await?;
         }
         put_end(&mut bytes, framing);
-        self.output.write_all(&bytes).await?;
+        self.send(&bytes).await?;
         Ok(())
     }
 
@@ -501,7 +428,7 @@
                 put_piece(bytes, framing, &piece);
             }
             if bytes.len() >= READ_BYTES {
-                self.output.write_all(bytes).await?;
+                self.send(bytes).await?;
                 bytes.clear();
             }
         }
--- a/crates/apricotfold-proxy/src/connection.rs
+++ b/crates/apricotfold-proxy/src/connection.rs
@@ -14,8 +14,10 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::call_body::ResponseBody;
+use crate::callers::connection_slots::{BusySlot, ConnectionSlot, ConnectionSlots};
 use crate::connection_pool::set_socket_options;
 use crate::lifecycle::{Lifecycle, ProcessPhase};
+use crate::request_codec::MAX_HEADERS;
 
 /// Time after which a peer that acknowledges no data counts as disconnected.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -25,8 +27,12 @@
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Size of the read buffer. It must hold the largest head, which has the caller's headers and those
-/// of the mesh.
-const BUFFER_BYTES: usize = 256 * 1024;
+/// of the mesh; callers' heads have up to 16 KiB in the deployments. A connection keeps a
+/// buffer of this size while a body arrives.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// Largest number of headers in a request. It must hold a caller's and those of the mesh.
+const MAX_MESSAGE_HEADERS: usize = MAX_HEADERS + 32;
 
 /// Pause after a failed accept, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -81,10 +87,18 @@
 }
 
 /// Accepts and serves connections until the process ends.
-pub async fn serve(listener: TcpListener, handler: Arc<dyn RequestHandler>, lifecycle: Lifecycle) {
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn RequestHandler>,
+    lifecycle: Lifecycle,
+    slots: Arc<ConnectionSlots>,
+) {
     loop {
         let stream = accept(&listener).await;
-        tokio::spawn(serve_connection(stream, handler.clone(), lifecycle.clone()));
+        if let Some(slot) = slots.accept() {
+            let served = serve_connection(stream, handler.clone(), lifecycle.clone(), slot);
+            tokio::spawn(served);
+        }
     }
 }
 
@@ -92,21 +106,29 @@
     stream: TcpStream,
     handler: Arc<dyn RequestHandler>,
     lifecycle: Lifecycle,
+    slot: ConnectionSlot,
 ) {
+    let slot = Arc::new(slot);
     set_socket_options(&stream, TCP_USER_TIMEOUT);
     let requests = lifecycle.clone();
+    let busy_slot = slot.clone();
     let service = service_fn(move |request| {
         let in_flight = requests.begin_request();
-        let answer = handler.clone().handle(request);
+        let busy = BusySlot::begin(&busy_slot);
+        let handler = handler.clone();
         async move {
-            let answer = answer.await?;
-            Ok::<_, CallerDisconnected>(answer.map(|body| body.tracked(in_flight)))
+            let Some(busy) = busy else {
+                return Err(CallerDisconnected);
+            };
+            let answer = handler.handle(request).await?;
+            Ok::<_, CallerDisconnected>(answer.map(|body| body.tracked((in_flight, busy))))
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
         .max_buf_size(BUFFER_BYTES)
+        .max_headers(MAX_MESSAGE_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut phases = lifecycle.watch();
@@ -123,6 +145,7 @@
                 }
                 return;
             }
+            () = slot.replaced() => return,
             Ok(()) = phases.changed() => {}
         }
     }
--- a/crates/apricotfold-proxy/src/connection_pool.rs
+++ b/crates/apricotfold-proxy/src/connection_pool.rs
@@ -5,9 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -16,11 +14,12 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::callers::body_pieces::SentBody;
 use crate::gated_body::GatedBody;
 use crate::telemetry;
 
 /// Body of a request to another process.
-pub type OutgoingBody = GatedBody<Full<Bytes>>;
+pub type OutgoingBody = GatedBody<SentBody>;
 
 /// Longest wait for a pooled connection to become ready. The last bytes of a response and the ready
 /// state of its connection are at most one poll of the connection's task apart.
@@ -48,6 +47,9 @@
     pub idle_timeout: Duration,
     /// Longest time for which sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
     pub tcp_user_timeout: Duration,
+    /// Largest number of headers in a response; `None` for hyper's default of 100, which it parses
+    /// without an allocation.
+    pub max_headers: Option<usize>,
 }
 
 /// Why a request got no response.
@@ -204,7 +206,12 @@
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
         telemetry::count_connection(self.rules.kind);
         set_socket_options(&stream, self.rules.tcp_user_timeout);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let mut builder = http1::Builder::new();
+        if let Some(most) = self.rules.max_headers {
+            builder.max_headers(most);
+        }
+        let (sender, connection) = builder
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
         let task = tokio::spawn(async move {
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hash, RandomState};
+use std::num::NonZeroU32;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -13,8 +14,8 @@
 };
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, DeadlineQueue, InboundWaits, InstanceRegistry,
-    InstanceReport, LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, ParentThrottle,
-    PeerOffsets, RetryBudget, RetryDetector, TargetSelector, TrafficSplit,
+    InstanceReport, LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, NodeLimits,
+    ParentThrottle, PeerOffsets, RetryBudget, RetryDetector, TargetSelector, TrafficSplit,
 };
 use apricotfold_store::Revision;
 use arc_swap::ArcSwap;
@@ -22,6 +23,7 @@
 
 use crate::adapters::CallProtocol;
 use crate::admission::AdmissionController;
+use crate::callers::held_memory::HeldMemory;
 use crate::connection_pool::{ConnectionPool, PoolConfig};
 use crate::crash_tracker::CrashTracker;
 use crate::departure_keeper::DepartureKeeper;
@@ -51,6 +53,7 @@
     connect_timeout: Duration::from_millis(250),
     idle_timeout: Duration::from_secs(8),
     tcp_user_timeout: Duration::from_secs(2),
+    max_headers: None,
 };
 
 /// Pool of connections to other proxies. Round trips take at most 60 ms, so the connect timeout
@@ -60,6 +63,8 @@
     connect_timeout: Duration::from_millis(250),
     idle_timeout: Duration::from_secs(10),
     tcp_user_timeout: Duration::from_millis(1_500),
+    // A target's answer with 100 headers, and those of the mesh.
+    max_headers: Some(132),
 };
 
 /// Round-trip times between instances, and the cost of transferred bytes: the links between regions
@@ -113,6 +118,10 @@
     pub store_health: StoreHealth,
     /// Phase of the process and the requests in progress.
     pub lifecycle: Lifecycle,
+    /// Limits on what strangers may make the node hold.
+    pub limits: NodeLimits,
+    /// Memory that strangers make the node hold.
+    pub held_memory: Arc<HeldMemory>,
     /// Counter that is incremented when this node's entry in the store must be rewritten.
     pub registration: watch::Sender<u64>,
     /// Departures of the local target, see [`DepartureKeeper`].
@@ -161,6 +170,8 @@
         let link_meter = LinkMeter::new(config.link_rate);
         let inbound_meter = LinkMeter::inbound(config.link_rate);
         let node = config.node.clone();
+        let memory_mb = config.memory_mb.map(NonZeroU32::get);
+        let node_limits = NodeLimits::new(memory_mb, config.fd_limit.map(NonZeroU32::get));
         let timely_from = Instant::now() + config.longest_announcement_delay();
         Self {
             crashes: CrashTracker::default(),
@@ -177,6 +188,8 @@
             inbound_meter,
             store_health: StoreHealth::new(),
             lifecycle: Lifecycle::new(),
+            limits: node_limits,
+            held_memory: Arc::new(HeldMemory::new(node_limits.held_bytes)),
             registration: watch::Sender::new(0),
             departures: DepartureKeeper::default(),
             quotas: QuotaGate::new(node),
--- a/crates/apricotfold-proxy/src/health_check.rs
+++ b/crates/apricotfold-proxy/src/health_check.rs
@@ -4,12 +4,11 @@
 
 use apricotfold_model::InstanceAnnouncement;
 use apricotfold_policy::TargetReply;
-use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::Full;
 
 use crate::call_body::{ConnectionLease, ResponseBody};
+use crate::callers::body_pieces::BodyPieces;
 use crate::engine::Engine;
 use crate::gated_body::GatedBody;
 
@@ -37,7 +36,8 @@
     let Ok(host) = announcement.address.to_string().parse() else {
         return TargetReply::Unasked;
     };
-    let mut request = Request::new(GatedBody::ungated(Full::new(Bytes::new())));
+    let body = GatedBody::ungated(BodyPieces::default().to_sent());
+    let mut request = Request::new(body);
     *request.method_mut() = Method::GET;
     *request.uri_mut() = uri;
     request.headers_mut().insert(HOST, host);
