Learn the concurrency of the local target from its answers

A target that has just started or recovered is given all of its slots at once, and one that is overloaded by its own requests keeps them.

TargetPace limits the concurrent runs between a quarter of the slots and all of them: it doubles per round of level answers, shrinks when answers become slower or the target resets, rejects or is overdue, and takes a slower speed as normal if fewer requests do not change it. The node beside the target holds the limit in DeadlineQueue (one field, one method). The setting pace_targets turns it on; it is off by default. The limit is the metric apricotfold_target_run_limit, changes are logged as AF3019.

With modelled targets of 9 slots (tests/target_pace.rs): all slots are in use within 0.7 s from the start (1.5 s at half speed), and within 5 s after an overload. In an overload that 3 slots could carry, 5 of 200 runs stay above 6 slots, since chance makes it look like a slow target; judging against the first round instead of the slowest one left more than 50 there. Whole meshes have not been run with the setting on.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -132,6 +132,9 @@
     /// A call lost its connection to the target, which is not known to have crashed.
     #[strum(serialize = "AF3018", message = "crash not counted")]
     CrashNotCounted,
+    /// The learned limit on concurrent runs at the local target changed.
+    #[strum(serialize = "AF3019", message = "target pace changed")]
+    TargetPaceChanged,
     /// A stream to or from a peer was opened.
     #[strum(serialize = "AF4001", message = "peer connected")]
     PeerConnected,
--- a/crates/apricotfold-model/src/proxy_config.rs
+++ b/crates/apricotfold-model/src/proxy_config.rs
@@ -70,6 +70,8 @@
     pub retry_limit: SharedRetryLimit,
     /// Bandwidth of the instance's network link in bytes per second; `None` if it is unknown.
     pub link_rate: Option<f64>,
+    /// Whether the number of concurrent runs at the local target is learned from its answers.
+    pub pace_targets: bool,
     /// Seed of all random decisions; 0 takes a seed from the operating system.
     pub seed: u64,
 }
@@ -189,6 +191,7 @@
                 window: millis(settings.retry_window_ms, DEFAULT_RETRY_WINDOW),
             },
             link_rate: (link_rate > 0.0).then_some(link_rate),
+            pace_targets: settings.pace_targets,
             seed: settings.seed,
         };
         errors.finish(config)
--- a/crates/apricotfold-policy/src/admission_policy.rs
+++ b/crates/apricotfold-policy/src/admission_policy.rs
@@ -102,6 +102,12 @@
         AdmissionEvents::new()
     }
 
+    /// Limits the running requests below the number of slots, or removes the limit. The default
+    /// implementation ignores it.
+    fn set_run_limit(&mut self, _limit: Option<u32>, _now: Instant) -> AdmissionEvents {
+        AdmissionEvents::new()
+    }
+
     /// Counts a request that reached the target without being admitted, such as a health check.
     fn count_request(&mut self, _now: Instant) {}
 
--- a/crates/apricotfold-policy/src/deadline_queue.rs
+++ b/crates/apricotfold-policy/src/deadline_queue.rs
@@ -97,6 +97,8 @@
 #[derive(Debug)]
 pub struct DeadlineQueue {
     limits: AdmissionLimits,
+    /// Upper bound of the running requests, see [`TargetPace`](crate::TargetPace).
+    run_limit: Option<u32>,
     /// Request rate of a target that states one.
     gate: Option<RateGate>,
     draining: bool,
@@ -115,6 +117,7 @@
     pub fn new(limits: AdmissionLimits) -> Self {
         Self {
             limits,
+            run_limit: None,
             gate: None,
             draining: false,
             running: HashMap::new(),
@@ -145,9 +148,15 @@
         (long + short) / running
     }
 
+    /// Returns the number of requests that may run at once.
+    fn run_slots(&self) -> u32 {
+        let slots = self.limits.slots;
+        self.run_limit.map_or(slots, |limit| limit.min(slots))
+    }
+
     fn free_slots(&self) -> u32 {
         let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
-        self.limits.slots.saturating_sub(running)
+        self.run_slots().saturating_sub(running)
     }
 
     fn is_gate_open(&self, now: Instant) -> bool {
@@ -186,7 +195,7 @@
             return Duration::ZERO;
         }
         let position = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        let slot_interval = self.mean_service() / self.limits.slots.max(1);
+        let slot_interval = self.mean_service() / self.run_slots().max(1);
         let slot_wait = if ahead == 0 && self.free_slots() > 0 {
             Duration::ZERO
         } else {
@@ -357,6 +366,11 @@
         self.expire(now)
     }
 
+    fn set_run_limit(&mut self, limit: Option<u32>, now: Instant) -> AdmissionEvents {
+        self.run_limit = limit;
+        self.expire(now)
+    }
+
     fn count_request(&mut self, now: Instant) {
         if let Some(gate) = &mut self.gate {
             gate.pass(now);
--- a/crates/apricotfold-proxy/src/admission.rs
+++ b/crates/apricotfold-proxy/src/admission.rs
@@ -146,6 +146,13 @@
         self.earlier.notify_waiters();
     }
 
+    /// Limits the running requests below the number of slots, or removes the limit.
+    pub fn set_run_limit(&self, limit: Option<u32>) {
+        let mut state = self.lock();
+        let events = state.queue.set_run_limit(limit, Instant::now());
+        state.deliver(events);
+    }
+
     /// Counts a request that reaches the target without being admitted, such as a health check.
     pub fn count_request(&self) {
         self.lock().queue.count_request(Instant::now());
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -14,7 +14,7 @@
 use apricotfold_policy::{
     AdmissionLimits, AnnouncementEffect, DeadlineQueue, InstanceRegistry, InstanceReport,
     LinkCosts, LocalInstance, LocalRuns, LocalityTier, NamedLimits, ParentThrottle, PeerOffsets,
-    RetryBudget, RetryDetector, TargetSelector, TrafficSplit,
+    RetryBudget, RetryDetector, TargetPace, TargetSelector, TrafficSplit,
 };
 use apricotfold_store::Revision;
 use arc_swap::ArcSwap;
@@ -124,6 +124,7 @@
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     local: Mutex<LocalInstance>,
     rate_limits: Mutex<NamedLimits>,
+    target_pace: Mutex<TargetPace>,
     clock_offsets: Mutex<PeerOffsets>,
     /// Service time that the local target reported last, in percent of its usual one.
     pace: AtomicU32,
@@ -176,6 +177,7 @@
             budgets: Mutex::default(),
             local: Mutex::new(LocalInstance::new(timely_from)),
             rate_limits: Mutex::default(),
+            target_pace: Mutex::new(TargetPace::new(0)),
             clock_offsets: Mutex::default(),
             pace: AtomicU32::new(DEFAULT_PACE),
             target_down: AtomicBool::new(false),
@@ -208,6 +210,11 @@
         lock(&self.rate_limits)
     }
 
+    /// Locks the learned concurrency limit of the local target.
+    pub fn target_pace(&self) -> MutexGuard<'_, TargetPace> {
+        lock(&self.target_pace)
+    }
+
     /// Locks the offsets of other nodes' clocks.
     pub fn clock_offsets(&self) -> MutexGuard<'_, PeerOffsets> {
         lock(&self.clock_offsets)
@@ -316,6 +323,10 @@
             let former = local.current().cloned();
             (local.announce(announcement, Instant::now()), former)
         };
+        if effect == AnnouncementEffect::Changed {
+            let known = former.as_ref().map(InstanceAnnouncement::incarnation);
+            self.pace_announced_target(slots, known.as_ref() != Some(&incarnation));
+        }
         if effect == AnnouncementEffect::Changed
             && let Some(former) = former
             && former.incarnation() != incarnation
--- a/crates/apricotfold-proxy/src/housekeeping.rs
+++ b/crates/apricotfold-proxy/src/housekeeping.rs
@@ -62,6 +62,7 @@
         running: report.running,
         waiting: report.waiting,
         slots: report.slots,
+        run_limit: engine.run_limit(),
         store_age: engine.store_health.age().unwrap_or(Duration::MAX),
         suspects: suspects as u64,
         blocked: blocked as u64,
--- a/crates/apricotfold-proxy/src/settings_file.rs
+++ b/crates/apricotfold-proxy/src/settings_file.rs
@@ -89,6 +89,7 @@
     let merged = ProxyConfig {
         retry_limit: config.retry_limit,
         grace: config.grace,
+        pace_targets: config.pace_targets,
         announce_interval: config.announce_interval,
         data_centres: config.data_centres,
         ..(*former).clone()
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -26,6 +26,7 @@
 use crate::engine::Engine;
 use crate::fingerprint::fingerprint;
 use crate::hop_by_hop::strip_hop_by_hop_headers;
+use crate::target_pacing::{answered_end, failed_end};
 use crate::telemetry;
 
 /// Longest idle time of a connection that is reused for a request that must not run twice. Such a
@@ -190,10 +191,13 @@
             .begin_run(incarnation.clone(), fingerprint);
         let sent = self.send().await;
         let calls = run.finish();
+        if let Err(failure) = &sent {
+            let end = failed_end(failure, started.elapsed());
+            self.engine.record_run(self.context, started, end);
+        }
         match sent {
             Ok((answer, connection)) => {
-                let service = started.elapsed();
-                let answer = self.read_answer(answer, born, connection, slot, service, sent_run)?;
+                let answer = self.read_answer(answer, born, connection, slot, started, sent_run)?;
                 let answer = self.buffer_bulk(answer).await?;
                 drop(reserved);
                 let body = if self.context.remote {
@@ -336,10 +340,11 @@
         born: StartTimeMillis,
         mut connection: PooledConnection,
         slot: SlotGuard,
-        service: Duration,
+        started: Instant,
         run: SentRun,
     ) -> Result<TargetResponse, TargetRefusal> {
         let engine = self.engine;
+        let service = started.elapsed();
         let (mut parts, incoming) = answer.into_parts();
         let head = engine.protocol.read_answer(parts.status, &parts.headers);
         self.check_request_id(&head)?;
@@ -354,6 +359,8 @@
             .idle_timeout
             .map(|limit| limit.saturating_sub(IDLE_MARGIN));
         telemetry::record_target_time(self.context.class, service);
+        let end = answered_end(parts.status, head.not_run, service);
+        engine.record_run(self.context, started, end);
         let lease = ConnectionLease::new(&engine.target_connections, connection).with_slot(slot);
         if head.not_run {
             run.settle();
--- a/crates/apricotfold-proxy/src/telemetry.rs
+++ b/crates/apricotfold-proxy/src/telemetry.rs
@@ -96,6 +96,9 @@
     gauge!("apricotfold_target_running").set(f64::from(state.running));
     gauge!("apricotfold_target_waiting").set(f64::from(state.waiting));
     gauge!("apricotfold_target_slots").set(f64::from(state.slots));
+    if let Some(limit) = state.run_limit {
+        gauge!("apricotfold_target_run_limit").set(f64::from(limit));
+    }
     gauge!("apricotfold_store_word_age_seconds").set(state.store_age.as_secs_f64());
     gauge!("apricotfold_suspect_requests").set(to_float(state.suspects));
     gauge!("apricotfold_blocked_requests").set(to_float(state.blocked));
@@ -117,6 +120,8 @@
     pub waiting: u32,
     /// Slots of the local target.
     pub slots: u32,
+    /// Learned limit on the requests running at the local target; `None` if it is not learned.
+    pub run_limit: Option<u32>,
     /// Time since the store last answered.
     pub store_age: Duration,
     /// Requests that were in flight when targets crashed.
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -120,6 +120,16 @@
         Self::start_with(config, target, store).await
     }
 
+    /// Starts a proxy that learns how many requests its target takes at once, and announces the target.
+    pub async fn start_paced(name: &str, store: &Arc<MemoryStore>) -> Self {
+        let target = ScriptedTarget::start(&format!("i-{name}")).await;
+        let mut config = config(name, target.address);
+        config.pace_targets = true;
+        let node = Self::start_with(config, target, store).await;
+        node.announce(1, "ready").await;
+        node
+    }
+
     /// Starts a proxy whose instance has a link of `bandwidth` bytes per second, which carries what
     /// it receives from the store and what other proxies receive from it, and announces its target.
     pub async fn start_on_link(name: &str, store: &Arc<MemoryStore>, bandwidth: u64) -> Self {
@@ -443,6 +453,7 @@
             slack: 100,
             window: Duration::from_secs(10),
         },
+        pace_targets: false,
         seed: 1,
     }
 }
