Check a configuration document before it is published

A document with a timeout below its objective, a tenant without keys or a prefix with a question mark is valid, and was noticed only by what callers got.

The checks are product code on RawRouteTable, which still has the order of the rows and duplicates; differences come from RouteTable::delta_from.

--- a/crates/apricotfold-model/src/lib.rs
+++ b/crates/apricotfold-model/src/lib.rs
@@ -19,6 +19,8 @@
 mod route_table;
 mod settings;
 mod snapshot;
+mod table_changes;
+mod table_check;
 mod table_delta;
 mod tenant;
 mod wall_clock;
@@ -57,6 +59,8 @@
     TargetStandinConfig, TargetState,
 };
 pub use snapshot::{ActiveRoute, InactiveRoute, MeshSnapshot, MissingDependency, SnapshotInput};
+pub use table_changes::{ChangeKind, TableChange, table_changes};
+pub use table_check::{CheckContext, FindingKind, TableFinding, check_table};
 pub use table_delta::{RouteKey, TableDelta, TenantChanges};
 pub use tenant::{ApiKeyDigest, RawTenant, Tenant, TenantDirectory, TenantName, TenantQuota};
 pub use wall_clock::{SystemClock, WallClock};
--- a/crates/apricotfold-model/src/table_delta.rs
+++ b/crates/apricotfold-model/src/table_delta.rs
@@ -179,7 +179,7 @@
         })
     }
 
-    fn route(&self, host: &str, prefix: &str) -> Option<&Arc<TableRoute>> {
+    pub(crate) fn route(&self, host: &str, prefix: &str) -> Option<&Arc<TableRoute>> {
         self.hosts.get(host)?.get(prefix)
     }
 
--- a/crates/apricotfold-model/src/tenant.rs
+++ b/crates/apricotfold-model/src/tenant.rs
@@ -89,6 +89,21 @@
     keys: Vec<ApiKeyDigest>,
 }
 
+impl Tenant {
+    /// Returns the number of its keys.
+    #[must_use]
+    pub fn key_count(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns the number of keys that it has in common with another state of the tenant.
+    #[must_use]
+    pub fn shared_keys(&self, other: &Self) -> usize {
+        let shared = self.keys.iter().filter(|key| other.keys.contains(key));
+        shared.count()
+    }
+}
+
 impl Hash for Tenant {
     fn hash<H: Hasher>(&self, state: &mut H) {
         let quota = self.quota.map(|quota| (quota.rate, quota.burst));
