Wake waiting requests when the learned limit of the target changes

Requests that wait for a slot look for their next due time only when they are woken. When the learned limit rose while the target's rate allowed nothing, they would have waited for a slot that was free already. The limit is also passed to the queue only if it differs, so that nothing is done per answer while pace_targets is off.

--- a/crates/apricotfold-proxy/src/admission.rs
+++ b/crates/apricotfold-proxy/src/admission.rs
@@ -25,6 +25,8 @@
 struct DeskState {
     queue: Box<dyn AdmissionPolicy>,
     waiting: HashMap<AdmissionId, oneshot::Sender<SlotDecision>>,
+    /// Limit that the policy has been given last.
+    run_limit: Option<u32>,
     next_id: AdmissionId,
 }
 
@@ -55,6 +57,7 @@
         let state = DeskState {
             queue: rule,
             waiting: HashMap::new(),
+            run_limit: None,
             next_id: 0,
         };
         Self {
@@ -149,8 +152,15 @@
     /// Limits the running requests below the number of slots, or removes the limit.
     pub fn set_run_limit(&self, limit: Option<u32>) {
         let mut state = self.lock();
+        if state.run_limit == limit {
+            return;
+        }
+        state.run_limit = limit;
         let events = state.queue.set_run_limit(limit, Instant::now());
         state.deliver(events);
+        drop(state);
+        // Requests that waited for a slot may now wait for the target's rate instead.
+        self.earlier.notify_waiters();
     }
 
     /// Counts a request that reaches the target without being admitted, such as a health check.
