--- a/crates/apricotfold-model/src/proxy_config.rs
+++ b/crates/apricotfold-model/src/proxy_config.rs
@@ -75,6 +75,8 @@
     pub memory_mb: Option<NonZeroU32>,
     /// File descriptors that the process may open; `None` if it is unknown.
     pub fd_limit: Option<NonZeroU32>,
+    /// Whether the number of concurrent runs at the local target is learned from its answers.
+    pub pace_targets: bool,
     /// Seed of all random decisions; 0 takes a seed from the operating system.
     pub seed: u64,
 }
@@ -198,6 +200,7 @@
             link_rate: (link_rate > 0.0).then_some(link_rate),
             memory_mb: NonZeroU32::new(settings.memory_mb),
             fd_limit: NonZeroU32::new(settings.fd_limit),
+            pace_targets: settings.pace_targets,
             seed: settings.seed,
         };
         errors.finish(config)
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -58,6 +58,7 @@
 mod service_time;
 mod target;
 mod target_load;
+mod target_pace;
 mod target_selector;
 mod tenant_share;
 mod traffic_split;
@@ -119,6 +120,7 @@
     decider_rank,
 };
 pub use target_load::InstanceReport;
+pub use target_pace::{EndedRun, PaceChange, PaceReason, RunEnd, TargetPace, WorkKind};
 pub use target_selector::{AttemptEnd, LinkCosts, SelectedTarget, TargetCandidate, TargetSelector};
 pub use traffic_split::TrafficSplit;
 pub use unanswered_runs::{SentNumber, UnansweredRuns};
