--- a/crates/apricotfold-policy/src/rollout/decider.rs
+++ b/crates/apricotfold-policy/src/rollout/decider.rs
@@ -46,7 +46,7 @@
 /// Requests that the new version gets beyond [`PLANNED_SHARE`], so that services with few requests give
 /// enough evidence. The bound of 50 leaves room for requests from before the nodes knew of the order
 /// and from nodes that have died.
-const PLANNED_SLACK: f64 = 20.0;
+const PLANNED_SLACK: f64 = 24.0;
 
 /// Time in which the slack is used up.
 const SLACK_TIME_S: f64 = 3.0;
@@ -56,7 +56,7 @@
 const SUCCESSOR_SLACK_TIME_S: f64 = 1.5;
 
 /// Largest share at any time, whatever the slack is.
-const MAX_SHARE: f64 = 0.2;
+const MAX_SHARE: f64 = 0.5;
 
 /// Bad answers beyond the old version's that show a bad version before the decision. Fewer may come
 /// from one machine that is lost with what it runs.
