Give orders that are read instead of watched their age

While tables follow each other quickly, the node reads instead of watching; an order that it found so counted as one of unknown age, so that old targets were still used after the end. The time since the last listing or batch now is its age, up to 2 s.

--- a/crates/apricotfold-proxy/src/rollout/keeper.rs
+++ b/crates/apricotfold-proxy/src/rollout/keeper.rs
@@ -25,6 +25,9 @@
 /// learn of an order at different times.
 const WITHDRAWAL_AGE: Duration = Duration::from_secs(3);
 
+/// Time between two listings up to which an order that is new in the second one counts as old as that.
+const MAX_KNOWN_AGE: Duration = Duration::from_secs(2);
+
 /// Returns the revision of an entry as records and messages have it.
 pub(super) fn entry_revision(revision: Revision) -> EntryRevision {
     EntryRevision::try_from(revision).unwrap_or(0)
@@ -35,6 +38,8 @@
     pub(super) source: Arc<dyn RolloutSource>,
     view: Mutex<RolloutView>,
     pub(super) desks: Mutex<HashMap<ServiceName, DeciderDesk>>,
+    /// When the orders were last listed or watched; `None` before the first listing.
+    followed: Mutex<Option<Instant>>,
     /// Counter that is incremented when an order or a record changes.
     changes: watch::Sender<u64>,
     /// Number of this process, by which deciders know that its counts begin anew.
@@ -48,6 +53,7 @@
             source,
             view: Mutex::default(),
             desks: Mutex::default(),
+            followed: Mutex::default(),
             changes: watch::Sender::new(0),
             session: rand::rng().random(),
         }
@@ -98,11 +104,25 @@
                 .collect();
             self.view().retain_orders(&listed);
         }
+        let age = match self.mark_followed() {
+            None => OrderAge::Found,
+            Some(pause) if pause <= MAX_KNOWN_AGE => OrderAge::Known(pause),
+            // An order that was missed for long would otherwise be decided too early at all nodes.
+            Some(_) => OrderAge::Known(Duration::ZERO),
+        };
         for entry in entries {
-            self.apply_order(entry, OrderAge::Found);
+            self.apply_order(entry, age);
         }
     }
 
+    /// Records that the orders have been listed, or a batch of changes to them was delivered. Returns the
+    /// time since the last time, `None` at the first.
+    pub fn mark_followed(&self) -> Option<Duration> {
+        let mut followed = self.followed.lock().expect("no panic while locked");
+        let former = followed.replace(Instant::now());
+        former.map(|at| at.elapsed())
+    }
+
     /// Applies an order that a watch has delivered.
     pub fn apply_order_entry(&self, entry: &StoreEntry) {
         self.apply_order(entry, OrderAge::Known(Duration::ZERO));
--- a/crates/apricotfold-proxy/src/table_watcher.rs
+++ b/crates/apricotfold-proxy/src/table_watcher.rs
@@ -96,6 +96,7 @@
     }
 
     fn apply_orders(&self, events: &[WatchEvent]) {
+        self.engine.rollouts.mark_followed();
         for event in events {
             match event {
                 WatchEvent::Put(entry) => self.engine.rollouts.apply_order_entry(entry),
--- a/crates/apricotfold-proxy/tests/rollouts.rs
+++ b/crates/apricotfold-proxy/tests/rollouts.rs
@@ -222,3 +222,29 @@
         );
     }
 }
+
+/// Guards against an order that is missed or taken for an old one because tables follow each other
+/// quickly, so that the node reads instead of watching.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_among_tables() {
+    let mesh = Mesh::start().await;
+    let publish = async {
+        for version in 2..14 {
+            mesh.store.publish(&table(version));
+            if version == 7 {
+                mesh.order();
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    };
+    let ordered = Instant::now();
+    tokio::join!(publish, mesh.load(DURATION + Duration::from_secs(1)));
+    assert_eq!(mesh.status().as_deref(), Some("v2 completed"));
+    assert!(ordered.elapsed() < DURATION + Duration::from_secs(1));
+    for node in &mesh.nodes {
+        assert_eq!(node.call("GET", "/orders/late", "1000").await.status, 200);
+    }
+    let olds = mesh.nodes[..3].iter();
+    let late: usize = olds.map(|node| node.target.calls("late").len()).sum();
+    assert_eq!(late, 0, "requests to replaced targets");
+}
