Name the rollout decider's parts by usual terms

The claim to decide, its actions and the work on an order are DeciderClaim, ClaimAction and DeciderTask; the code is unchanged otherwise.

--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -97,7 +97,7 @@
 pub use retry_after::{RetryDetector, advise_retry_after};
 pub use retry_tracker::{RetryDecision, RetryTracker, SendOutcome};
 pub use rollout::{
-    AnswerSample, CANARY_DECISION_SHARE, DeciderOffice, GRANT_LIFETIME, KnownRollout, OfficeAction,
+    AnswerSample, CANARY_DECISION_SHARE, ClaimAction, DeciderClaim, GRANT_LIFETIME, KnownRollout,
     OrderAge, RolloutCounts, RolloutDecider, RolloutGrant, RolloutRecord, RolloutReport,
     RolloutView, RouteCounts, VersionCounts, VersionGroup, VersionVerdict, compare_versions,
     decider_rank,
--- a/crates/apricotfold-policy/src/rollout/election.rs
+++ b/crates/apricotfold-policy/src/rollout/election.rs
@@ -38,7 +38,7 @@
 
 /// What a candidate does next in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OfficeAction {
+pub enum ClaimAction {
     /// Nothing.
     Wait,
     /// Write the record and the status, if the record still has this revision (0: none) and the order
@@ -53,7 +53,7 @@
 
 /// A node's claim to decide on one order.
 #[derive(Clone, Debug, Default)]
-pub struct DeciderOffice {
+pub struct DeciderClaim {
     /// Revision of the node's own record, while it holds it.
     held: Option<EntryRevision>,
     renewed: Option<Instant>,
@@ -62,7 +62,7 @@
     ended: bool,
 }
 
-impl DeciderOffice {
+impl DeciderClaim {
     /// Returns whether the node decides.
     #[must_use]
     pub fn holds(&self) -> bool {
@@ -95,23 +95,23 @@
         vacant: Option<Instant>,
         decision: Option<RolloutState>,
         now: Instant,
-    ) -> OfficeAction {
+    ) -> ClaimAction {
         if self.ended || self.uncertain {
-            return OfficeAction::Wait;
+            return ClaimAction::Wait;
         }
         if let Some(expected) = self.held {
             return match decision {
-                Some(state) => OfficeAction::Write { state, expected },
-                None => OfficeAction::Wait,
+                Some(state) => ClaimAction::Write { state, expected },
+                None => ClaimAction::Wait,
             };
         }
         let (Some(rank), Some(since)) = (rank, vacant) else {
-            return OfficeAction::Wait;
+            return ClaimAction::Wait;
         };
         if now.saturating_duration_since(since) < RANK_DELAY * rank {
-            return OfficeAction::Wait;
+            return ClaimAction::Wait;
         }
-        OfficeAction::Write {
+        ClaimAction::Write {
             state: RolloutState::Active,
             expected: found,
         }
--- a/crates/apricotfold-policy/src/rollout/mod.rs
+++ b/crates/apricotfold-policy/src/rollout/mod.rs
@@ -14,7 +14,7 @@
 use crate::EntryRevision;
 
 pub use decider::{CANARY_DECISION_SHARE, RolloutDecider, RolloutGrant, RolloutReport};
-pub use election::{DeciderOffice, OfficeAction, decider_rank};
+pub use election::{ClaimAction, DeciderClaim, decider_rank};
 pub use evidence::{AnswerSample, RolloutCounts, RouteCounts, VersionCounts};
 pub use verdict::{VersionVerdict, compare_versions};
 pub use view::{GRANT_LIFETIME, OrderAge, RolloutView, VersionGroup};
--- a/crates/apricotfold-policy/tests/rollout_deciders.rs
+++ b/crates/apricotfold-policy/tests/rollout_deciders.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{NodeId, RolloutState};
-use apricotfold_policy::{DeciderOffice, OfficeAction, decider_rank};
+use apricotfold_policy::{ClaimAction, DeciderClaim, decider_rank};
 use proptest::prelude::*;
 
 const TTL: u64 = 2_000;
@@ -77,7 +77,7 @@
 
 #[derive(Default)]
 struct Node {
-    office: DeciderOffice,
+    claim: DeciderClaim,
     found: u64,
     vacant: Option<Instant>,
 }
@@ -90,10 +90,10 @@
         self.vacant = known.is_none().then_some(base + Duration::from_millis(now));
         match known {
             Some((revision, RolloutState::Active, holder, _)) if holder == own => {
-                self.office
+                self.claim
                     .record_written(RolloutState::Active, revision, base);
             }
-            _ => self.office.release(),
+            _ => self.claim.release(),
         }
     }
 }
@@ -125,9 +125,9 @@
             let at = base + Duration::from_millis(now);
             let rank = u32::try_from(index).ok();
             let plan = |node: &Node, decision| {
-                match node.office.next(rank, node.found, node.vacant, decision, at) {
-                    OfficeAction::Write { state, expected } => Some((state, expected)),
-                    OfficeAction::Wait => None,
+                match node.claim.next(rank, node.found, node.vacant, decision, at) {
+                    ClaimAction::Write { state, expected } => Some((state, expected)),
+                    ClaimAction::Wait => None,
                 }
             };
             match step {
@@ -135,17 +135,17 @@
                 Step::Die => *node = Node::default(),
                 Step::Renew => {
                     if let Some((revision, _, holder, Some(end))) = &mut store.record
-                        && *holder == index && node.office.holds()
+                        && *holder == index && node.claim.holds()
                     {
                         node.found = *revision;
                         *end = now + TTL;
-                        node.office.record_renewal(at);
+                        node.claim.record_renewal(at);
                     }
                 }
                 Step::Act(decision) => if let Some((state, expected)) = plan(node, decision) {
                     match store.write(index, state, expected, now) {
                         Some(revision) => {
-                            node.office.record_written(state, revision, at);
+                            node.claim.record_written(state, revision, at);
                             node.found = revision;
                         }
                         None => node.look(index, &store, base, now),
@@ -153,11 +153,11 @@
                 },
                 Step::ActUnanswered(decision) => if let Some((state, expected)) = plan(node, decision) {
                     store.write(index, state, expected, now);
-                    node.office.record_unknown();
+                    node.claim.record_unknown();
                 },
                 Step::ActLate(decision, left) => if let Some((state, expected)) = plan(node, decision) {
                     late.push((left, index, state, expected));
-                    node.office.record_unknown();
+                    node.claim.record_unknown();
                 },
             }
             prop_assert!(store.finals.len() <= 1, "{:?}", store.finals);
@@ -185,10 +185,10 @@
 #[test]
 fn doubts_old_leases() {
     let now = Instant::now();
-    let mut office = DeciderOffice::default();
-    office.record_written(RolloutState::Active, 7, now);
-    assert!(office.is_certain(now + Duration::from_millis(1_400)));
-    assert!(!office.is_certain(now + Duration::from_millis(1_600)));
-    office.record_renewal(now + Duration::from_millis(1_600));
-    assert!(office.is_certain(now + Duration::from_millis(1_700)));
+    let mut claim = DeciderClaim::default();
+    claim.record_written(RolloutState::Active, 7, now);
+    assert!(claim.is_certain(now + Duration::from_millis(1_400)));
+    assert!(!claim.is_certain(now + Duration::from_millis(1_600)));
+    claim.record_renewal(now + Duration::from_millis(1_600));
+    assert!(claim.is_certain(now + Duration::from_millis(1_700)));
 }
--- a/crates/apricotfold-proxy/src/rollout/office.rs
+++ b/crates/apricotfold-proxy/src/rollout/decisions.rs
@@ -5,7 +5,7 @@
 
 use apricotfold_model::{RolloutOrder, RolloutState, RolloutStatus, ServiceName, log_event};
 use apricotfold_policy::{
-    DeciderOffice, EntryRevision, OfficeAction, RolloutDecider, RolloutRecord, choose_followers,
+    ClaimAction, DeciderClaim, EntryRevision, RolloutDecider, RolloutRecord, choose_followers,
     decider_rank,
 };
 use apricotfold_store::{
@@ -37,9 +37,9 @@
 const FOUND_DELAY: Duration = Duration::from_secs(1);
 
 /// A node's work on one order.
-pub struct DeciderDesk {
+pub struct DeciderTask {
     pub(super) revision: EntryRevision,
-    pub(super) office: DeciderOffice,
+    pub(super) claim: DeciderClaim,
     pub(super) decider: Option<RolloutDecider>,
     lease: Option<LeaseId>,
     renewed: Instant,
@@ -48,12 +48,12 @@
     told_stop: bool,
 }
 
-impl DeciderDesk {
+impl DeciderTask {
     fn new(revision: EntryRevision) -> Self {
         let now = Instant::now();
         Self {
             revision,
-            office: DeciderOffice::default(),
+            claim: DeciderClaim::default(),
             decider: None,
             lease: None,
             renewed: now,
@@ -65,7 +65,7 @@
 }
 
 /// What is to be done for an order.
-enum DeskStep {
+enum TaskStep {
     Nothing,
     Write(RolloutState, EntryRevision),
     Renew(LeaseId),
@@ -83,7 +83,7 @@
             open.map(|(order, revision)| (order.clone(), revision))
                 .collect()
         };
-        engine.rollouts.retain_desks(&orders);
+        engine.rollouts.retain_tasks(&orders);
         if orders.is_empty() {
             if changes.changed().await.is_err() {
                 return;
@@ -106,11 +106,11 @@
 
 impl super::RolloutKeeper {
     /// Gives up the work on orders that are no longer open.
-    fn retain_desks(&self, open: &[(RolloutOrder, EntryRevision)]) {
-        let mut desks = self.desks.lock().expect("no panic while locked");
-        desks.retain(|service, desk| {
+    fn retain_tasks(&self, open: &[(RolloutOrder, EntryRevision)]) {
+        let mut tasks = self.tasks.lock().expect("no panic while locked");
+        tasks.retain(|service, task| {
             let mut open = open.iter();
-            open.any(|(order, revision)| order.service == *service && *revision == desk.revision)
+            open.any(|(order, revision)| order.service == *service && *revision == task.revision)
         });
     }
 }
@@ -137,38 +137,38 @@
         format!("{prefix}{}", self.order.service)
     }
 
-    /// Runs a closure with the desk of the order.
-    pub(super) fn with_desk<T>(&self, run: impl FnOnce(&mut DeciderDesk) -> T) -> T {
-        let mut desks = self
+    /// Runs a closure with the task of the order.
+    pub(super) fn with_task<T>(&self, run: impl FnOnce(&mut DeciderTask) -> T) -> T {
+        let mut tasks = self
             .engine
             .rollouts
-            .desks
+            .tasks
             .lock()
             .expect("no panic while locked");
-        let desk = desks
+        let task = tasks
             .entry(self.order.service.clone())
-            .or_insert_with(|| DeciderDesk::new(self.revision));
-        run(desk)
+            .or_insert_with(|| DeciderTask::new(self.revision));
+        run(task)
     }
 
     async fn step(&self) {
         let result = match self.choose_step() {
-            DeskStep::Nothing => return,
-            DeskStep::Write(state, expected) => self.write(state, expected).await,
-            DeskStep::Renew(lease) => self.renew(lease).await,
-            DeskStep::Read => self.read().await,
+            TaskStep::Nothing => return,
+            TaskStep::Write(state, expected) => self.write(state, expected).await,
+            TaskStep::Renew(lease) => self.renew(lease).await,
+            TaskStep::Read => self.read().await,
         };
-        self.with_desk(|desk| {
+        self.with_task(|task| {
             if result.is_ok() {
-                desk.failures = 0;
+                task.failures = 0;
             } else {
-                desk.failures += 1;
-                desk.next_try = Instant::now() + retry_pause(desk.failures);
+                task.failures += 1;
+                task.next_try = Instant::now() + retry_pause(task.failures);
             }
         });
     }
 
-    fn choose_step(&self) -> DeskStep {
+    fn choose_step(&self) -> TaskStep {
         let now = Instant::now();
         let rank = self.rank();
         let (found, vacant) = {
@@ -184,32 +184,32 @@
             let vacant = times.and_then(|(_, vacant)| vacant);
             (found, vacant.map(|since| since + delay))
         };
-        let (step, turns_bad) = self.with_desk(|desk| {
-            let lost = found == 0 && desk.office.holds() && !desk.office.is_certain(now);
+        let (step, turns_bad) = self.with_task(|task| {
+            let lost = found == 0 && task.claim.holds() && !task.claim.is_certain(now);
             if lost {
                 // The watch has delivered the end of the lease.
-                desk.office.release();
-                desk.decider = None;
-                desk.lease = None;
+                task.claim.release();
+                task.decider = None;
+                task.lease = None;
             }
-            let decision = desk.decider.as_mut();
+            let decision = task.decider.as_mut();
             let decision = decision.and_then(|decider| decider.decide(now));
-            let stopped = desk
+            let stopped = task
                 .decider
                 .as_ref()
                 .is_some_and(RolloutDecider::is_stopped);
-            let turns_bad = stopped && !std::mem::replace(&mut desk.told_stop, stopped);
-            if now < desk.next_try {
-                return (DeskStep::Nothing, turns_bad);
+            let turns_bad = stopped && !std::mem::replace(&mut task.told_stop, stopped);
+            if now < task.next_try {
+                return (TaskStep::Nothing, turns_bad);
             }
-            if desk.office.is_uncertain() {
-                return (DeskStep::Read, turns_bad);
+            if task.claim.is_uncertain() {
+                return (TaskStep::Read, turns_bad);
             }
-            let step = match desk.office.next(rank, found, vacant, decision, now) {
-                OfficeAction::Write { state, expected } => DeskStep::Write(state, expected),
-                OfficeAction::Wait => match desk.lease.filter(|_| desk.office.holds()) {
-                    Some(lease) if now - desk.renewed >= RENEWAL_INTERVAL => DeskStep::Renew(lease),
-                    _ => DeskStep::Nothing,
+            let step = match task.claim.next(rank, found, vacant, decision, now) {
+                ClaimAction::Write { state, expected } => TaskStep::Write(state, expected),
+                ClaimAction::Wait => match task.lease.filter(|_| task.claim.holds()) {
+                    Some(lease) if now - task.renewed >= RENEWAL_INTERVAL => TaskStep::Renew(lease),
+                    _ => TaskStep::Nothing,
                 },
             };
             (step, turns_bad)
@@ -259,7 +259,7 @@
             let granted = self.store.grant(ttl).await;
             self.note_call("grant", granted.as_ref().err());
             let lease = granted?;
-            self.with_desk(|desk| desk.lease = Some(lease));
+            self.with_task(|task| task.lease = Some(lease));
             lease
         };
         let status = RolloutStatus {
@@ -288,7 +288,7 @@
             Ok(answer) if answer.succeeded => self.finish_write(record, &answer, sent),
             Ok(answer) => self.settle_conflict(&answer.found),
             Err(error) => {
-                self.with_desk(|desk| desk.office.record_unknown());
+                self.with_task(|task| task.claim.record_unknown());
                 return Err(error);
             }
         }
@@ -301,14 +301,14 @@
         // The record is the last write of the transaction, so it has the transaction's revision also in
         // a store that counts each write.
         let ordered = self.engine.rollouts.view().times(self.service());
-        self.with_desk(|desk| {
-            desk.office.record_written(state, revision, sent);
-            desk.renewed = sent;
-            if desk.decider.is_none() {
+        self.with_task(|task| {
+            task.claim.record_written(state, revision, sent);
+            task.renewed = sent;
+            if task.decider.is_none() {
                 let now = Instant::now();
                 let ordered = ordered.map_or(now, |(ordered, _)| ordered);
                 let decider = RolloutDecider::new(ordered, self.order.duration, now);
-                desk.decider = Some(decider);
+                task.decider = Some(decider);
             }
         });
         if state.is_final() {
@@ -340,7 +340,7 @@
         }
         self.settle(found);
         // Whoever holds the record is heard of by then.
-        self.with_desk(|desk| desk.next_try = Instant::now() + CONFLICT_PAUSE);
+        self.with_task(|task| task.next_try = Instant::now() + CONFLICT_PAUSE);
     }
 
     /// Takes the record that was found in place of the expected one.
@@ -354,23 +354,23 @@
                 && !record.state.is_final();
             own.then_some(entry_revision(entry.mod_revision))
         });
-        let held = self.with_desk(|desk| {
-            let lease = desk.lease.filter(|lease| {
+        let held = self.with_task(|task| {
+            let lease = task.lease.filter(|lease| {
                 let found = record.map(|entry| entry.lease);
                 found == Some(*lease) || found == Some(0)
             });
             if let Some(revision) = own.filter(|_| lease.is_some()) {
                 // The own write took effect; a renewal has to show that the lease lasts.
-                let renewed = desk.renewed;
+                let renewed = task.renewed;
                 let sent = renewed.checked_sub(LEASE_TTL).unwrap_or(renewed);
-                desk.office
+                task.claim
                     .record_written(RolloutState::Active, revision, sent);
-                desk.renewed = sent;
+                task.renewed = sent;
                 return true;
             }
-            desk.office.release();
-            desk.decider = None;
-            desk.lease = None;
+            task.claim.release();
+            task.decider = None;
+            task.lease = None;
             false
         });
         if held {
@@ -395,11 +395,11 @@
 
     fn ensure_decider(&self) {
         let ordered = self.engine.rollouts.view().times(self.service());
-        self.with_desk(|desk| {
+        self.with_task(|task| {
             let now = Instant::now();
             let ordered = ordered.map_or(now, |(ordered, _)| ordered);
             let duration = self.order.duration;
-            desk.decider
+            task.decider
                 .get_or_insert_with(|| RolloutDecider::new(ordered, duration, now));
         });
     }
@@ -409,14 +409,14 @@
         let left = self.store.keep_alive(lease).await;
         self.note_call("renew", left.as_ref().err());
         let ended = left?.is_zero();
-        self.with_desk(|desk| {
-            desk.renewed = sent;
+        self.with_task(|task| {
+            task.renewed = sent;
             if ended {
-                desk.office.release();
-                desk.decider = None;
-                desk.lease = None;
+                task.claim.release();
+                task.decider = None;
+                task.lease = None;
             } else {
-                desk.office.record_renewal(sent);
+                task.claim.record_renewal(sent);
             }
         });
         if ended {
--- a/crates/apricotfold-proxy/src/rollout/keeper.rs
+++ b/crates/apricotfold-proxy/src/rollout/keeper.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use tokio::sync::watch;
 
-use super::office::DeciderDesk;
+use super::decisions::DeciderTask;
 use crate::adapters::RolloutSource;
 use crate::engine::Engine;
 use crate::telemetry;
@@ -37,7 +37,7 @@
 pub struct RolloutKeeper {
     pub(super) source: Arc<dyn RolloutSource>,
     view: Mutex<RolloutView>,
-    pub(super) desks: Mutex<HashMap<ServiceName, DeciderDesk>>,
+    pub(super) tasks: Mutex<HashMap<ServiceName, DeciderTask>>,
     /// When the orders were last listed or watched; `None` before the first listing.
     followed: Mutex<Option<Instant>>,
     /// Counter that is incremented when an order or a record changes.
@@ -52,7 +52,7 @@
         Self {
             source,
             view: Mutex::default(),
-            desks: Mutex::default(),
+            tasks: Mutex::default(),
             followed: Mutex::default(),
             changes: watch::Sender::new(0),
             session: rand::rng().random(),
@@ -208,9 +208,9 @@
         };
         let now = Instant::now();
         let held = {
-            let desks = self.desks.lock().expect("no panic while locked");
-            let desk = desks.get(service);
-            desk.is_some_and(|desk| desk.office.is_certain(now))
+            let tasks = self.tasks.lock().expect("no panic while locked");
+            let task = tasks.get(service);
+            task.is_some_and(|task| task.claim.is_certain(now))
         };
         if !held {
             self.view().remove_record(service, now);
--- a/crates/apricotfold-proxy/src/rollout/messages.rs
+++ b/crates/apricotfold-proxy/src/rollout/messages.rs
@@ -118,12 +118,12 @@
         revision: EntryRevision,
         run: impl FnOnce(&mut RolloutDecider) -> T,
     ) -> Option<T> {
-        let mut desks = self.desks.lock().expect("no panic while locked");
-        let desk = desks.get_mut(service)?;
-        if desk.revision != revision || !desk.office.is_certain(Instant::now()) {
+        let mut tasks = self.tasks.lock().expect("no panic while locked");
+        let task = tasks.get_mut(service)?;
+        if task.revision != revision || !task.claim.is_certain(Instant::now()) {
             return None;
         }
-        desk.decider.as_mut().map(run)
+        task.decider.as_mut().map(run)
     }
 
     /// Returns what the node knows of the rollout of a service.
--- a/crates/apricotfold-proxy/src/rollout/notices.rs
+++ b/crates/apricotfold-proxy/src/rollout/notices.rs
@@ -6,14 +6,14 @@
 use apricotfold_model::log_event;
 use apricotfold_policy::{RolloutGrant, RouteCounts};
 
+use super::decisions::OrderWork;
 use super::messages::{self, RolloutMessage};
-use super::office::OrderWork;
 
 impl OrderWork<'_> {
     /// Returns the counts for log lines.
     pub(super) fn describe(&self) -> String {
-        self.with_desk(|desk| {
-            let Some(decider) = &desk.decider else {
+        self.with_task(|task| {
+            let Some(decider) = &task.decider else {
                 return "no counts".to_owned();
             };
             let total = decider.total();
@@ -34,8 +34,8 @@
 
     /// Tells the nodes that have reported, without waiting for their answers.
     pub(super) fn tell_nodes(&self, message: RolloutMessage) {
-        let nodes: Vec<_> = self.with_desk(|desk| {
-            let decider = desk.decider.as_ref();
+        let nodes: Vec<_> = self.with_task(|task| {
+            let decider = task.decider.as_ref();
             decider.map_or_else(Vec::new, |decider| decider.nodes().cloned().collect())
         });
         let own = self.engine.node();
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -20,7 +20,7 @@
 use crate::peer_server::PeerHandler;
 use crate::registration::Registration;
 use crate::relay_poller::RelayPoller;
-use crate::rollout::{RolloutKeeper, run_office, run_reports};
+use crate::rollout::{RolloutKeeper, run_decisions, run_reports};
 use crate::settings_file::{SettingsReader, follow};
 use crate::status_server::{MetricsHandler, ReadyHandler};
 use crate::store_health::{follow_returns, watch_keys};
@@ -110,7 +110,7 @@
     tokio::spawn(watch_keys(engine.clone(), tables));
     let entries = InstanceWatcher::new(engine.clone(), adapters.store.clone());
     tokio::spawn(watch_keys(engine.clone(), entries));
-    tokio::spawn(run_office(engine.clone(), adapters.store.clone()));
+    tokio::spawn(run_decisions(engine.clone(), adapters.store.clone()));
     tokio::spawn(run_reports(engine.clone()));
     tokio::spawn(Registration::new(engine.clone(), adapters.store).run());
     tokio::spawn(peer_exchange::run(engine.clone()));
