--- a/crates/apricotfold-proxy/src/rollout/keeper.rs
+++ b/crates/apricotfold-proxy/src/rollout/keeper.rs
@@ -12,7 +12,7 @@
 use apricotfold_store::{Revision, StoreEntry};
 use tokio::sync::watch;
 
-use super::office::DeciderDesk;
+use super::decisions::DeciderTask;
 use crate::adapters::RolloutSource;
 use crate::engine::{Engine, random_seed};
 use crate::telemetry;
@@ -24,6 +24,9 @@
 /// learn of an order at different times.
 const WITHDRAWAL_AGE: Duration = Duration::from_secs(3);
 
+/// Time between two listings up to which an order that is new in the second one counts as old as that.
+const MAX_KNOWN_AGE: Duration = Duration::from_secs(2);
+
 /// Returns the revision of an entry as records and messages have it.
 pub(super) fn entry_revision(revision: Revision) -> EntryRevision {
     EntryRevision::try_from(revision).unwrap_or(0)
@@ -33,7 +36,9 @@
 pub struct RolloutKeeper {
     pub(super) source: Arc<dyn RolloutSource>,
     view: Mutex<RolloutView>,
-    pub(super) desks: Mutex<HashMap<ServiceName, DeciderDesk>>,
+    pub(super) tasks: Mutex<HashMap<ServiceName, DeciderTask>>,
+    /// When the orders were last listed or watched; `None` before the first listing.
+    followed: Mutex<Option<Instant>>,
     /// Counter that is incremented when an order or a record changes.
     changes: watch::Sender<u64>,
     /// Number of this process, by which deciders know that its counts begin anew.
@@ -46,7 +51,8 @@
         Self {
             source,
             view: Mutex::default(),
-            desks: Mutex::default(),
+            tasks: Mutex::default(),
+            followed: Mutex::default(),
             changes: watch::Sender::new(0),
             session: random_seed(&"rollout session"),
         }
@@ -97,11 +103,25 @@
                 .collect();
             self.view().retain_orders(&listed);
         }
+        let age = match self.mark_followed() {
+            None => OrderAge::Found,
+            Some(pause) if pause <= MAX_KNOWN_AGE => OrderAge::Known(pause),
+            // An order that was missed for long would otherwise be decided too early at all nodes.
+            Some(_) => OrderAge::Known(Duration::ZERO),
+        };
         for entry in entries {
-            self.apply_order(entry, OrderAge::Found);
+            self.apply_order(entry, age);
         }
     }
 
+    /// Records that the orders have been listed, or a batch of changes to them was delivered. Returns the
+    /// time since the last time, `None` at the first.
+    pub fn mark_followed(&self) -> Option<Duration> {
+        let mut followed = self.followed.lock().expect("no panic while locked");
+        let former = followed.replace(Instant::now());
+        former.map(|at| at.elapsed())
+    }
+
     /// Applies an order that a watch has delivered.
     pub fn apply_order_entry(&self, entry: &StoreEntry) {
         self.apply_order(entry, OrderAge::Known(Duration::ZERO));
@@ -187,9 +207,9 @@
         };
         let now = Instant::now();
         let held = {
-            let desks = self.desks.lock().expect("no panic while locked");
-            let desk = desks.get(service);
-            desk.is_some_and(|desk| desk.office.is_certain(now))
+            let tasks = self.tasks.lock().expect("no panic while locked");
+            let task = tasks.get(service);
+            task.is_some_and(|task| task.claim.is_certain(now))
         };
         if !held {
             self.view().remove_record(service, now);
