Close the gate of a bulk body for good before its request counts as not run

Change: closing the gate and learning whether it was open are one step. The checks before a body move to target_check.rs.

--- a/crates/apricotfold-proxy/src/gated_body.rs
+++ b/crates/apricotfold-proxy/src/gated_body.rs
@@ -3,29 +3,48 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::task::{Context, Poll};
 
 use futures_util::task::AtomicWaker;
 use http_body::{Body, Frame, SizeHint};
 
+/// The other proxy has not asked for the body yet.
+const WAITING: u8 = 0;
+/// The body may be sent.
+const OPEN: u8 = 1;
+/// The body will not be sent.
+const CLOSED: u8 = 2;
+
 /// Whether the other proxy has asked for the body of a request.
 #[derive(Debug, Default)]
 pub struct BodyGate {
-    open: AtomicBool,
+    state: AtomicU8,
     waker: AtomicWaker,
 }
 
 impl BodyGate {
-    /// Lets the body be sent.
+    /// Lets the body be sent unless the gate is closed.
     pub fn open(&self) {
-        self.open.store(true, Ordering::Release);
-        self.waker.wake();
+        if self.leave_waiting(OPEN) {
+            self.waker.wake();
+        }
+    }
+
+    /// Closes the gate unless it is open. Returns whether it is open; if not, none of the body has been
+    /// or will be sent.
+    pub fn close(&self) -> bool {
+        !self.leave_waiting(CLOSED) && self.state.load(Ordering::Acquire) == OPEN
+    }
+
+    fn leave_waiting(&self, state: u8) -> bool {
+        let (set, failed) = (Ordering::AcqRel, Ordering::Acquire);
+        let left = self.state.compare_exchange(WAITING, state, set, failed);
+        left.is_ok()
     }
 
-    /// Returns whether the body may be sent. If not, none of it has been.
-    pub fn is_open(&self) -> bool {
-        self.open.load(Ordering::Acquire)
+    fn is_open(&self) -> bool {
+        self.state.load(Ordering::Acquire) == OPEN
     }
 }
 
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -49,6 +49,7 @@
 mod table_cache;
 mod table_watcher;
 mod target_call;
+mod target_check;
 mod target_pacing;
 mod target_statements;
 mod telemetry;
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -204,7 +204,7 @@
         .send(address, outgoing, MAX_PEER_IDLE, context.deadline)
         .await;
     // Without its body, a request cannot have run.
-    let body_sent = gate.is_none_or(|gate| gate.is_open());
+    let body_sent = gate.is_none_or(|gate| gate.close());
     let lost = if body_sent {
         CallOutcome::MayHaveRun
     } else {
--- a/crates/apricotfold-proxy/src/peer_server.rs
+++ b/crates/apricotfold-proxy/src/peer_server.rs
@@ -28,6 +28,7 @@
 use crate::quota::{self, QUOTA_HEADER};
 use crate::rollout::{self, ROLLOUT_HEADER};
 use crate::target_call::{self, CallContext, CallRequest, TargetRefusal};
+use crate::target_check;
 
 /// Largest body of a call that is read even if this node's table allows less, because the peer may
 /// have a newer table: the largest body in the deployments.
@@ -151,7 +152,7 @@
         }
         let length = headers.get(header::CONTENT_LENGTH);
         let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
-        target_call::schedule_body(&self.engine, context, length.unwrap_or(0)).await
+        target_check::schedule_body(&self.engine, context, length.unwrap_or(0)).await
     }
 
     async fn run(
--- a/crates/apricotfold-proxy/src/target_call.rs
+++ b/crates/apricotfold-proxy/src/target_call.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{
-    CallOutcome, CallPriority, InstanceId, InstanceState, RateLimit, RefusalReason, RetrySafety,
-    ServiceName, StartTimeMillis, TargetIncarnation, TenantName, WorkClass, log_event,
+    CallOutcome, CallPriority, InstanceId, RateLimit, RefusalReason, RetrySafety, ServiceName,
+    StartTimeMillis, TargetIncarnation, TenantName, WorkClass, log_event,
 };
 use apricotfold_policy::{
     AdmissionRequest, BULK_MIN_BYTES, CallStanding, InstanceReport, NestedCapacity,
-    RequestFingerprint, RunSummary, priority_index,
+    RequestFingerprint, RunSummary,
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
@@ -28,6 +28,7 @@
 use crate::fingerprint::fingerprint;
 use crate::gated_body::GatedBody;
 use crate::hop_by_hop::strip_hop_by_hop_headers;
+use crate::target_check::check_target;
 use crate::target_pacing::{answered_end, failed_end};
 use crate::telemetry;
 
@@ -169,55 +170,6 @@
     call.run().await
 }
 
-/// Checks whether a call with a bulk body can be served before its body is asked for, and waits until
-/// this instance's link is free for the body.
-///
-/// # Errors
-///
-/// Returns why the call is refused; none of its body has been sent then.
-pub async fn schedule_body(
-    engine: &Engine,
-    context: &CallContext,
-    bytes: usize,
-) -> Result<(), RefusalReason> {
-    check_target(engine, &context.instance)?;
-    let now = Instant::now();
-    let useful = context.useful_until.min(context.deadline);
-    let left = useful.saturating_duration_since(now);
-    let service = engine.admission.expected_service_time(context.class);
-    let spare = left.saturating_sub(service);
-    let wait = engine.admission.waits().new[priority_index(context.priority)];
-    let pacer = engine.inbound_meter.pacer();
-    let admitted = wait <= spare.mul_f64(context.standing.wait_share())
-        && pacer.admits(bytes, context.standing, left, service, now);
-    if !admitted {
-        return Err(RefusalReason::Overloaded);
-    }
-    let granted = engine.inbound_meter.reserve(bytes).wait_granted();
-    tokio::time::timeout_at(useful.into(), granted)
-        .await
-        .map_err(|_| RefusalReason::Overloaded)
-}
-
-/// Checks that an instance is the one running here, and that it takes work. Returns its start time.
-fn check_target(engine: &Engine, instance: &InstanceId) -> Result<StartTimeMillis, RefusalReason> {
-    let state = {
-        let local = engine.local();
-        let settled = engine.departures.is_settled();
-        let current = local.current().filter(|_| settled);
-        let meant = current.filter(|target| target.instance == *instance);
-        meant.map(|target| (target.state, target.born))
-    };
-    match state {
-        None => Err(RefusalReason::NoLocalTarget),
-        Some((InstanceState::Ready, _)) if engine.is_target_down() => {
-            Err(RefusalReason::ConnectFailed)
-        }
-        Some((InstanceState::Ready, born)) => Ok(born),
-        Some((InstanceState::Draining | InstanceState::Gone, _)) => Err(RefusalReason::Draining),
-    }
-}
-
 struct TargetCall<'a> {
     engine: &'a Arc<Engine>,
     context: &'a CallContext,
