Review case 6: orders run twice after a short silence of the store

Claim: after the store gave nobody a response for 1 s, no node hears of later versions, and orders of a new unsafe route are hedged and run twice (TWICE). Drops the one on LOST, which review/4 already shows.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Clients send safe requests ahead on their connections and read no answers.
+# The store gives nobody a response for a second while the configuration changes; orders run twice later.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
 # disruption out. Needs the build of deploy/system.toml and review/build-2.sh.
 set -uo pipefail
@@ -7,7 +7,7 @@
 for program in target/release/apricotfold-proxy target/review-2/harness; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-timeout -s INT 118 target/review-2/harness unread-answers review/6/record.txt
+timeout -s INT 118 target/review-2/harness lost-versions review/6/record.txt
 code=$?
 case $code in
     0 | 1) exit $code ;;
--- a/review/support-2/changed_settings.rs
+++ b/review/support-2/changed_settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::mesh::{GUIDES, PAGES, Mesh, ask, guide_plan, page_plan};
+use crate::mesh::{GUIDES, Mesh, PAGES, ask, guide_plan, page_plan};
 use crate::node::Site;
 use crate::record::Record;
 
@@ -18,7 +18,9 @@
     let plans = vec![pages.clone(), pages, guides.clone(), guides];
     let mesh = Mesh::start(plans, &Site::default(), record)?;
     let grace = if trouble { "5.5" } else { "5" };
-    record.tell(&format!("the settings change: grace_s={grace}; three of four processes get SIGHUP"));
+    record.tell(&format!(
+        "the settings change: grace_s={grace}; three of four processes get SIGHUP"
+    ));
     for (index, node) in mesh.nodes.iter().enumerate() {
         node.change("{{bounds.grace_s}}", grace);
         node.write_settings();
@@ -49,7 +51,10 @@
                     break;
                 }
                 Some(status) => {
-                    record.tell(&format!("{} start {attempt} ended at once: {status}", node.name));
+                    record.tell(&format!(
+                        "{} start {attempt} ended at once: {status}",
+                        node.name
+                    ));
                     node.kill();
                 }
             }
@@ -61,6 +66,9 @@
             record.tell(&format!("{id} at {}: {status}", mesh.nodes[3].name));
         }
     }
-    record.tell(&format!("{not_started} of {} programs do not start", mesh.nodes.len()));
+    record.tell(&format!(
+        "{not_started} of {} programs do not start",
+        mesh.nodes.len()
+    ));
     Ok(not_started > 0)
 }
--- a/review/support-2/foreign_beats.rs
+++ b/review/support-2/foreign_beats.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Verdict;
-use crate::mesh::{GUIDES, PAGES, Mesh, ask, guide_plan, page_plan};
+use crate::mesh::{GUIDES, Mesh, PAGES, ask, guide_plan, page_plan};
 use crate::node::Site;
 use crate::record::Record;
 use crate::upstream::beat;
@@ -50,7 +50,10 @@
                 let id = format!("request-{sent}");
                 let status = ask(node, route, &id).map_or(0, |answer| answer.status());
                 let seconds = started.elapsed().as_secs();
-                record.note(&format!("{id} {route} at {} in second {seconds}: {status}", node.name));
+                record.note(&format!(
+                    "{id} {route} at {} in second {seconds}: {status}",
+                    node.name
+                ));
                 *statuses.entry(status).or_insert(0) += 1;
                 served += u32::from(status == 200);
             }
@@ -61,6 +64,8 @@
     for writer in writers {
         let _ = writer.join();
     }
-    record.tell(&format!("{sent} requests sent, {served} served, by status {statuses:?}"));
+    record.tell(&format!(
+        "{sent} requests sent, {served} served, by status {statuses:?}"
+    ));
     Ok(served == 0)
 }
--- a/review/support-2/http.rs
+++ b/review/support-2/http.rs
@@ -31,10 +31,6 @@
         let status = self.line.split(' ').nth(1);
         status.and_then(|status| status.parse().ok()).unwrap_or(0)
     }
-
-    pub fn closes(&self) -> bool {
-        self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
-    }
 }
 
 /// A connection with its read buffer.
@@ -47,7 +43,11 @@
 impl Wire {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new(), start: 0 }
+        Self {
+            stream,
+            buffer: Vec::new(),
+            start: 0,
+        }
     }
 
     pub fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
@@ -99,7 +99,10 @@
 
     /// Reads a whole message. An error means that the connection ended first, or that the read timed out.
     pub fn read(&mut self) -> io::Result<Message> {
-        let mut message = Message { line: self.line()?, ..Message::default() };
+        let mut message = Message {
+            line: self.line()?,
+            ..Message::default()
+        };
         if message.line.is_empty() {
             message.line = self.line()?;
         }
@@ -108,10 +111,14 @@
             let Some((name, value)) = line.split_once(':') else {
                 break;
             };
-            message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
         let chunked = message.header("transfer-encoding").is_some();
-        let length = message.header("content-length").and_then(|text| text.parse().ok());
+        let length = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok());
         if chunked {
             loop {
                 let line = self.line()?;
--- a/review/support-2/json.rs
+++ b/review/support-2/json.rs
@@ -15,7 +15,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.skip_space();
         (reader.at == reader.bytes.len()).then_some(value)
@@ -80,7 +83,9 @@
     }
 
     fn take(&mut self, word: &str) -> Option<()> {
-        self.bytes[self.at..].starts_with(word.as_bytes()).then(|| self.at += word.len())
+        self.bytes[self.at..]
+            .starts_with(word.as_bytes())
+            .then(|| self.at += word.len())
     }
 
     fn value(&mut self) -> Option<Json> {
@@ -98,7 +103,11 @@
 
     fn number(&mut self) -> Option<Json> {
         let start = self.at;
-        while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+        {
             self.at += 1;
         }
         let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
--- a/review/support-2/main.rs
+++ b/review/support-2/main.rs
@@ -13,7 +13,7 @@
 
 mod changed_settings;
 mod foreign_beats;
-mod lost_pipeline;
+mod lost_versions;
 mod many_slashes;
 mod unread_answers;
 
@@ -31,15 +31,14 @@
         eprintln!("usage: harness CASE RECORD");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").is_ok_and(|value| value == "0");
-    let trouble = !trouble;
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Arc::new(Record::create(path));
     record.tell(&format!("case {case}, disruption {trouble}"));
     let verdict = match case.as_str() {
         "unread-answers" => unread_answers::run(&record, trouble),
         "foreign-beats" => foreign_beats::run(&record, trouble),
-        "lost-pipeline" => lost_pipeline::run(&record, trouble),
         "changed-settings" => changed_settings::run(&record, trouble),
+        "lost-versions" => lost_versions::run(&record, trouble),
         "many-slashes" => many_slashes::run(&record, trouble),
         _ => Err("no such case".to_owned()),
     };
--- a/review/support-2/many_slashes.rs
+++ b/review/support-2/many_slashes.rs
@@ -39,11 +39,12 @@
         sent += 1;
         let id = format!("ordinary-{sent}");
         let begun = Instant::now();
-        let answer = Wire::connect(mesh.nodes[0].outbound, Duration::from_secs(1)).and_then(|mut wire| {
-            wire.send(request(PAGES, &id).as_bytes())?;
-            wire.wait_at_most(TIMEOUT + GRACE);
-            wire.read()
-        });
+        let answer =
+            Wire::connect(mesh.nodes[0].outbound, Duration::from_secs(1)).and_then(|mut wire| {
+                wire.send(request(PAGES, &id).as_bytes())?;
+                wire.wait_at_most(TIMEOUT + GRACE);
+                wire.read()
+            });
         let took = begun.elapsed();
         let status = answer.map_or(0, |answer| answer.status());
         record.note(&format!("{id}: {status} after {took:?}"));
@@ -93,7 +94,10 @@
         wire.wait_at_most(Duration::from_secs(10));
         let begun = Instant::now();
         let answers = (0..AHEAD).take_while(|_| wire.read().is_ok()).count();
-        record.note(&format!("client {number}-{round}: {answers} answers after {:?}", begun.elapsed()));
+        record.note(&format!(
+            "client {number}-{round}: {answers} answers after {:?}",
+            begun.elapsed()
+        ));
         std::thread::sleep(Duration::from_millis(200));
     }
 }
--- a/review/support-2/mesh.rs
+++ b/review/support-2/mesh.rs
@@ -18,15 +18,25 @@
 pub const GUIDES: &str = "/guias/";
 
 pub struct Mesh {
-    _store: Store,
-    pub upstreams: Vec<Arc<Upstream>>,
+    pub store: Store,
     pub nodes: Vec<Arc<Node>>,
     folder: PathBuf,
 }
 
-fn document() -> String {
+/// Route of orders, whose prefix lies below that of the pages.
+pub const ORDERS: &str = "/lotes/reserva/";
+
+/// Text of a configuration, with or without the route of the orders and a third route.
+pub fn document(version: u32, orders_wanted: bool, third: bool) -> String {
+    let further = |present: bool, row: String| if present { row } else { String::new() };
+    let orders = format!(r#",["r-orders","{HOST}","{ORDERS}","unsafe",1200,500,1,2,"precios"]"#);
+    let orders = further(orders_wanted, orders);
+    let third = further(
+        third,
+        format!(r#",["r-third","{HOST}","/ferias/","safe",1000,400,2,2,"precios"]"#),
+    );
     format!(
-        r#"{{"version":"00000007","routes":{{"columns":["name","host","prefix","kind","timeout_ms","target_latency_ms","priority","max_attempts","service"],"rows":[["r-pages","{HOST}","{PAGES}","safe",1000,400,2,2,"precios"],["r-guides","{HOST}","{GUIDES}","download",1000,400,2,2,"despacho"]]}},"services":{{"columns":["name","health_check_path","max_connections","protocol","tls"],"rows":[["precios","/health",120,"h1",false],["despacho","/health",120,"h1",false]]}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":"{version:08x}","routes":{{"columns":["name","host","prefix","kind","timeout_ms","target_latency_ms","priority","max_attempts","service"],"rows":[["r-pages","{HOST}","{PAGES}","safe",1000,400,2,2,"precios"],["r-guides","{HOST}","{GUIDES}","download",1000,400,2,2,"despacho"]{orders}{third}]}},"services":{{"columns":["name","health_check_path","max_connections","protocol","tls"],"rows":[["precios","/health",120,"h1",false],["despacho","/health",120,"h1",false]]}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
 
@@ -37,8 +47,8 @@
         slots: 9,
         queue: 48,
         work: Duration::from_millis(76),
+        tail: 0.0,
         answer_bytes: 400,
-        break_off: (0.0, 0),
     }
 }
 
@@ -61,12 +71,16 @@
         let net = std::process::id() % 60_000;
         let net = format!("127.{}.{}", 16 + net / 250 % 200, net % 250);
         let store = Store::start(&format!("{net}.1"));
-        store.write("op/config", &document());
+        store.write("op/config", &document(7, false, false));
         let mut upstreams = Vec::new();
         let mut nodes = Vec::new();
         for (index, plan) in plans.into_iter().enumerate() {
             let ip = format!("{net}.{}", index + 11);
-            let zone = if index % 2 == 0 { "stgo-norte" } else { "stgo-sur" };
+            let zone = if index % 2 == 0 {
+                "stgo-norte"
+            } else {
+                "stgo-sur"
+            };
             let id = format!("i-{}-{}", plan.service, index + 1);
             let upstream = Upstream::start(&ip, &id, plan, record);
             let node = Node::new(&ip, zone, &upstream, store.address, site, &folder, record);
@@ -80,7 +94,11 @@
             }
             upstream.announce(node.control);
         }
-        let mesh = Self { _store: store, upstreams, nodes, folder };
+        let mesh = Self {
+            store,
+            nodes,
+            folder,
+        };
         for node in &mesh.nodes {
             for route in [PAGES, GUIDES] {
                 mesh.wait_served(node, route)?;
@@ -121,6 +139,14 @@
     )
 }
 
+/// Text of an order, with a body of its own.
+pub fn order(id: &str) -> String {
+    format!(
+        "POST {ORDERS}{id} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 1200\r\nContent-Length: {}\r\n\r\n{id}",
+        id.len()
+    )
+}
+
 /// Sends one request on a connection of its own and waits up to two seconds for the answer.
 pub fn ask(node: &Node, route: &str, id: &str) -> std::io::Result<Message> {
     let mut wire = Wire::connect(node.outbound, Duration::from_secs(1))?;
--- a/review/support-2/node.rs
+++ b/review/support-2/node.rs
@@ -26,7 +26,11 @@
 
 impl Default for Site {
     fn default() -> Self {
-        Self { memory_mb: 110, grace_s: "6".to_owned(), retry_slack: "60".to_owned() }
+        Self {
+            memory_mb: 110,
+            grace_s: "6".to_owned(),
+            retry_slack: "60".to_owned(),
+        }
     }
 }
 
@@ -54,10 +58,13 @@
         record: &Arc<Record>,
     ) -> Arc<Self> {
         let name = format!("sidecar-{zone}-{}", ip.rsplit('.').next().unwrap_or("0"));
-        let ports: Vec<TcpListener> =
-            (0..4).map(|_| TcpListener::bind((ip, 0)).expect("a free port")).collect();
-        let ports: Vec<SocketAddr> =
-            ports.iter().map(|port| port.local_addr().expect("an address")).collect();
+        let ports: Vec<TcpListener> = (0..4)
+            .map(|_| TcpListener::bind((ip, 0)).expect("a free port"))
+            .collect();
+        let ports: Vec<SocketAddr> = ports
+            .iter()
+            .map(|port| port.local_addr().expect("an address"))
+            .collect();
         let text = |value: &str| quote(value);
         let settings = vec![
             ("{{node_name|json}}", text(&name)),
@@ -67,10 +74,22 @@
                 "{{zones|json}}",
                 r#"{"stgo-norte":"santiago","stgo-sur":"santiago"}"#.to_owned(),
             ),
-            ("{{listen_addresses.outbound|json}}", text(&ports[0].to_string())),
-            ("{{listen_addresses.inbound|json}}", text(&ports[1].to_string())),
-            ("{{listen_addresses.control|json}}", text(&ports[2].to_string())),
-            ("{{listen_addresses.ready|json}}", text(&ports[3].to_string())),
+            (
+                "{{listen_addresses.outbound|json}}",
+                text(&ports[0].to_string()),
+            ),
+            (
+                "{{listen_addresses.inbound|json}}",
+                text(&ports[1].to_string()),
+            ),
+            (
+                "{{listen_addresses.control|json}}",
+                text(&ports[2].to_string()),
+            ),
+            (
+                "{{listen_addresses.ready|json}}",
+                text(&ports[3].to_string()),
+            ),
             ("{{ip}}", ip.to_owned()),
             ("{{app_address|json}}", text(&upstream.address.to_string())),
             ("{{service|json}}", text(&upstream.plan.service)),
@@ -111,7 +130,10 @@
     pub fn signal(&self, name: &str) {
         if let Some(child) = self.child.lock().unwrap().as_ref() {
             let mut command = Command::new("kill");
-            let _ = command.arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let _ = command
+                .arg(format!("-{name}"))
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
@@ -130,7 +152,10 @@
     pub fn start(&self) {
         let path = self.write_settings();
         let log = self.folder.join(format!("{}.log", self.name));
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(log);
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log);
         let mut command = Command::new(COMMAND);
         command.env_clear().env("APRICOTFOLD_CONFIG", path);
         for name in ["PATH", "HOME", "LANG"] {
@@ -142,7 +167,8 @@
         command.stdout(log.expect("a log file"));
         let child = command.spawn().expect("the program starts");
         // `run.sh` ends what is left if the case is cut short.
-        self.record.note(&format!("{} started, pid {}", self.name, child.id()));
+        self.record
+            .note(&format!("{} started, pid {}", self.name, child.id()));
         self.record.flush();
         *self.child.lock().unwrap() = Some(child);
     }
@@ -152,7 +178,8 @@
             "GET /ready HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
             self.ready
         );
-        call(self.ready, &request, Duration::from_secs(1)).is_ok_and(|answer| answer.status() == 200)
+        call(self.ready, &request, Duration::from_secs(1))
+            .is_ok_and(|answer| answer.status() == 200)
     }
 
     pub fn wait_ready(&self, limit: Duration) -> bool {
--- a/review/support-2/record.rs
+++ b/review/support-2/record.rs
@@ -55,14 +55,20 @@
             ended: None,
             answered: false,
         };
-        self.runs.lock().unwrap().entry(id.to_owned()).or_default().push(run);
+        self.runs
+            .lock()
+            .unwrap()
+            .entry(id.to_owned())
+            .or_default()
+            .push(run);
     }
 
     pub fn end_run(&self, id: &str, instance: &str, answered: bool, how: &str) {
         self.note(&format!("run ends {id} at {instance}: {how}"));
         let mut runs = self.runs.lock().unwrap();
         let known = runs.get_mut(id).and_then(|runs| {
-            runs.iter_mut().find(|run| run.instance == instance && run.ended.is_none())
+            runs.iter_mut()
+                .find(|run| run.instance == instance && run.ended.is_none())
         });
         if let Some(run) = known {
             run.ended = Some(self.now());
@@ -71,7 +77,19 @@
     }
 
     pub fn runs(&self, id: &str) -> Vec<Run> {
-        self.runs.lock().unwrap().get(id).cloned().unwrap_or_default()
+        self.runs
+            .lock()
+            .unwrap()
+            .get(id)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Ids that upstreams began to run more than once.
+    pub fn repeated(&self) -> Vec<String> {
+        let runs = self.runs.lock().unwrap();
+        let repeated = runs.iter().filter(|(_, runs)| runs.len() > 1);
+        repeated.map(|(id, _)| id.clone()).collect()
     }
 
     pub fn flush(&self) {
--- a/review/support-2/store.rs
+++ b/review/support-2/store.rs
@@ -24,14 +24,27 @@
     history: Vec<(i64, String, String)>,
     leases: HashMap<i64, (Instant, Duration)>,
     next_lease: i64,
+    /// When the store gives no response.
+    silent: Option<(Instant, Instant)>,
+    /// Latest renewal of each lease.
+    renewals: HashMap<i64, Instant>,
 }
 
 impl State {
     fn put(&mut self, key: &str, value: &str, lease: i64) {
         self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
-        let item = Item { value: value.to_owned(), revision: self.revision, created, lease };
-        self.history.push((self.revision, key.to_owned(), write_item(key, &item)));
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = Item {
+            value: value.to_owned(),
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.history
+            .push((self.revision, key.to_owned(), write_item(key, &item)));
         self.items.insert(key.to_owned(), item);
     }
 
@@ -48,7 +61,8 @@
     }
 
     fn expire(&mut self) {
-        self.leases.retain(|_, (renewed, ttl)| renewed.elapsed() < *ttl);
+        self.leases
+            .retain(|_, (renewed, ttl)| renewed.elapsed() < *ttl);
         let ended: Vec<String> = self
             .items
             .iter()
@@ -115,11 +129,37 @@
         self.state.1.notify_all();
     }
 
+    /// Gives no response from `start` on for `length`. What is asked meanwhile is done all the same.
+    pub fn fall_silent(&self, start: Instant, length: Duration) {
+        self.state.0.lock().unwrap().silent = Some((start, start + length));
+    }
+
+    /// Returns the latest renewals of all leases that last.
+    pub fn renewals(&self) -> Vec<Instant> {
+        let state = self.state.0.lock().unwrap();
+        let renewals = state.renewals.iter();
+        let lasting = renewals.filter(|(lease, _)| state.leases.contains_key(lease));
+        lasting.map(|(_, renewed)| *renewed).collect()
+    }
+
+    fn is_silent(&self) -> bool {
+        let state = self.state.0.lock().unwrap();
+        let now = Instant::now();
+        state
+            .silent
+            .is_some_and(|(start, end)| start <= now && now < end)
+    }
+
     fn serve(&self, mut wire: Wire) {
         while let Ok(request) = wire.read() {
             let (status, body) = self.answer(&request);
             // Answers take 4 ms, as the deployments state.
             std::thread::sleep(Duration::from_millis(4));
+            if self.is_silent() {
+                // A connection on which a response is lost returns nothing further.
+                while wire.read().is_ok() {}
+                return;
+            }
             let head = format!(
                 "HTTP/1.1 {status} -\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 body.len()
@@ -155,12 +195,17 @@
                 let after = query.get("after").cloned().unwrap_or_default();
                 let found = state.items.iter();
                 let found = found.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-                let found: Vec<String> =
-                    found.take(501).map(|(key, item)| write_item(key, item)).collect();
+                let found: Vec<String> = found
+                    .take(501)
+                    .map(|(key, item)| write_item(key, item))
+                    .collect();
                 let more = found.len() > 500;
                 let items = found[..found.len().min(500)].join(",");
                 let at = state.revision;
-                (200, format!("{{\"items\":[{items}],\"has_more\":{more},\"at\":{at}}}"))
+                (
+                    200,
+                    format!("{{\"items\":[{items}],\"has_more\":{more},\"at\":{at}}}"),
+                )
             }
             ("GET", "/kv-watch") => {
                 let prefix = query.get("prefix").cloned().unwrap_or_default();
@@ -198,6 +243,7 @@
             }
             ("POST", path) if path.starts_with("/kv-keep/") => {
                 let lease = path["/kv-keep/".len()..].parse().unwrap_or(0);
+                state.renewals.insert(lease, Instant::now());
                 match state.leases.get_mut(&lease) {
                     Some((renewed, ttl)) => {
                         *renewed = Instant::now();
@@ -238,11 +284,17 @@
     let puts = body.get("puts").list();
     let keys = puts.iter().chain(body.get("deletes").list());
     let closed = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
-    if keys.into_iter().any(|entry| closed(entry.get("key").text()) || closed(entry.text())) {
+    if keys
+        .into_iter()
+        .any(|entry| closed(entry.get("key").text()) || closed(entry.text()))
+    {
         return (403, "{}".to_owned());
     }
     let lacks_lease = |lease: i64| lease != 0 && !state.leases.contains_key(&lease);
-    if puts.iter().any(|put| lacks_lease(put.get("lease").number())) {
+    if puts
+        .iter()
+        .any(|put| lacks_lease(put.get("lease").number()))
+    {
         return (404, "{}".to_owned());
     }
     for put in puts {
@@ -257,7 +309,9 @@
 
 fn read_query(query: &str) -> HashMap<String, String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(key, value)| (key.to_owned(), decode_percent(value))).collect()
+    pairs
+        .map(|(key, value)| (key.to_owned(), decode_percent(value)))
+        .collect()
 }
 
 fn decode_percent(text: &str) -> String {
@@ -265,7 +319,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let code = bytes.get(at + 1..at + 3).and_then(|hex| std::str::from_utf8(hex).ok());
+        let code = bytes
+            .get(at + 1..at + 3)
+            .and_then(|hex| std::str::from_utf8(hex).ok());
         let code = code.and_then(|hex| u8::from_str_radix(hex, 16).ok());
         match (bytes[at], code) {
             (b'%', Some(code)) => {
@@ -286,7 +342,11 @@
     const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for piece in bytes.chunks(3) {
-        let three = [piece[0], *piece.get(1).unwrap_or(&0), *piece.get(2).unwrap_or(&0)];
+        let three = [
+            piece[0],
+            *piece.get(1).unwrap_or(&0),
+            *piece.get(2).unwrap_or(&0),
+        ];
         let bits = u32::from(three[0]) << 16 | u32::from(three[1]) << 8 | u32::from(three[2]);
         for index in 0..4 {
             if index <= piece.len() {
--- a/review/support-2/unread_answers.rs
+++ b/review/support-2/unread_answers.rs
@@ -6,7 +6,7 @@
 
 use crate::Verdict;
 use crate::http::Wire;
-use crate::mesh::{GUIDES, PAGES, Mesh, ask, guide_plan, page_plan, request};
+use crate::mesh::{GUIDES, Mesh, PAGES, ask, guide_plan, page_plan, request};
 use crate::node::{Node, Site};
 use crate::record::Record;
 
@@ -34,7 +34,9 @@
     let mut platform = Vec::new();
     for (node, ends) in mesh.nodes.iter().zip(&ends) {
         let watched = (node.clone(), ends.clone(), over.clone(), record.clone());
-        platform.push(std::thread::spawn(move || watch_memory(watched, site.memory_mb)));
+        platform.push(std::thread::spawn(move || {
+            watch_memory(watched, site.memory_mb)
+        }));
     }
     let counts: Arc<Mutex<(u64, u64)>> = Arc::default();
     let started = Instant::now();
@@ -44,14 +46,19 @@
         for node in &mesh.nodes[..MACHINES] {
             number += 1;
             let client = (node.clone(), record.clone(), over.clone(), counts.clone());
-            clients.push(std::thread::spawn(move || send_ahead(client, number, trouble)));
+            clients.push(std::thread::spawn(move || {
+                send_ahead(client, number, trouble)
+            }));
         }
         let id = format!("ordinary-{number}");
         let status = ask(&mesh.nodes[0], PAGES, &id).map_or(0, |answer| answer.status());
         record.note(&format!("{id} at {}: {status}", mesh.nodes[0].name));
         let pause = INTERVAL * (number as u32 / MACHINES as u32);
         std::thread::sleep(pause.saturating_sub(started.elapsed()));
-        let worst = ends.iter().filter(|ends| ends.load(Ordering::Relaxed) >= ENDS).count();
+        let worst = ends
+            .iter()
+            .filter(|ends| ends.load(Ordering::Relaxed) >= ENDS)
+            .count();
         if worst >= MACHINES {
             break;
         }
@@ -61,11 +68,16 @@
         let _ = thread.join();
     }
     let (sent, answered) = *counts.lock().unwrap();
-    record.tell(&format!("{sent} requests sent ahead, {answered} answers read by their clients"));
+    record.tell(&format!(
+        "{sent} requests sent ahead, {answered} answers read by their clients"
+    ));
     let mut worst = 0;
     for (node, ends) in mesh.nodes.iter().zip(&ends) {
         let ends = ends.load(Ordering::Relaxed);
-        record.tell(&format!("{}: {ends} ends for memory above {} MiB", node.name, site.memory_mb));
+        record.tell(&format!(
+            "{}: {ends} ends for memory above {} MiB",
+            node.name, site.memory_mb
+        ));
         worst += usize::from(ends >= ENDS);
     }
     Ok(worst >= MACHINES)
@@ -90,7 +102,10 @@
     if wire.send(text.as_bytes()).is_err() {
         return;
     }
-    record.note(&format!("client {number} sends {AHEAD} requests ahead to {}", node.name));
+    record.note(&format!(
+        "client {number} sends {AHEAD} requests ahead to {}",
+        node.name
+    ));
     counts.lock().unwrap().0 += AHEAD as u64;
     let end = Instant::now() + STAY;
     while trouble && Instant::now() < end && !over.load(Ordering::Relaxed) {
@@ -131,5 +146,8 @@
         }
         std::thread::sleep(Duration::from_millis(20));
     }
-    record.tell(&format!("{}: at most {peak} MiB since its last start", node.name));
+    record.tell(&format!(
+        "{}: at most {peak} MiB since its last start",
+        node.name
+    ));
 }
--- a/review/support-2/upstream.rs
+++ b/review/support-2/upstream.rs
@@ -1,7 +1,6 @@
 //! Stand-in for an application upstream, after PROTOCOL.md.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,11 +13,10 @@
     pub service: String,
     pub slots: u32,
     pub queue: u32,
-    /// Time that the work on a request takes.
+    /// Time that the work on a request takes, and the share of the requests that take seven times as long.
     pub work: Duration,
+    pub tail: f64,
     pub answer_bytes: usize,
-    /// Share of the answers that break off, and the number of body bytes before that.
-    pub break_off: (f64, usize),
 }
 
 #[derive(Default)]
@@ -36,9 +34,6 @@
     random: Mutex<Random>,
     record: Arc<Record>,
     born: u128,
-    /// Whether answers break off.
-    pub spoils: AtomicBool,
-    pub spoilt: AtomicU64,
 }
 
 impl Upstream {
@@ -51,11 +46,11 @@
             plan,
             load: Mutex::default(),
             free: Condvar::new(),
-            random: Mutex::new(Random::new(id.len() as u64 + u64::from(id.as_bytes()[id.len() - 1]))),
+            random: Mutex::new(Random::new(
+                id.len() as u64 + u64::from(id.as_bytes()[id.len() - 1]),
+            )),
             record: record.clone(),
             born: born.map_or(0, |time| time.as_millis()),
-            spoils: AtomicBool::new(false),
-            spoilt: AtomicU64::new(0),
         });
         let serving = upstream.clone();
         std::thread::spawn(move || {
@@ -77,7 +72,10 @@
                     upstream.address, upstream.born, upstream.plan.service, upstream.plan.slots
                 );
                 let answer = beat(control, &upstream.id, &body);
-                upstream.record.note(&format!("heartbeat {} number {number}: {answer}", upstream.id));
+                upstream.record.note(&format!(
+                    "heartbeat {} number {number}: {answer}",
+                    upstream.id
+                ));
                 std::thread::sleep(Duration::from_millis(1_500));
             }
         });
@@ -109,24 +107,34 @@
         let id = request.header("x-request-id");
         let (_, path) = request.target();
         if path == "/health" {
-            return wire.send((self.head("200 OK", None, 0) + "\r\n").as_bytes()).ok();
+            return wire
+                .send((self.head("200 OK", None, 0) + "\r\n").as_bytes())
+                .ok();
         }
         let Some(id) = id else {
             let head = self.head("400 Bad Request", None, 0) + "X-Not-Executed: 1\r\n\r\n";
             return wire.send(head.as_bytes()).ok();
         };
-        if request.header("x-expected-instance").is_some_and(|expected| expected != self.id) {
+        if request
+            .header("x-expected-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             let head = self.head("421 Misdirected Request", Some(id), 0) + "\r\n";
             return wire.send(head.as_bytes()).ok();
         }
-        let left = request.header("x-deadline-ms").and_then(|text| text.parse().ok());
+        let left = request
+            .header("x-deadline-ms")
+            .and_then(|text| text.parse().ok());
         let deadline = Instant::now() + Duration::from_millis(left.unwrap_or(10_000));
         if !self.take_slot(wire, deadline)? {
-            let head = self.head("503 Service Unavailable", Some(id), 0) + "X-Not-Executed: 1\r\n\r\n";
+            let head =
+                self.head("503 Service Unavailable", Some(id), 0) + "X-Not-Executed: 1\r\n\r\n";
             return wire.send(head.as_bytes()).ok();
         }
         self.record.begin_run(id, &self.id);
-        let done = run(wire, self.plan.work, deadline);
+        let long = self.random.lock().unwrap().share() < self.plan.tail;
+        let work = self.plan.work * if long { 7 } else { 1 };
+        let done = run(wire, work, deadline);
         let sent = done.and_then(|in_time| self.send_answer(wire, id, in_time));
         let mut load = self.load.lock().unwrap();
         load.running -= 1;
@@ -134,7 +142,7 @@
         self.free.notify_one();
         let how = match (done, sent) {
             (None, _) => "dropped, its connection closed",
-            (_, None) => "the answer was not taken or broke off",
+            (_, None) => "the answer was not taken",
             (Some(true), _) => "answered",
             (Some(false), _) => "504 at its deadline",
         };
@@ -150,7 +158,11 @@
         }
         load.waiting += 1;
         while load.running >= self.plan.slots {
-            load = self.free.wait_timeout(load, Duration::from_millis(20)).unwrap().0;
+            load = self
+                .free
+                .wait_timeout(load, Duration::from_millis(20))
+                .unwrap()
+                .0;
             if wire.is_closed() {
                 load.waiting -= 1;
                 return None;
@@ -167,7 +179,8 @@
 
     fn send_answer(&self, wire: &mut Wire, id: &str, in_time: bool) -> Option<()> {
         if !in_time {
-            let head = self.head("504 Gateway Timeout", Some(id), 0) + "X-Server-Signature: s\r\n\r\n";
+            let head =
+                self.head("504 Gateway Timeout", Some(id), 0) + "X-Server-Signature: s\r\n\r\n";
             return wire.send(head.as_bytes()).ok();
         }
         let size = self.plan.answer_bytes;
@@ -175,15 +188,6 @@
             + &format!("X-Server-Signature: {}.{id}\r\n\r\n", self.id);
         let mut bytes = head.into_bytes();
         bytes.resize(bytes.len() + size, b'x');
-        let (share, before) = self.plan.break_off;
-        let spoils = self.spoils.load(Ordering::Relaxed)
-            && self.random.lock().unwrap().share() < share;
-        if spoils {
-            self.spoilt.fetch_add(1, Ordering::Relaxed);
-            self.record.note(&format!("answer to {id} breaks off after {before} bytes"));
-            let _ = wire.send(&bytes[..bytes.len() - size + before]);
-            return None;
-        }
         wire.send(&bytes).ok()
     }
 }
