Notice answers to watches that all nodes have lost

Cause: the audit of watches compares nodes with each other, and what all of them have lost is new to none. A watch whose answer is lost stays open for 21.5 s.

Change: one node of each region waits 1.5 s for its table and 3 s for entries instead of 20 s, and an answer that has not begun 0.6 s later is lost. The other nodes that follow the store ask it every 0.7 s, instead of a random one, and open their watches anew after each loss. Nodes that cannot reach it take a follower of their own data centre, or monitor for themselves. Weighted calls a minute: 6 a follower as before, 60 the monitor.

--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -373,7 +373,7 @@
     }
 
     /// Returns all records, to be sent to a peer.
-    pub fn records(&self) -> impl Iterator<Item = &InstanceRecord> {
+    pub fn records(&self) -> impl Iterator<Item = &InstanceRecord> + Clone {
         self.known.values().map(|known| &known.record)
     }
 
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -65,6 +65,7 @@
 mod unanswered_runs;
 mod waiting;
 mod watch_audit;
+mod watch_monitor;
 mod window_count;
 
 pub use admission::{AdmissionEvents, AdmissionId, AdmissionLimits, AdmissionQueue};
@@ -108,7 +109,8 @@
 };
 pub use rate_gate::RateGate;
 pub use relay_choice::{
-    FollowRole, RelayNodes, RemoteRelays, choose_followers, choose_remote_relays, choose_role,
+    FollowRole, FollowerNodes, RelayNodes, RemoteRelays, choose_followers, choose_monitors,
+    choose_remote_relays, choose_role,
 };
 pub use request_intake::{IntakePhase, RequestIntake};
 pub use retry_after::{RetryDetector, advise_retry_after};
@@ -125,3 +127,4 @@
 pub use traffic_split::TrafficSplit;
 pub use unanswered_runs::{SentNumber, UnansweredRuns};
 pub use watch_audit::{EntryRevision, WatchAudit, WatchDoubt, WatchProgress};
+pub use watch_monitor::{MonitorChoice, MonitorRole};
--- a/crates/apricotfold-policy/src/relay_choice.rs
+++ b/crates/apricotfold-policy/src/relay_choice.rs
@@ -22,6 +22,9 @@
 /// Relays that a node polls for changes.
 pub type RelayNodes = SmallVec<[NodeId; RELAY_COUNT]>;
 
+/// Nodes that follow the store themselves.
+pub type FollowerNodes = SmallVec<[NodeId; MAX_DIRECT_NODES]>;
+
 /// Relays of other data centres.
 pub type RemoteRelays = SmallVec<[NodeId; 8]>;
 
@@ -71,15 +74,42 @@
 /// Determines the nodes that follow the store themselves, as far as roles alone tell. A node compares
 /// what its watches have delivered with what theirs have.
 pub fn choose_followers<'a>(records: impl Iterator<Item = &'a InstanceRecord>) -> RemoteRelays {
-    by_data_centre(records)
-        .flat_map(|mut candidates| {
-            if candidates.len() > MAX_DIRECT_NODES {
-                candidates.truncate(RELAY_COUNT);
-            }
-            candidates
-        })
-        .map(|record| record.node.clone())
-        .collect()
+    by_data_centre(records).flat_map(follower_nodes).collect()
+}
+
+/// Determines the nodes that can monitor the watches of a data centre, in the order in which they are
+/// asked: the best of its region, so that few nodes pay for it, then the followers of the data centre,
+/// which may be cut off from the rest of the region.
+pub fn choose_monitors<'a>(
+    data_centre: &DataCentreName,
+    in_region: impl Fn(&DataCentreName) -> bool,
+    records: impl Iterator<Item = &'a InstanceRecord> + Clone,
+) -> FollowerNodes {
+    let regional = records
+        .clone()
+        .filter(|record| in_region(&record.data_centre));
+    let best = regional
+        .filter(|record| record.state == InstanceState::Ready)
+        .min_by_key(|record| relay_order(record));
+    let local = records.filter(|record| record.data_centre == *data_centre);
+    let mut monitors = follower_nodes(ranked_candidates(local));
+    if let Some(best) = best.map(|record| &record.node)
+        && monitors.first() != Some(best)
+    {
+        monitors.insert(0, best.clone());
+    }
+    monitors
+}
+
+/// Returns those of the candidates of a data centre that follow the store themselves.
+fn follower_nodes(candidates: Vec<&InstanceRecord>) -> FollowerNodes {
+    let count = if candidates.len() > MAX_DIRECT_NODES {
+        RELAY_COUNT
+    } else {
+        MAX_DIRECT_NODES
+    };
+    let followers = candidates.into_iter().take(count);
+    followers.map(|record| record.node.clone()).collect()
 }
 
 /// Returns the instances of each data centre that can be relays, the best first.
--- a/crates/apricotfold-policy/src/watch_audit.rs
+++ b/crates/apricotfold-policy/src/watch_audit.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use apricotfold_model::TableVersion;
-use strum::Display;
+use strum::{Display, IntoStaticStr};
 
 /// Revision of the store at which an entry was written.
 pub type EntryRevision = u64;
@@ -34,13 +34,17 @@
 }
 
 /// Why watches are in doubt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum WatchDoubt {
     /// Another node has a newer route table.
     TableBehind,
     /// Another node has a newer entry.
     EntryBehind,
+    /// The answer of one of this node's watches did not come in time.
+    Lost,
+    /// The node that monitors the watches of the region has found one of its own lost.
+    LostElsewhere,
     /// No other node in contact with the store has answered lately.
     Unconfirmed,
 }
@@ -89,8 +93,10 @@
 ///
 /// An answer of the store to one call does not show that it will answer another one, such as a watch on
 /// a connection that has died. Nodes that watch the same keys learn of a change at about the same time,
-/// so one that stays behind has a watch that is lost. A node that hears from no other one opens its
-/// watches anew from time to time: what was missed is then delivered at once.
+/// so one that stays behind has a watch that is lost. An answer that all nodes have lost shows in no
+/// comparison: one node of each region therefore waits only briefly for its answers, and the others
+/// open their watches anew when it has found one of its own lost. A node that hears from no other one
+/// opens its watches anew from time to time: what was missed is then delivered at once.
 #[derive(Clone, Debug)]
 pub struct WatchAudit {
     table: LagTimer,
@@ -101,6 +107,12 @@
     delivered: EntryRevision,
     /// When the watches were last confirmed or opened anew.
     confirmed: Option<Instant>,
+    /// When all watches were last opened anew.
+    opened: Option<Instant>,
+    /// When a watch of this node was last found lost.
+    lost: Option<Instant>,
+    /// When a watch of another node was last found lost.
+    lost_elsewhere: Option<Instant>,
 }
 
 impl Default for WatchAudit {
@@ -111,6 +123,9 @@
             covered: 0,
             delivered: 0,
             confirmed: None,
+            opened: None,
+            lost: None,
+            lost_elsewhere: None,
         }
     }
 }
@@ -145,20 +160,50 @@
         self.entry.expect(other.entry, self.covered, now);
     }
 
+    /// Records that the watches need no word from another node, because an answer that is lost is noticed
+    /// soon by itself.
+    pub fn confirm(&mut self, now: Instant) {
+        self.confirmed = Some(now);
+    }
+
+    /// Records that the answer of a watch of this node did not come in time. All watches are opened anew,
+    /// since what the store sent to any of them at that time may be lost.
+    pub fn record_loss(&mut self, now: Instant) -> WatchDoubt {
+        self.lost = Some(now);
+        self.opened = Some(now);
+        self.confirmed = Some(now);
+        WatchDoubt::Lost
+    }
+
+    /// Returns when a watch of this node was last found lost.
+    #[must_use]
+    pub fn last_loss(&self) -> Option<Instant> {
+        self.lost
+    }
+
+    /// Records when another node last found one of its watches lost.
+    pub fn observe_loss(&mut self, lost: Instant) {
+        self.lost_elsewhere = self.lost_elsewhere.max(Some(lost));
+    }
+
     /// Returns why the watches have to be opened anew, if they have to. `table` is the version of this
     /// node's table.
     pub fn check(&mut self, table: TableVersion, now: Instant) -> Option<WatchDoubt> {
         let confirmed = *self.confirmed.get_or_insert(now);
+        let opened = *self.opened.get_or_insert(now);
         let doubt = if self.table.is_due(table, now) {
             WatchDoubt::TableBehind
         } else if self.entry.is_due(self.covered, now) {
             WatchDoubt::EntryBehind
+        } else if self.lost_elsewhere.is_some_and(|lost| lost > opened) {
+            WatchDoubt::LostElsewhere
         } else if now.saturating_duration_since(confirmed) >= UNCONFIRMED_TIME {
             WatchDoubt::Unconfirmed
         } else {
             return None;
         };
         self.confirmed = Some(now);
+        self.opened = Some(now);
         Some(doubt)
     }
 }
--- a/crates/apricotfold-policy/tests/watch_audit.rs
+++ b/crates/apricotfold-policy/tests/watch_audit.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use apricotfold_policy::{WatchAudit, WatchDoubt, WatchProgress};
+use apricotfold_model::NodeId;
+use apricotfold_policy::{MonitorChoice, MonitorRole, WatchAudit, WatchDoubt, WatchProgress};
 
 /// Interval at which a node compares itself with others.
 const INTERVAL: Duration = Duration::from_millis(700);
@@ -106,6 +107,62 @@
     assert_eq!(audit.delivered(), 30);
 }
 
+/// Guards against a loss at the monitor that is ignored, and against watches that are opened anew more
+/// than once for it.
+#[test]
+fn lost_elsewhere() {
+    let start = Instant::now();
+    let mut audit = WatchAudit::default();
+    audit.record_listing(40, 30);
+    assert_eq!(audit.check(1, start), None);
+    let lost = start + INTERVAL;
+    for round in 1..8_u32 {
+        let now = start + INTERVAL * round;
+        audit.observe_loss(lost);
+        audit.confirm(now);
+        let expected = (round == 1).then_some(WatchDoubt::LostElsewhere);
+        assert_eq!(
+            audit.check(1, now + INTERVAL / 2),
+            expected,
+            "round {round}"
+        );
+    }
+}
+
+/// Guards against a data centre whose monitor has gone and in which nobody takes its place.
+#[test]
+fn next_monitor() {
+    let [first, second, third] = ["a", "b", "c"].map(NodeId::from);
+    let candidates = [first.clone(), second.clone(), third.clone()];
+    let now = Instant::now();
+    let mut choice = MonitorChoice::default();
+    assert_eq!(
+        choice.choose(&candidates, &first, now),
+        MonitorRole::Monitors
+    );
+    let mut choice = MonitorChoice::default();
+    assert_eq!(
+        choice.choose(&candidates, &third, now),
+        MonitorRole::Asks(first.clone())
+    );
+    choice.record(&first, false, now);
+    assert_eq!(
+        choice.choose(&candidates, &third, now),
+        MonitorRole::Asks(second.clone())
+    );
+    choice.record(&second, false, now);
+    assert_eq!(
+        choice.choose(&candidates, &third, now),
+        MonitorRole::Monitors
+    );
+    let later = now + INTERVAL * 20;
+    assert_eq!(
+        choice.choose(&candidates, &third, later),
+        MonitorRole::Asks(first)
+    );
+    assert_eq!(choice.choose(&[], &third, later), MonitorRole::Monitors);
+}
+
 /// Guards against a node without peers that never doubts its watches.
 #[test]
 fn no_other_node() {
--- a/crates/apricotfold-proxy/src/instance_watcher.rs
+++ b/crates/apricotfold-proxy/src/instance_watcher.rs
@@ -14,7 +14,7 @@
 use crate::engine::Engine;
 use crate::registration::{NODE_PREFIX, NodeEntry};
 use crate::rollout::keeper::RECORD_PREFIX;
-use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher, next_batch};
+use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher, WatchedKeys};
 use crate::telemetry;
 
 /// Backoff between changes of entries. A leaving instance is refused by its own node and a dead one
@@ -69,14 +69,18 @@
         let mut pace = BatchBackoff::new(INSTANCE_BACKOFF);
         // If many nodes start together, their entries are then delivered in one batch.
         tokio::time::sleep(START_PAUSE).await;
-        let mut doubts = self.engine.store_health.watch_doubts();
+        let health = &self.engine.store_health;
+        let mut doubts = health.watch_doubts();
         loop {
             doubts.mark_unchanged();
-            let mut watch = self.store.watch(WATCH_PREFIX, revision + 1).await?;
-            while let Some(batch) = next_batch(&mut watch, &mut doubts).await {
+            let keys = WatchedKeys::Entries;
+            let terms = health.watch_terms(keys);
+            let watch = self.store.watch_within(WATCH_PREFIX, revision + 1, terms);
+            let mut watch = watch.await?;
+            while let Some(batch) = health.next_batch(keys, &mut watch, &mut doubts).await {
                 telemetry::count_store_call("watch", batch.is_ok());
                 let batch = batch?;
-                self.engine.store_health.record_answer("watch");
+                health.record_answer("watch");
                 revision = revision.max(batch.revision);
                 self.apply_batch(&batch);
                 // Records of rollouts are rare and must arrive soon.
@@ -84,6 +88,9 @@
                 if changed {
                     tokio::time::sleep(pace.next_pause()).await;
                 }
+                if health.watch_terms(keys).wait != terms.wait {
+                    break;
+                }
             }
         }
     }
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -45,6 +45,7 @@
 mod run;
 mod settings_file;
 mod status_server;
+mod store;
 mod store_health;
 mod table_cache;
 mod table_watcher;
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -10,7 +10,7 @@
     InstanceRecord, InstanceState, NodeEpoch, NodeId, TableVersion, TargetIncarnation, log_event,
     saturating_millis,
 };
-use apricotfold_policy::{KnownRollout, STORE_SILENCE, WatchProgress, choose_followers};
+use apricotfold_policy::{KnownRollout, STORE_SILENCE, WatchProgress};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use futures_util::future::select_ok;
@@ -25,6 +25,7 @@
 use crate::compressed_json::{compress, decompress};
 use crate::engine::Engine;
 use crate::gated_body::GatedBody;
+use crate::store::watch_monitor;
 use crate::table_cache::TableTransfer;
 use crate::telemetry;
 
@@ -94,7 +95,10 @@
     pub store_age_ms: Option<u64>,
     /// How far the peer's watches have come; `None` from earlier releases.
     #[serde(default)]
-    progress: Option<WatchProgress>,
+    pub progress: Option<WatchProgress>,
+    /// Set if the peer monitors the watches of its region.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub monitor: Option<MonitorReport>,
     /// The peer's route table, if it is newer than the node's.
     table: Option<TableTransfer>,
     /// Compressed list of the instances that the store has, as far as the peer knows, if the digests
@@ -117,6 +121,14 @@
     crashes: BTreeMap<NodeId, u32>,
 }
 
+/// What the node that monitors the watches of its region has found.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct MonitorReport {
+    /// Time in milliseconds since it last found one of its watches lost; `None` if it never has.
+    pub loss_age_ms: Option<u64>,
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes fields by reference"
@@ -213,7 +225,7 @@
             .is_none_or(|age| age > STORE_SILENCE);
         let table_only = !silent;
         if table_only && engine.follows_store() && engine.tables.version() > 0 {
-            compare_watches(&engine);
+            watch_monitor::compare_watches(&engine);
         }
         if table_only && doubted.elapsed() > DOUBT_PERIOD {
             continue;
@@ -236,42 +248,6 @@
     }
 }
 
-/// Has lost watches opened anew, and asks a random node that follows the store how far its watches have
-/// come.
-fn compare_watches(engine: &Arc<Engine>) {
-    engine.store_health.check_watches(engine.tables.version());
-    let address = {
-        let own = engine.node();
-        let registry = engine.registry();
-        let followers = choose_followers(registry.records());
-        let others = followers.iter().filter(|node| **node != own);
-        let chosen = others.choose(engine.selector().random());
-        chosen.and_then(|node| registry.record(node).map(|record| record.address))
-    };
-    let Some(address) = address else {
-        return;
-    };
-    let engine = engine.clone();
-    tokio::spawn(async move {
-        let scope = ExchangeScope::Progress;
-        match timed_exchange(&engine, address, scope, &|_| {}).await {
-            Ok(answer) => {
-                let in_contact = is_in_contact(answer.store_age_ms);
-                if let Some(progress) = answer.progress.filter(|_| in_contact) {
-                    let table = engine.tables.version();
-                    engine.store_health.observe_progress(progress, table);
-                }
-            }
-            Err(cause) => log_event!(debug, ExchangeFailed, "{address}: {cause}"),
-        }
-    });
-}
-
-/// Returns whether a peer whose last answer from the store has this age still reaches it.
-fn is_in_contact(store_age_ms: Option<u64>) -> bool {
-    store_age_ms.is_some_and(|age| Duration::from_millis(age) <= STORE_SILENCE)
-}
-
 fn choose_peers(engine: &Engine) -> Vec<SocketAddr> {
     let own = engine.node();
     let registry = engine.registry();
@@ -301,6 +277,18 @@
     Ok(answer)
 }
 
+/// Asks a peer how far its watches have come.
+///
+/// # Errors
+///
+/// Returns an error if the peer gave no usable response.
+pub async fn ask_progress(
+    engine: &Arc<Engine>,
+    address: SocketAddr,
+) -> eyre::Result<ExchangeResponse> {
+    timed_exchange(engine, address, ExchangeScope::Progress, &|_| {}).await
+}
+
 async fn timed_exchange(
     engine: &Arc<Engine>,
     address: SocketAddr,
@@ -536,9 +524,13 @@
         engine.probe_store(MAX_CONTACT_AGE);
     }
     let store_age = engine.store_health.age();
+    let monitors = engine.follows_store() && engine.store_health.is_monitoring();
     let answer = ExchangeResponse {
         follows_store: engine.follows_store(),
         store_age_ms: store_age.map(saturating_millis),
+        monitor: monitors.then(|| MonitorReport {
+            loss_age_ms: engine.store_health.loss_age().map(saturating_millis),
+        }),
         progress: Some(WatchProgress {
             table: engine.tables.version(),
             entry: engine.store_health.delivered_entry(),
--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -5,14 +5,18 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{TableVersion, log_event};
-use apricotfold_policy::{EntryRevision, STORE_SILENCE, StoreContact, WatchAudit, WatchProgress};
-use apricotfold_store::{ConfigStore, Revision, StoreError, WatchBatch, WatchStream};
+use apricotfold_model::{NodeId, TableVersion, log_event};
+use apricotfold_policy::{
+    EntryRevision, MonitorChoice, MonitorRole, STORE_SILENCE, StoreContact, WatchAudit, WatchDoubt,
+    WatchProgress,
+};
+use apricotfold_store::{ConfigStore, Revision, StoreError, WatchBatch, WatchStream, WatchTerms};
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use tokio::sync::watch;
 
 use crate::engine::Engine;
+use crate::telemetry;
 
 /// Pauses after successive failures. The first is short because a single call may be rejected. All
 /// of them are below the time within which entries must be restored after the store's recovery.
@@ -22,10 +26,43 @@
     Duration::from_millis(700),
 ];
 
+/// Time for which a watch waits for changes. Every renewed wait costs a call.
+const LONG_WAIT: Duration = Duration::from_secs(20);
+
+/// Time after a long wait within which its answer has to begin.
+const LONG_OVERDUE: Duration = Duration::from_millis(1_500);
+
+/// Time for which the watch of the table waits at the node that monitors the watches of its region.
+/// A lost answer is then noticed there within 2.1 s and by the other nodes, which ask every 0.7 s, within
+/// the 4 s after a silence of the store from which on operators expect tables to be active in time.
+const MONITOR_WAIT: Duration = Duration::from_millis(1_500);
+
+/// The same for the watch of the entries, whose changes are delivered up to 2.5 s apart.
+const MONITOR_ENTRY_WAIT: Duration = Duration::from_secs(3);
+
+/// Time after a monitor's wait within which its answer has to begin: several round trips and the store's
+/// time for an answer, beside twice the time that it took for the last one.
+const MONITOR_OVERDUE: Duration = Duration::from_millis(600);
+
+/// Longest addition to [`MONITOR_OVERDUE`] for a slow store.
+const MAX_SLOWNESS: Duration = Duration::from_secs(1);
+
+/// What a watch delivers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchedKeys {
+    /// The operators' route table and rollout orders.
+    Table,
+    /// The entries of all nodes and the records of rollouts.
+    Entries,
+}
+
 #[derive(Debug, Default)]
 struct HealthState {
     contact: StoreContact,
     watches: WatchAudit,
+    monitors: MonitorChoice,
+    /// Whether this node monitors the watches of its region.
+    monitoring: bool,
     /// When a renewal was last requested only to learn whether the store answers.
     probed: Option<Instant>,
 }
@@ -128,9 +165,97 @@
     pub fn check_watches(&self, table: TableVersion) {
         let doubt = self.lock().watches.check(table, Instant::now());
         if let Some(doubt) = doubt {
-            log_event!(info, WatchReopened, "{doubt}, own table {table}");
+            self.reopen_watches(doubt, &format!("own table {table}"));
+        }
+    }
+
+    fn reopen_watches(&self, doubt: WatchDoubt, detail: &str) {
+        log_event!(info, WatchReopened, "{doubt}, {detail}");
+        telemetry::count_reopened_watches(doubt);
+        self.doubts.send_modify(|doubts| *doubts += 1);
+    }
+
+    /// Chooses this node's part in monitoring the watches of its region among the nodes that can do
+    /// so, the best first. A node that begins to monitor opens its watches anew, to wait only briefly.
+    pub fn choose_monitor(&self, candidates: &[NodeId], own: &NodeId) -> MonitorRole {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let role = state.monitors.choose(candidates, own, now);
+        let monitors = role == MonitorRole::Monitors;
+        if monitors {
+            state.watches.confirm(now);
+        }
+        let begins = monitors && !std::mem::replace(&mut state.monitoring, monitors);
+        drop(state);
+        if begins {
             self.doubts.send_modify(|doubts| *doubts += 1);
         }
+        role
+    }
+
+    /// Records whether a node that was asked answered as the monitor of the region.
+    pub fn record_monitor(&self, node: &NodeId, usable: bool) {
+        self.lock().monitors.record(node, usable, Instant::now());
+    }
+
+    /// Returns whether this node monitors the watches of its region.
+    pub fn is_monitoring(&self) -> bool {
+        self.lock().monitoring
+    }
+
+    /// Returns how long a watch waits for its answer.
+    pub fn watch_terms(&self, keys: WatchedKeys) -> WatchTerms {
+        let state = self.lock();
+        if !state.monitoring {
+            return WatchTerms {
+                wait: LONG_WAIT,
+                overdue: LONG_OVERDUE,
+            };
+        }
+        WatchTerms {
+            wait: match keys {
+                WatchedKeys::Table => MONITOR_WAIT,
+                WatchedKeys::Entries => MONITOR_ENTRY_WAIT,
+            },
+            overdue: MONITOR_OVERDUE + (state.contact.answer_time * 2).min(MAX_SLOWNESS),
+        }
+    }
+
+    /// Has all watches opened anew, because the answer of one did not come in time.
+    fn record_lost_watch(&self, keys: WatchedKeys) {
+        let doubt = self.lock().watches.record_loss(Instant::now());
+        self.reopen_watches(doubt, &format!("no answer to the watch of {keys:?}"));
+    }
+
+    /// Returns the time since a watch of this node was last found lost.
+    pub fn loss_age(&self) -> Option<Duration> {
+        let lost = self.lock().watches.last_loss();
+        lost.map(|lost| lost.elapsed())
+    }
+
+    /// Records when the monitor of the region last found one of its watches lost.
+    pub fn observe_loss(&self, lost: Instant) {
+        self.lock().watches.observe_loss(lost);
+    }
+
+    /// Waits for the next batch of a watch. Returns `None` if the watch has to be opened anew: its answer
+    /// is overdue, or there is a doubt whether it will come.
+    pub async fn next_batch(
+        &self,
+        keys: WatchedKeys,
+        watch: &mut WatchStream,
+        doubts: &mut watch::Receiver<u64>,
+    ) -> Option<Result<WatchBatch, StoreError>> {
+        tokio::select! {
+            batch = watch.next() => {
+                if batch.is_none() {
+                    self.record_lost_watch(keys);
+                }
+                batch
+            }
+            // The sender lives as long as this value.
+            Ok(()) = doubts.changed() => None,
+        }
     }
 
     /// Subscribes to doubts of the open watches.
@@ -178,19 +303,6 @@
     EntryRevision::try_from(revision).unwrap_or(0)
 }
 
-/// Waits for the next batch of a watch. Returns `None` if the watch has to be opened anew: it has
-/// ended, or there is a doubt whether its answer will come.
-pub async fn next_batch(
-    watch: &mut WatchStream,
-    doubts: &mut watch::Receiver<u64>,
-) -> Option<Result<WatchBatch, StoreError>> {
-    tokio::select! {
-        batch = watch.next() => batch,
-        // The sender lives as long as the engine.
-        Ok(()) = doubts.changed() => None,
-    }
-}
-
 /// Logs returns of the store to an older copy and passes them on to the tasks that call it.
 pub async fn follow_returns(engine: Arc<Engine>, store: Arc<dyn ConfigStore>) {
     let mut returns = store.watch_returns();
--- a/crates/apricotfold-proxy/src/table_watcher.rs
+++ b/crates/apricotfold-proxy/src/table_watcher.rs
@@ -9,7 +9,7 @@
 use futures_util::future::BoxFuture;
 
 use crate::engine::Engine;
-use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher, next_batch};
+use crate::store_health::{BackoffLimits, BatchBackoff, KeyWatcher, WatchedKeys};
 use crate::telemetry;
 
 /// Time without a batch after which a watch is reopened, even if nothing shows that it is lost.
@@ -51,28 +51,32 @@
         let mut revision = self.read_table(starting).await?;
         *failures = 0;
         let mut pace = BatchBackoff::new(TABLE_BACKOFF);
-        let mut doubts = self.engine.store_health.watch_doubts();
+        let health = &self.engine.store_health;
+        let mut doubts = health.watch_doubts();
         loop {
             let key = self.engine.tables.key();
             doubts.mark_unchanged();
-            let prefix = self.prefix();
-            let mut watch = self.store.watch(prefix, revision + 1).await?;
+            let terms = health.watch_terms(WatchedKeys::Table);
+            let watch = self.store.watch_within(self.prefix(), revision + 1, terms);
+            let mut watch = watch.await?;
             loop {
-                let next = next_batch(&mut watch, &mut doubts);
+                let next = health.next_batch(WatchedKeys::Table, &mut watch, &mut doubts);
                 let Ok(Some(batch)) = tokio::time::timeout(WATCH_TIMEOUT, next).await else {
                     break;
                 };
                 telemetry::count_store_call("watch", batch.is_ok());
                 let batch = batch?;
-                self.engine.store_health.record_answer("watch");
+                health.record_answer("watch");
                 revision = revision.max(batch.revision);
                 self.apply_orders(&batch.events);
-                let Some(text) = newest_text(&batch.events, key) else {
-                    continue;
-                };
-                self.engine.tables.update(text);
-                tokio::time::sleep(pace.next_pause()).await;
-                if pace.is_busy() {
+                if let Some(text) = newest_text(&batch.events, key) {
+                    self.engine.tables.update(text);
+                    tokio::time::sleep(pace.next_pause()).await;
+                    if pace.is_busy() {
+                        break;
+                    }
+                }
+                if health.watch_terms(WatchedKeys::Table).wait != terms.wait {
                     break;
                 }
             }
--- a/crates/apricotfold-proxy/src/telemetry.rs
+++ b/crates/apricotfold-proxy/src/telemetry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use apricotfold_model::{CallOutcome, RefusalReason, RolloutState, WorkClass};
-use apricotfold_policy::OffsetMillis;
+use apricotfold_policy::{OffsetMillis, WatchDoubt};
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -62,6 +62,12 @@
     counter!("apricotfold_store_calls_total", "kind" => kind, "result" => result).increment(1);
 }
 
+/// Counts a doubt for which the watches of the store were opened anew.
+pub fn count_reopened_watches(doubt: WatchDoubt) {
+    let reason: &'static str = doubt.into();
+    counter!("apricotfold_watches_reopened_total", "reason" => reason).increment(1);
+}
+
 /// Records an exchange with another proxy at the side that requested it.
 pub fn record_exchange(answered: bool, elapsed: Duration) {
     let result = if answered { "answered" } else { "failed" };
--- a/crates/apricotfold-proxy/tests/lost_watches.rs
+++ b/crates/apricotfold-proxy/tests/lost_watches.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricotfold_model::InstanceRecord;
+use apricotfold_policy::choose_monitors;
 use support::store::MemoryStore;
 use support::{TestNode, table, wait_within};
 
@@ -15,9 +17,15 @@
 /// 2.5 s apart.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Time after a silence of the store from which on operators expect new tables to be active in time.
+const CALM_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Prefix of the nodes' entries and of all else that nodes write.
 const ENTRIES: &str = "apricotfold/";
 
+/// Prefix of what operators write: the table and rollout orders.
+const ORDERS: &str = "tables/";
+
 /// Time from a node's start after which it no longer asks peers because it has just started.
 const SETTLE_TIME: Duration = Duration::from_secs(7);
 
@@ -94,6 +102,106 @@
     assert!(serves(&node, 1).await);
 }
 
+/// Three nodes in two data centres, each with a client of its own.
+struct Fleet {
+    nodes: Vec<TestNode>,
+    clients: Vec<Arc<MemoryStore>>,
+}
+
+impl Fleet {
+    async fn start(store: &MemoryStore) -> Self {
+        store.publish(&named(1));
+        let clients: Vec<_> = (0..3).map(|_| store.other_client()).collect();
+        let nodes = vec![
+            TestNode::start("a", &clients[0]).await,
+            TestNode::start("b", &clients[1]).await,
+            TestNode::start_in("poa-b", "c", &clients[2]).await,
+        ];
+        for node in &nodes {
+            node.wait_for(|| serves(node, 1)).await;
+        }
+        tokio::time::sleep(SETTLE_TIME).await;
+        Self { nodes, clients }
+    }
+
+    fn lose_watches(&self) {
+        for client in &self.clients {
+            client.lose_watches();
+        }
+    }
+}
+
+/// Guards against a version whose delivery all nodes have lost, so that none is behind another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_everywhere() {
+    let store = MemoryStore::default();
+    let fleet = Fleet::start(&store).await;
+    fleet.lose_watches();
+    store.publish(&named(2));
+    for node in &fleet.nodes {
+        let what = format!("version 2 at {}", node.name);
+        wait_within(CALM_TIMEOUT, &what, || serves(node, 2)).await;
+    }
+    store.publish(&named(3));
+    for node in &fleet.nodes {
+        wait_version(node, 3).await;
+    }
+}
+
+/// Guards against orders, entries and records that all nodes have lost while the table stays the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_watches_reopened() {
+    let store = MemoryStore::default();
+    let fleet = Fleet::start(&store).await;
+    let opened = |prefix: &'static str| {
+        let clients = fleet.clients.iter();
+        clients.map(move |client| client.opened_watches(prefix))
+    };
+    let before: Vec<usize> = opened(ENTRIES).chain(opened(ORDERS)).collect();
+    fleet.lose_watches();
+    wait_within(ENTRY_TIMEOUT, "new watches", || async {
+        let after = opened(ENTRIES).chain(opened(ORDERS));
+        after.zip(&before).all(|(after, before)| after > *before)
+    })
+    .await;
+}
+
+/// Guards against a data centre whose monitor ends while all nodes lose a version.
+#[tokio::test(flavor = "multi_thread")]
+async fn monitor_killed() {
+    let store = MemoryStore::default();
+    store.publish(&named(1));
+    let clients: Vec<_> = (0..3).map(|_| store.other_client()).collect();
+    let mut nodes = Vec::new();
+    for (name, client) in ["a", "b", "c"].iter().zip(&clients) {
+        nodes.push(TestNode::start_killable(name, client).await);
+    }
+    for node in &nodes {
+        node.announce(1, "ready").await;
+        node.wait_for(|| serves(node, 1)).await;
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+    let records: Vec<InstanceRecord> = nodes
+        .iter()
+        .filter_map(|node| store.read(&format!("apricotfold/nodes/{}", node.name)))
+        .filter_map(|text| serde_json::from_str::<serde_json::Value>(&text).ok())
+        .filter_map(|entry| serde_json::from_value(entry["record"].clone()).ok())
+        .collect();
+    let data_centre = records[0].data_centre.clone();
+    let monitor = choose_monitors(&data_centre, |_| true, records.iter())[0].clone();
+    for client in &clients {
+        client.lose_watches();
+    }
+    store.publish(&named(2));
+    for node in nodes.iter_mut().filter(|node| node.name == *monitor) {
+        node.kill_process().await;
+    }
+    for node in nodes.iter().filter(|node| node.name != *monitor) {
+        let what = format!("version 2 at {}", node.name);
+        wait_within(CALM_TIMEOUT, &what, || serves(node, 2)).await;
+    }
+}
+
 /// Guards against watches that are opened anew although their answers arrive: each one is a call that
 /// the store counts.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/apricotfold-proxy/tests/support/store.rs
+++ b/crates/apricotfold-proxy/tests/support/store.rs
@@ -10,7 +10,7 @@
 use apricotfold_store::{
     Compare, ConfigStore, EpochTracker, LeaseId, RangeResponse, Revision, StoreEntry, StoreError,
     StoreFuture, StoreTxn, StoreWrite, TxnResponse, WatchBatch, WatchEvent, WatchStream,
-    WriteEffect,
+    WatchTerms, WriteEffect,
 };
 use futures_util::{FutureExt, StreamExt};
 use tokio::sync::watch;
@@ -357,6 +357,19 @@
     }
 
     fn watch<'a>(&'a self, prefix: &'a str, revision: Revision) -> StoreFuture<'a, WatchStream> {
+        let terms = WatchTerms {
+            wait: Duration::from_secs(20),
+            overdue: Duration::from_secs(2),
+        };
+        self.watch_within(prefix, revision, terms)
+    }
+
+    fn watch_within<'a>(
+        &'a self,
+        prefix: &'a str,
+        revision: Revision,
+        terms: WatchTerms,
+    ) -> StoreFuture<'a, WatchStream> {
         let prefix = prefix.to_owned();
         {
             let mut opened = self.opened_watches.lock().expect("no panic while locked");
@@ -366,10 +379,13 @@
         let losses = self.lost_watches.load(Ordering::Relaxed);
         let stream = futures_util::stream::unfold(start, move |(store, after)| {
             let prefix = prefix.clone();
+            let started = Instant::now();
             async move {
                 loop {
                     if store.lost_watches.load(Ordering::Relaxed) != losses {
-                        std::future::pending::<()>().await;
+                        let due = started + terms.wait + terms.overdue;
+                        tokio::time::sleep_until(due.into()).await;
+                        return None;
                     }
                     if let Err(error) = store.check() {
                         return Some((Err(error), (store, after)));
@@ -388,7 +404,7 @@
                                 .collect(),
                         }
                     };
-                    if !batch.events.is_empty() {
+                    if !batch.events.is_empty() || started.elapsed() >= terms.wait {
                         let epoch = store.lock().epoch;
                         store.epochs.observe(epoch);
                         let revision = batch.revision;
--- a/crates/apricotfold-store/src/lib.rs
+++ b/crates/apricotfold-store/src/lib.rs
@@ -70,6 +70,15 @@
     pub events: Vec<WatchEvent>,
 }
 
+/// How long a watch waits for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchTerms {
+    /// Time for which the store holds a call back while nothing changes. Each wait costs a call.
+    pub wait: Duration,
+    /// Time after the wait within which the answer has to begin; later, it counts as lost.
+    pub overdue: Duration,
+}
+
 /// Whether a failed call may have changed the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteEffect {
@@ -141,6 +150,20 @@
     /// ends with an error if the store comes back from an older copy, as far as its answers show.
     fn watch<'a>(&'a self, prefix: &'a str, revision: Revision) -> StoreFuture<'a, WatchStream>;
 
+    /// Like [`watch`](Self::watch), for a store that answers each wait in a call of its own, also if
+    /// nothing has changed. The stream ends without an error when an answer is overdue, because a
+    /// connection on which an answer was lost stays open and silent. The default is for stores that push
+    /// changes, and ignores the terms.
+    fn watch_within<'a>(
+        &'a self,
+        prefix: &'a str,
+        revision: Revision,
+        terms: WatchTerms,
+    ) -> StoreFuture<'a, WatchStream> {
+        let _ = terms;
+        self.watch(prefix, revision)
+    }
+
     /// Subscribes to the number of times that the store has come back from an older copy, as far as
     /// its answers have shown. What was read, written or granted before is then to be read, written or
     /// granted anew. The default is for stores that do not say so.
