Start with settings whose figures have any form

Cause: the template wrote three zeros behind the text of a figure, the settings took whole numbers only, and one setting that cannot be used made all of them unusable. Evidence: "grace_ms: found 5.5, expected u32" and exit status 2 at each start; settings::forms_of_numbers fills the template in and failed on at its first form ("retry_share: found 6.0, expected a number from 0 to 1"), as did three others of the file.

Change: the template quotes each figure under the unit in which it comes; figures are read as numbers or texts and become checked types in TryFrom; only the ten settings without which the proxy cannot serve keep it from starting. Of others that cannot be used, a process that starts takes the default and a running one keeps the former value; AF1016 names each. Calls to the store are unchanged.

--- a/crates/apricotfold-model/src/event.rs
+++ b/crates/apricotfold-model/src/event.rs
@@ -54,6 +54,9 @@
     /// A limit on what strangers may make the node hold was reached.
     #[strum(serialize = "AF1015", message = "limit reached")]
     LimitReached,
+    /// A setting cannot be used; its default or its former value is in force.
+    #[strum(serialize = "AF1016", message = "setting ignored")]
+    SettingIgnored,
     /// A profile version took effect on this node.
     #[strum(serialize = "AF2001", message = "version applied")]
     VersionApplied,
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -57,5 +57,5 @@
 
 pub use admission::{AdmissionController, SlotGuard};
 pub use run::{PlatformAdapters, run_proxy};
-pub use settings_file::SettingsReader;
+pub use settings_file::{ReadSettings, SettingsReader};
 pub use table_cache::TableCache;
--- a/crates/apricotfold-proxy/src/settings_file.rs
+++ b/crates/apricotfold-proxy/src/settings_file.rs
@@ -4,8 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use apricotfold_model::{ProxyConfig, log_event};
+use apricotfold_model::{
+    FieldErrors, ProxyConfig, REQUIRED_SETTINGS, SharedRetryLimit, log_event, parse_json,
+};
 use eyre::WrapErr;
+use serde_json::{Map, Value};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::engine::Engine;
@@ -13,6 +16,40 @@
 /// Interval at which the file is compared, because it may change without a SIGHUP.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Settings as read from a file.
+#[derive(Clone, Debug)]
+pub struct ReadSettings {
+    /// Text of the file.
+    pub text: String,
+    /// The settings, with defaults for those that are missing or ignored.
+    pub config: ProxyConfig,
+    /// Settings that are ignored because they are invalid or unknown.
+    pub ignored: FieldErrors,
+}
+
+impl ReadSettings {
+    /// Logs each ignored setting.
+    pub fn log_ignored(&self) {
+        for error in &self.ignored.0 {
+            log_event!(warn, SettingIgnored, "{error}");
+        }
+    }
+
+    /// Returns the new value of a setting, or the former one if any of the fields that give it is ignored.
+    fn choose<T>(&self, names: &[&str], new: T, former: T) -> T {
+        let mut ignored = self
+            .ignored
+            .0
+            .iter()
+            .map(|error| setting_name(&error.field));
+        if ignored.any(|name| names.contains(&name)) {
+            former
+        } else {
+            new
+        }
+    }
+}
+
 /// Reads and validates the settings file of a platform.
 #[derive(Clone, Debug)]
 pub struct SettingsReader {
@@ -26,28 +63,56 @@
         Self { path }
     }
 
-    /// Reads and validates the file. Returns its text and the settings.
+    /// Reads and validates the file.
     ///
     /// # Errors
     ///
-    /// Returns an error with the path and the invalid fields, or why the file cannot be read.
-    pub fn read(&self) -> eyre::Result<(String, ProxyConfig)> {
+    /// Returns an error with the path and the invalid fields if the proxy cannot serve without one of
+    /// them, or why the file cannot be read.
+    pub fn read(&self) -> eyre::Result<ReadSettings> {
         let path = self.path.display();
         let text =
             std::fs::read_to_string(&self.path).wrap_err_with(|| format!("reading {path}"))?;
-        let config = parse_settings(&text).wrap_err_with(|| format!("settings in {path}"))?;
-        Ok((text, config))
+        let (config, ignored) =
+            parse_settings(&text).wrap_err_with(|| format!("settings in {path}"))?;
+        Ok(ReadSettings {
+            text,
+            config,
+            ignored,
+        })
     }
 }
 
-/// Validates the text of a settings file.
-///
-/// # Errors
-///
-/// Returns the invalid fields.
-pub fn parse_settings(text: &str) -> eyre::Result<ProxyConfig> {
-    let raw: apricotfold_schema::settings::ProxySettings = apricotfold_model::parse_json(text)?;
-    Ok(ProxyConfig::try_from(raw)?)
+/// Validates the text of a settings file. Returns the settings, and those that are ignored.
+fn parse_settings(text: &str) -> Result<(ProxyConfig, FieldErrors), FieldErrors> {
+    let mut fields: Map<String, Value> = parse_json(text)?;
+    let mut ignored = FieldErrors::default();
+    loop {
+        let errors = match check_fields(&fields) {
+            Ok(config) => return Ok((config, ignored)),
+            Err(errors) => errors,
+        };
+        let can_ignore = |name: &str| !REQUIRED_SETTINGS.contains(&name);
+        for error in &errors.0 {
+            let name = setting_name(&error.field);
+            if !can_ignore(name) || fields.remove(name).is_none() {
+                return Err(errors);
+            }
+            ignored.push(error.clone());
+        }
+    }
+}
+
+fn check_fields(fields: &Map<String, Value>) -> Result<ProxyConfig, FieldErrors> {
+    let text = Value::Object(fields.clone()).to_string();
+    let raw: apricotfold_schema::settings::ProxySettings = parse_json(&text)?;
+    ProxyConfig::try_from(raw)
+}
+
+/// Returns the name of the setting that has a field, such as `data_centres` for `data_centres.poa-a`.
+fn setting_name(field: &str) -> &str {
+    let end = field.find(['.', '[']).unwrap_or(field.len());
+    &field[..end]
 }
 
 /// Reloads the file on SIGHUP and when its text changes, until the process ends. A file that is
@@ -67,31 +132,48 @@
             () = tokio::time::sleep(CHECK_INTERVAL) => false,
         };
         match reader.read() {
-            Ok((text, _)) if text == known && !signalled => {}
-            Ok((text, config)) => {
-                let waiting = engine.config.load().restart_differences(&config);
+            Ok(read) if read.text == known && !signalled => {}
+            Ok(read) => {
+                let waiting = engine.config.load().restart_differences(&read.config);
                 log_event!(
                     info,
                     SettingsReloaded,
                     "signal {signalled}, waiting for a restart: {waiting:?}"
                 );
-                apply(&engine, config);
-                known = text;
+                read.log_ignored();
+                apply(&engine, &read);
+                known = read.text;
             }
             Err(error) => log_event!(error, SettingsRefused, "{error:#}"),
         }
     }
 }
 
-/// Applies the settings that can change while the process runs.
-fn apply(engine: &Engine, config: ProxyConfig) {
+/// Applies the settings that can change while the process runs. Of those that are invalid, the former
+/// value stays.
+fn apply(engine: &Engine, read: &ReadSettings) {
     let former = engine.config.load_full();
+    let config = read.config.clone();
+    let (limit, known) = (config.retry_limit, former.retry_limit);
+    let window = ["retry_window_s", "retry_window_ms"];
     let merged = ProxyConfig {
-        retry_limit: config.retry_limit,
-        grace: config.grace,
-        pace_targets: config.pace_targets,
-        announce_interval: config.announce_interval,
-        data_centres: config.data_centres,
+        retry_limit: SharedRetryLimit {
+            share: read.choose(&["retry_share"], limit.share, known.share),
+            slack: read.choose(&["retry_slack"], limit.slack, known.slack),
+            window: read.choose(&window, limit.window, known.window),
+        },
+        grace: read.choose(&["grace_s", "grace_ms"], config.grace, former.grace),
+        pace_targets: read.choose(&["pace_targets"], config.pace_targets, former.pace_targets),
+        announce_interval: read.choose(
+            &["announce_interval_ms"],
+            config.announce_interval,
+            former.announce_interval,
+        ),
+        data_centres: read.choose(
+            &["data_centres"],
+            config.data_centres,
+            former.data_centres.clone(),
+        ),
         ..(*former).clone()
     };
     engine.config.store(Arc::new(merged));
--- a/crates/apricotfold-schema/src/lib.rs
+++ b/crates/apricotfold-schema/src/lib.rs
@@ -3,6 +3,8 @@
 //! Run `apricotfold-schema-gen` to regenerate the code after a change of these files. See
 //! `docs/design.md`, section 2.
 
+mod figure;
+
 /// Messages exchanged between nodes.
 #[allow(missing_docs, clippy::pedantic)]
 #[rustfmt::skip]
