--- a/crates/apricotfold-model/src/proxy_config.rs
+++ b/crates/apricotfold-model/src/proxy_config.rs
@@ -181,12 +181,12 @@
         let mut figure = |field, text: &str| read_figure(&mut errors, field, text);
         let lease_min = figure("lease_min_ms", &settings.lease_min_ms);
         let announce_interval = figure("announce_interval_ms", &settings.announce_interval_ms);
-        let grace_ms = figure("grace_ms", &settings.grace_ms);
-        let grace_s = figure("grace_s", &settings.grace_s);
+        let grace_millis = figure("grace_ms", &settings.grace_ms);
+        let grace_seconds = figure("grace_s", &settings.grace_s);
         let share = figure("retry_share", &settings.retry_share).unwrap_or(0.0);
         let slack = figure("retry_slack", &settings.retry_slack);
-        let window_ms = figure("retry_window_ms", &settings.retry_window_ms);
-        let window_s = figure("retry_window_s", &settings.retry_window_s);
+        let window_millis = figure("retry_window_ms", &settings.retry_window_ms);
+        let window_seconds = figure("retry_window_s", &settings.retry_window_s);
         let link_mbps = figure("link_mbps", &settings.link_mbps);
         let memory_mb = figure("memory_mb", &settings.memory_mb);
         let fd_limit = figure("fd_limit", &settings.fd_limit);
@@ -219,11 +219,11 @@
             lease_min: time(None, lease_min, LEASE_MIN_RANGE).unwrap_or(DEFAULT_LEASE_MIN),
             announce_interval: time(None, announce_interval, INTERVAL_RANGE)
                 .unwrap_or(DEFAULT_ANNOUNCE_INTERVAL),
-            grace: time(grace_s, grace_ms, GRACE_RANGE).unwrap_or(DEFAULT_GRACE),
+            grace: time(grace_seconds, grace_millis, GRACE_RANGE).unwrap_or(DEFAULT_GRACE),
             retry_limit: SharedRetryLimit {
                 share: bring_into(share, &RETRY_SHARE_RANGE),
                 slack: slack.map_or(0, whole),
-                window: time(window_s, window_ms, RETRY_WINDOW_RANGE)
+                window: time(window_seconds, window_millis, RETRY_WINDOW_RANGE)
                     .unwrap_or(DEFAULT_RETRY_WINDOW),
             },
             link_rate: link_mbps
