Refuse announcements that are not of the node's own target

Cause: nothing compared an announcement with the service and the address that the node knows from its settings, and what the target said when it was asked could be overruled by a repetition. Evidence: foreign_announcements::other_service failed on (503 after the first message), but also many_ids with the node's own service ("300 health checks"), known_id and unknown_departures (the entry named x-20 instead of i-a); so the missing health path is only one way.

Change: TargetIdentity refuses other services, other addresses and no slots, whatever the table names; a target that answers under the known id, or states other slots, contradicts an announcement for good; one check runs at a time; departures of unknown incarnations are kept apart from those of known ones. What is refused is answered with 200, logged once a second for each reason (AF1010) and counted. Calls to the store: none more, and none for departures that change nothing.

announce_successor and instance_restart let the stand-in answer under the id that it announces, as targets do; until now the tests relied on a repetition overruling the target.

--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod admission;
 mod admission_policy;
+mod announcement_check;
 mod attempt;
 mod balancer;
 mod budget;
@@ -72,6 +73,7 @@
 pub use admission_policy::{
     Admission, AdmissionEvent, AdmissionPolicy, AdmissionRequest, CallStanding,
 };
+pub use announcement_check::{AnnouncementRefusal, TargetIdentity};
 pub use attempt::{AttemptResult, LoadReport};
 pub use balancer::{
     LocalityTier, ServiceBalancer, TargetChange, TargetChoice, TargetEntry, TargetStatus,
--- a/crates/apricotfold-policy/src/local_instance.rs
+++ b/crates/apricotfold-policy/src/local_instance.rs
@@ -16,6 +16,10 @@
 /// a target starts a few times at most.
 const MAX_FORMER: usize = 8;
 
+/// Time since the last announcement of the known target within which it counts as running. It is longer
+/// than the usual interval of announcements.
+const RUNNING_TIME: Duration = Duration::from_secs(2);
+
 /// Start time of a target that left without stating it, at a process that does not know the target.
 const UNKNOWN_BORN: StartTimeMillis = 0;
 
@@ -62,6 +66,9 @@
     last_announced: Option<Instant>,
     /// Latest former incarnations, oldest first.
     former: SmallVec<[FormerIncarnation; MAX_FORMER]>,
+    /// Latest incarnations that have left without having been known, oldest first. Another writer may
+    /// name any, which must not replace those in `former`.
+    unknown: SmallVec<[TargetIncarnation; MAX_FORMER]>,
     candidate: Option<SuccessorCandidate>,
     unconfirmed: Option<InstanceAnnouncement>,
     /// The incarnation that has left, until another one takes its place.
@@ -78,6 +85,8 @@
     Accepts,
     /// It accepts none, or another target answers at its address.
     Refuses,
+    /// The known target answers at the address, or it states other slots.
+    Contradicts,
     /// It gives no answer.
     Silent,
     /// It cannot be asked, because no route table names the path for that.
@@ -96,11 +105,13 @@
     }
 
     /// Returns whether an announcement must be confirmed before it is applied: it is not of the known
-    /// incarnation, and may be a delayed one of a target that has left.
+    /// incarnation, and may be a delayed one of a target that has left, or it states other slots.
     #[must_use]
     pub fn needs_confirmation(&self, announcement: &InstanceAnnouncement) -> bool {
         let known = self.current.as_ref();
-        known.is_none_or(|known| known.incarnation() != announcement.incarnation())
+        known.is_none_or(|known| {
+            known.incarnation() != announcement.incarnation() || known.slots != announcement.slots
+        })
     }
 
     /// Returns whether an announcement counts as confirmed by what the target said when it was asked.
@@ -108,7 +119,8 @@
     /// A process that has just started may receive any number of announcements of a target that left
     /// before, in any order, so that only the target itself can confirm them, until they can no longer
     /// be as late as that. Otherwise, a further announcement of the same incarnation shows that it is
-    /// still running.
+    /// still running, unless the target contradicts it. While the known target announces itself, a silent
+    /// target confirms no other one.
     #[must_use]
     pub fn is_confirmed(
         &self,
@@ -119,13 +131,20 @@
         let starting = self.life == 0 && self.timely_from.is_some_and(|timely| now < timely);
         match reply {
             TargetReply::Accepts | TargetReply::Unasked => true,
-            TargetReply::Silent if !starting => true,
+            TargetReply::Silent if !starting && !self.is_running(now) => true,
             TargetReply::Silent | TargetReply::Refuses => {
                 !starting && self.is_repeated(announcement)
             }
+            TargetReply::Contradicts => false,
         }
     }
 
+    /// Returns whether the known target has announced itself lately.
+    fn is_running(&self, now: Instant) -> bool {
+        let last = self.last_announced.filter(|_| self.current.is_some());
+        last.is_some_and(|last| now.saturating_duration_since(last) < RUNNING_TIME)
+    }
+
     /// Returns whether an earlier announcement of the same incarnation could not be confirmed.
     fn is_repeated(&self, announcement: &InstanceAnnouncement) -> bool {
         let unconfirmed = self.unconfirmed.as_ref();
@@ -275,10 +294,15 @@
         // A late message of a former incarnation does not concern the current or a later one.
         let late = self.former.iter().any(is_former);
         let ends = ends && !late;
-        if self.current.is_none() && !late {
+        // The departure of a target that this process has known is not replaced by any other.
+        if self.current.is_none() && !late && !self.is_departure_known() {
             self.departed = Some(incarnation.clone());
         }
-        self.remember(incarnation, true);
+        if late || ends {
+            self.remember(incarnation, true);
+        } else {
+            self.remember_unknown(incarnation);
+        }
         if ends && let Some(current) = self.current.take() {
             self.departed = Some(current.incarnation());
             self.remember(current.incarnation(), true);
@@ -286,6 +310,26 @@
         ends
     }
 
+    /// Returns whether the target that has left is one that this process has known.
+    fn is_departure_known(&self) -> bool {
+        let departed = self.departed.as_ref();
+        departed.is_some_and(|departed| {
+            let mut former = self.former.iter();
+            former.any(|former| former.incarnation == *departed)
+        })
+    }
+
+    /// Remembers an incarnation that has left without having been known.
+    fn remember_unknown(&mut self, incarnation: TargetIncarnation) {
+        if self.unknown.contains(&incarnation) {
+            return;
+        }
+        if self.unknown.len() == MAX_FORMER {
+            self.unknown.remove(0);
+        }
+        self.unknown.push(incarnation);
+    }
+
     /// Applies the state of an incarnation from the store: a restarted node does not know by itself
     /// that its target had begun to drain or had left.
     pub fn restore_state(
@@ -380,5 +424,6 @@
     fn has_departed(&self, incarnation: &TargetIncarnation) -> bool {
         let mut departed = self.former.iter().filter(|former| former.departed);
         departed.any(|former| former.incarnation == *incarnation)
+            || self.unknown.contains(incarnation)
     }
 }
--- a/crates/apricotfold-proxy/src/adapters.rs
+++ b/crates/apricotfold-proxy/src/adapters.rs
@@ -48,6 +48,8 @@
     pub instance: Option<InstanceId>,
     /// Whether the target states that it did not run the request.
     pub not_run: bool,
+    /// Number of requests that the target takes at once, if it states one.
+    pub slots: Option<u32>,
     /// Current service time on the target's machine, in percent of the usual one.
     pub pace: Option<u32>,
     /// Time for which the target keeps an idle connection open, if it announces one.
--- a/crates/apricotfold-proxy/src/announce_server.rs
+++ b/crates/apricotfold-proxy/src/announce_server.rs
@@ -1,14 +1,17 @@
 //! Serves the local target: accepts its announcements.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use apricotfold_model::{InstanceAnnouncement, log_event};
+use apricotfold_policy::{AnnouncementEffect, AnnouncementRefusal, TargetIdentity, TargetReply};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use tokio::sync::Mutex;
 
 use crate::adapters::{AnnounceMessage, AnnounceProtocol};
 use crate::call_body::ResponseBody;
@@ -17,6 +20,8 @@
 use crate::departure_keeper::keep_departure;
 use crate::engine::Engine;
 use crate::health_check;
+use crate::telemetry;
+use crate::throttled_log::ThrottledLog;
 
 /// Largest announcement that is read; typical ones have a few hundred bytes.
 const MAX_ANNOUNCEMENT_BYTES: u64 = 64 * 1024;
@@ -28,16 +33,28 @@
 /// target waits a second for it, of which the check of the target can take up to 0.7 s.
 const SETTLE_WAIT: Duration = Duration::from_millis(200);
 
+/// Time for which an answer of the known target contradicts the announcements of other ones. A flood of
+/// them must not become a flood of checks, each of which takes one of the target's slots.
+const REPLY_LIFETIME: Duration = Duration::from_millis(250);
+
 /// Handles the local target's announcements.
 pub struct AnnounceHandler {
     engine: Arc<Engine>,
     protocol: Arc<dyn AnnounceProtocol>,
+    refusals: ThrottledLog,
+    /// When the known target last contradicted an announcement. One check runs at a time.
+    contradicted: Mutex<Option<Instant>>,
 }
 
 impl AnnounceHandler {
     /// Creates the handler.
     pub fn new(engine: Arc<Engine>, protocol: Arc<dyn AnnounceProtocol>) -> Self {
-        Self { engine, protocol }
+        Self {
+            engine,
+            protocol,
+            refusals: ThrottledLog::default(),
+            contradicted: Mutex::default(),
+        }
     }
 
     async fn answer(
@@ -55,8 +72,8 @@
         let call = match self.protocol.read(&parts, &body.to_bytes()) {
             Ok(call) => call,
             Err(errors) => {
-                log_event!(warn, AnnouncementIgnored, "{errors}");
-                return Ok(empty_response(StatusCode::BAD_REQUEST));
+                self.refuse(AnnouncementRefusal::Unreadable, &errors);
+                return Ok(self.acknowledge());
             }
         };
         let instance = match call {
@@ -66,10 +83,17 @@
                 instance
             }
             AnnounceMessage::Leave { instance, born } => {
-                if self.engine.local().leave(&instance, born) {
+                let (ended, changed) = {
+                    let mut local = self.engine.local();
+                    let before = local.announced();
+                    (local.leave(&instance, born), local.announced() != before)
+                };
+                if ended {
                     log_event!(info, TargetGone, "{instance} announced its departure");
                 }
-                self.engine.change_registration();
+                if changed {
+                    self.engine.change_registration();
+                }
                 instance
             }
             AnnounceMessage::Unknown => return Ok(empty_response(StatusCode::NOT_FOUND)),
@@ -77,34 +101,82 @@
         if !keep_departure(&self.engine, &instance).await {
             return Ok(empty_response(StatusCode::SERVICE_UNAVAILABLE));
         }
-        Ok(self.protocol.acknowledge().map(ResponseBody::whole))
+        Ok(self.acknowledge())
     }
 }
 
 impl AnnounceHandler {
-    /// Applies an announcement. If it is not of the known incarnation, the target is asked, because it
-    /// may be a delayed one of a target that has left.
+    fn acknowledge(&self) -> Response<ResponseBody> {
+        self.protocol.acknowledge().map(ResponseBody::whole)
+    }
+
+    /// Counts and logs a message that changes nothing.
+    fn refuse(&self, refusal: AnnouncementRefusal, detail: &impl Display) {
+        telemetry::count_refused_announcement(refusal);
+        if let Some(more) = self.refusals.admit(refusal.into()) {
+            log_event!(
+                warn,
+                AnnouncementIgnored,
+                "{refusal}: {detail}, {more} more before"
+            );
+        }
+    }
+
+    /// Applies an announcement of the local target. If it is not of the known incarnation, the target is
+    /// asked, because it may be a delayed one of a target that has left.
     async fn announce(&self, announcement: InstanceAnnouncement) {
+        let identity = {
+            let config = self.engine.config.load();
+            TargetIdentity {
+                service: config.service.clone(),
+                address: config.target_address,
+            }
+        };
+        let text = format!(
+            "{} service {} address {} slots {} number {}",
+            announcement.instance,
+            announcement.service,
+            announcement.address,
+            announcement.slots,
+            announcement.number
+        );
+        if let Err(refusal) = identity.check(&announcement) {
+            self.refuse(refusal, &text);
+            return;
+        }
         let unconfirmed = self.engine.local().needs_confirmation(&announcement);
         if unconfirmed {
-            let reply = health_check::ask_target(&self.engine, &announcement).await;
+            let reply = self.ask_target(&announcement).await;
             let mut local = self.engine.local();
             if !local.is_confirmed(&announcement, reply, Instant::now()) {
-                let (instance, number) = (&announcement.instance, announcement.number);
-                log_event!(
-                    warn,
-                    AnnouncementIgnored,
-                    "{instance} number {number}: not confirmed, the target {reply}"
-                );
                 local.keep_unconfirmed(announcement);
+                drop(local);
+                let detail = format!("{text}, the target {reply}");
+                self.refuse(AnnouncementRefusal::Unconfirmed, &detail);
                 return;
             }
         }
-        self.engine.announce(announcement);
+        if self.engine.announce(announcement) == AnnouncementEffect::Outdated {
+            self.refuse(AnnouncementRefusal::Outdated, &text);
+        }
         if unconfirmed {
             self.engine.departures.wait_settled(SETTLE_WAIT).await;
         }
     }
+
+    /// Asks the target whether an announcement is its own.
+    async fn ask_target(&self, announcement: &InstanceAnnouncement) -> TargetReply {
+        let mut contradicted = self.contradicted.lock().await;
+        let is_recent = |at: Instant| at.elapsed() < REPLY_LIFETIME;
+        let known = self.engine.current_incarnation();
+        let is_other = known.is_some_and(|known| known.instance != announcement.instance);
+        if is_other && contradicted.is_some_and(is_recent) {
+            return TargetReply::Contradicts;
+        }
+        let reply = health_check::ask_target(&self.engine, announcement).await;
+        *contradicted = (is_other && reply == TargetReply::Contradicts).then(Instant::now);
+        reply
+    }
 }
 
 fn empty_response(status: StatusCode) -> Response<ResponseBody> {
--- a/crates/apricotfold-proxy/src/callers/held_memory.rs
+++ b/crates/apricotfold-proxy/src/callers/held_memory.rs
@@ -2,16 +2,14 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use apricotfold_model::log_event;
 use apricotfold_policy::{HeldBytes, HoldDecision, HolderId};
 use tokio::sync::Notify;
 
 use crate::telemetry;
-
-/// Shortest interval between log lines about a limit. A flood reaches it thousands of times a second.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
+use crate::throttled_log::ThrottledLog;
 
 /// The body cannot be held; its request has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,7 +24,7 @@
 /// Counts what strangers make the node hold, and gives up bodies over the budget.
 pub struct HeldMemory {
     state: Mutex<HeldState>,
-    log: LimitLog,
+    log: ThrottledLog,
 }
 
 impl HeldMemory {
@@ -37,7 +35,7 @@
                 bytes: HeldBytes::new(budget),
                 signals: HashMap::new(),
             }),
-            log: LimitLog::default(),
+            log: ThrottledLog::default(),
         }
     }
 
@@ -66,7 +64,15 @@
 
     /// Records that a limit was reached.
     pub fn record_limit(&self, limit: &'static str, text: impl FnOnce() -> String) {
-        self.log.record(limit, text);
+        telemetry::count_limit(limit);
+        if let Some(more) = self.log.admit(limit) {
+            log_event!(
+                warn,
+                LimitReached,
+                "{limit}: {}, {more} more before",
+                text()
+            );
+        }
     }
 
     /// Returns the number of bytes that are counted.
@@ -86,8 +92,7 @@
                 signal.notify_one();
             }
             drop(state);
-            self.log
-                .record("memory", || format!("a body with {held} bytes is given up"));
+            self.record_limit("memory", || format!("a body with {held} bytes is given up"));
             if given_up == id {
                 return Err(MemoryExceeded);
             }
@@ -161,37 +166,3 @@
         self.memory.lock().bytes.release(self.bytes);
     }
 }
-
-/// Counts how often limits are reached, and logs each at most once per [`LOG_INTERVAL`].
-#[derive(Default)]
-struct LimitLog(Mutex<HashMap<&'static str, LoggedLimit>>);
-
-#[derive(Default)]
-struct LoggedLimit {
-    last: Option<Instant>,
-    unlogged: u64,
-}
-
-impl LimitLog {
-    fn record(&self, limit: &'static str, text: impl FnOnce() -> String) {
-        telemetry::count_limit(limit);
-        let now = Instant::now();
-        let mut limits = self.0.lock().expect("no panic while locked");
-        let logged = limits.entry(limit).or_default();
-        if logged
-            .last
-            .is_some_and(|last| now.duration_since(last) < LOG_INTERVAL)
-        {
-            logged.unlogged += 1;
-            return;
-        }
-        logged.last = Some(now);
-        let more = std::mem::take(&mut logged.unlogged);
-        log_event!(
-            warn,
-            LimitReached,
-            "{limit}: {}, {more} more before",
-            text()
-        );
-    }
-}
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -387,10 +387,7 @@
                 log_event!(info, TargetAnnounced, "{text}");
                 self.change_registration();
             }
-            AnnouncementEffect::Repeated => {}
-            AnnouncementEffect::Outdated => {
-                log_event!(warn, AnnouncementIgnored, "{text}: outdated");
-            }
+            AnnouncementEffect::Repeated | AnnouncementEffect::Outdated => {}
         }
         effect
     }
--- a/crates/apricotfold-proxy/src/health_check.rs
+++ b/crates/apricotfold-proxy/src/health_check.rs
@@ -54,9 +54,11 @@
             let head = engine
                 .protocol
                 .read_answer(answer.status(), answer.headers());
-            let other = head
-                .instance
-                .is_some_and(|other| other != announcement.instance);
+            let answering = head.instance.as_ref();
+            let other = answering.is_some_and(|other| *other != announcement.instance);
+            let known = engine.current_incarnation();
+            let is_known = known.is_some_and(|known| answering == Some(&known.instance));
+            let other_slots = head.slots.is_some_and(|slots| slots != announcement.slots);
             // Only answers to requests show that a limit has ended.
             if !other && head.rate_limit.is_some() {
                 engine.record_rate_limit(&announcement.instance, head.rate_limit);
@@ -64,7 +66,9 @@
             let leaving = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
             let lease = ConnectionLease::new(pool, connection);
             drop(ResponseBody::streaming(answer.into_body(), lease));
-            if other || leaving {
+            if (other && is_known) || (!other && other_slots) {
+                TargetReply::Contradicts
+            } else if other || leaving {
                 TargetReply::Refuses
             } else {
                 TargetReply::Accepts
--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -54,6 +54,7 @@
 mod target_pacing;
 mod target_statements;
 mod telemetry;
+mod throttled_log;
 
 pub use admission::{AdmissionController, SlotGuard};
 pub use run::{PlatformAdapters, run_proxy};
--- a/crates/apricotfold-proxy/src/telemetry.rs
+++ b/crates/apricotfold-proxy/src/telemetry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use apricotfold_model::{CallOutcome, RefusalReason, RolloutState, WorkClass};
-use apricotfold_policy::{OffsetMillis, WatchDoubt};
+use apricotfold_policy::{AnnouncementRefusal, OffsetMillis, WatchDoubt};
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -62,6 +62,12 @@
     counter!("apricotfold_store_calls_total", "kind" => kind, "result" => result).increment(1);
 }
 
+/// Counts a message of a target that changed nothing.
+pub fn count_refused_announcement(refusal: AnnouncementRefusal) {
+    let reason: &'static str = refusal.into();
+    counter!("apricotfold_announcements_refused_total", "reason" => reason).increment(1);
+}
+
 /// Counts a doubt for which the watches of the store were opened anew.
 pub fn count_reopened_watches(doubt: WatchDoubt) {
     let reason: &'static str = doubt.into();
--- a/crates/apricotfold-proxy/tests/instance_restart.rs
+++ b/crates/apricotfold-proxy/tests/instance_restart.rs
@@ -17,6 +17,7 @@
     let entry = TestNode::start_unannounced("b", &entry_store).await;
     entry.wait_serving().await;
     entry_store.set_unreachable(true);
+    restarted.target.set_answering("i-next");
     for number in [1, 2] {
         restarted.announce_as("i-next", 2, number, "ready").await;
     }
--- a/crates/apricotfold-proxy/tests/support/mod.rs
+++ b/crates/apricotfold-proxy/tests/support/mod.rs
@@ -342,9 +342,9 @@
         assert_eq!(answer.status, 200);
     }
 
-    /// Announces a new incarnation of the target with another id, but the target's answers keep the old
-    /// one. The second announcement confirms the first.
+    /// Announces a new incarnation of the target with another id, which its answers bear from then on.
     pub async fn announce_successor(&self, instance: &str) {
+        self.target.set_answering(instance);
         for number in 1..=2 {
             self.announce_as(instance, 2, number, "ready").await;
         }
--- a/crates/apricotfold-proxy/tests/support/protocol.rs
+++ b/crates/apricotfold-proxy/tests/support/protocol.rs
@@ -60,6 +60,7 @@
             request_id: read(headers, "request-id").map(Into::into),
             instance: read(headers, "instance").map(Into::into),
             not_run: headers.contains_key("not-run"),
+            slots: read(headers, "slots").and_then(|text| text.parse().ok()),
             pace: None,
             idle_timeout: None,
             leaving: read(headers, "leaving").as_deref() == Some("1"),
