--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -13,6 +13,7 @@
 use apricotfold_store::{ConfigStore, Revision, StoreError, WatchBatch, WatchStream, WatchTerms};
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
+use strum::Display;
 use tokio::sync::watch;
 
 use crate::engine::Engine;
@@ -48,7 +49,8 @@
 const MAX_SLOWNESS: Duration = Duration::from_secs(1);
 
 /// What a watch delivers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum WatchedKeys {
     /// The operators' route table and rollout orders.
     Table,
@@ -224,7 +226,7 @@
     /// Has all watches opened anew, because the answer of one did not come in time.
     fn record_lost_watch(&self, keys: WatchedKeys) {
         let doubt = self.lock().watches.record_loss(Instant::now());
-        self.reopen_watches(doubt, &format!("no answer to the watch of {keys:?}"));
+        self.reopen_watches(doubt, &format!("no answer to the watch of the {keys}"));
     }
 
     /// Returns the time since a watch of this node was last found lost.
