Let processes settle before one of them monitors

Cause: a process that has just started knows few others and took itself for the monitor, so that each opened both watches anew.

Change: a process monitors 4 s after its start at the earliest, and asks the monitor after 5 s. Within 4 s of its start no node is expected to be in time; a watch that was lost meanwhile is opened anew when the monitor begins.

--- a/crates/apricotfold-proxy/src/store/watch_monitor.rs
+++ b/crates/apricotfold-proxy/src/store/watch_monitor.rs
@@ -13,7 +13,8 @@
 use crate::peer_exchange::{ExchangeResponse, ask_progress};
 
 /// Has lost watches opened anew, and asks another node how far its watches have come: the one that
-/// monitors the watches of the region, or a random one that follows the store if this node does.
+/// monitors the watches of the region, or a random one that follows the store if this node does or has
+/// just started.
 pub fn compare_watches(engine: &Arc<Engine>) {
     let candidates = {
         let config = engine.config.load();
@@ -28,10 +29,10 @@
     health.check_watches(engine.tables.version());
     let engine = engine.clone();
     match role {
-        MonitorRole::Asks(monitor) => {
+        Some(MonitorRole::Asks(monitor)) => {
             tokio::spawn(async move { ask_monitor(&engine, &monitor).await });
         }
-        MonitorRole::Monitors => {
+        Some(MonitorRole::Monitors) | None => {
             tokio::spawn(async move { ask_follower(&engine).await });
         }
     }
--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -45,6 +45,13 @@
 /// time for an answer, beside twice the time that it took for the last one.
 const MONITOR_OVERDUE: Duration = Duration::from_millis(600);
 
+/// Time from the start of a process after which it may monitor. When all processes start together, each
+/// knows too few others at first to tell which one monitors.
+const MONITOR_SETTLE_TIME: Duration = Duration::from_secs(4);
+
+/// Time from the start of a process after which it asks the monitor, which then has begun to be one.
+const ASK_SETTLE_TIME: Duration = Duration::from_secs(5);
+
 /// Longest addition to [`MONITOR_OVERDUE`] for a slow store.
 const MAX_SLOWNESS: Duration = Duration::from_secs(1);
 
@@ -72,6 +79,7 @@
 /// Availability of the store, shared by all tasks that call it.
 #[derive(Debug)]
 pub struct StoreHealth {
+    started: Instant,
     state: Mutex<HealthState>,
     /// Number of times at which the store became unavailable.
     losses: watch::Sender<u64>,
@@ -86,6 +94,7 @@
     /// Starts as unavailable, without any response from the store.
     pub fn new() -> Self {
         Self {
+            started: Instant::now(),
             state: Mutex::default(),
             losses: watch::Sender::new(0),
             returns: watch::Sender::new(0),
@@ -179,11 +188,20 @@
 
     /// Chooses this node's part in monitoring the watches of its region among the nodes that can do
     /// so, the best first. A node that begins to monitor opens its watches anew, to wait only briefly.
-    pub fn choose_monitor(&self, candidates: &[NodeId], own: &NodeId) -> MonitorRole {
+    /// Returns `None` while the process has just started.
+    pub fn choose_monitor(&self, candidates: &[NodeId], own: &NodeId) -> Option<MonitorRole> {
         let now = Instant::now();
         let mut state = self.lock();
         let role = state.monitors.choose(candidates, own, now);
         let monitors = role == MonitorRole::Monitors;
+        let settle_time = if monitors {
+            MONITOR_SETTLE_TIME
+        } else {
+            ASK_SETTLE_TIME
+        };
+        if now.saturating_duration_since(self.started) < settle_time {
+            return None;
+        }
         if monitors {
             state.watches.confirm(now);
         }
@@ -192,7 +210,7 @@
         if begins {
             self.doubts.send_modify(|doubts| *doubts += 1);
         }
-        role
+        Some(role)
     }
 
     /// Records whether a node that was asked answered as the monitor of the region.
