Believe no announcement for want of a route table

Callers would get 503 at a node that had started again while the store was silent, for as long as another writer announced another id at the target's own service and address.

Cause: before its first table a process does not know the path of the health check, and took an announcement that it could not check for a confirmed one. Evidence, log of the node: "target announced: x-2" 0.48 s after the start, the first table after 1.63 s, and "outdated: i-3" from then on.

Test: before_first_table.

--- a/crates/apricotfold-proxy/tests/foreign_announcements.rs
+++ b/crates/apricotfold-proxy/tests/foreign_announcements.rs
@@ -128,6 +128,24 @@
     assert_eq!(entry["record"]["state"], "gone");
 }
 
+/// Guards against a process that believes any announcement before it has its first table, which names the path
+/// of the health check.
+#[tokio::test(flavor = "multi_thread")]
+async fn before_first_table() {
+    let store = MemoryStore::default().other_client();
+    let node = TestNode::start_unannounced("a", &store).await;
+    announce(&node, &foreign(&node, 1)).await;
+    node.announce(1, "ready").await;
+    store.publish(&table(1));
+    let ready = || exchange(node.config.ready_address, "GET", "/ready", &[], "");
+    node.wait_for(|| async { ready().await.status == 200 })
+        .await;
+    announce(&node, &foreign(&node, 2)).await;
+    node.announce(2, "ready").await;
+    node.wait_serving().await;
+    assert_eq!(entry(&store)["record"]["instance"], "i-a");
+}
+
 /// Guards against a target that is refused because no table names its service yet.
 #[tokio::test(flavor = "multi_thread")]
 async fn service_named_later() {
