Revert the refusal of announcements before the first table

Callers of nodes whose first table is slow would have got no answer from their targets: an announcement that came before it was not believed, and targets of the tests announce themselves once.

--- a/crates/apricotfold-policy/src/local_instance.rs
+++ b/crates/apricotfold-policy/src/local_instance.rs
@@ -87,9 +87,9 @@
     Refuses,
     /// The known target answers at the address, or it states other slots.
     Contradicts,
-    /// It gives no answer, or cannot be asked before the first route table.
+    /// It gives no answer.
     Silent,
-    /// It cannot be asked, because the route table names no path for that.
+    /// It cannot be asked, because no route table names the path for that.
     Unasked,
 }
 
--- a/crates/apricotfold-proxy/src/health_check.rs
+++ b/crates/apricotfold-proxy/src/health_check.rs
@@ -27,10 +27,6 @@
     while engine.tables.version() == 0 && started.elapsed() < TABLE_TIMEOUT {
         tokio::time::sleep(TABLE_INTERVAL).await;
     }
-    if engine.tables.version() == 0 {
-        // What no table names yet is no reason to believe an announcement.
-        return TargetReply::Silent;
-    }
     let table = engine.tables.current().table.clone();
     let service = table.service(&announcement.service);
     let path = service.map_or("", |service| service.health_path.as_str());
