--- a/review/support-3/departed.rs
+++ b/review/support-3/departed.rs
@@ -15,7 +15,7 @@
 const AWAY: Duration = Duration::from_secs(9);
 /// Times from its beginning.
 const LEAVES: Duration = Duration::from_millis(1_000);
-const RESTARTED: Duration = Duration::from_millis(1_800);
+const RESTARTED: Duration = Duration::from_millis(1_600);
 const LATE_BEAT: Duration = Duration::from_millis(2_600);
 /// Time after the acknowledgement for which the target goes on serving.
 const SERVES_ON: Duration = Duration::from_secs(11);
@@ -74,7 +74,7 @@
     }
     thread::sleep(Duration::from_secs(8));
 
-    // Clients of the machines of the other service send it about two requests a second each.
+    // Clients of the machines of the other service send it about three requests a second each.
     let over = Arc::new(AtomicBool::new(false));
     for (client, entry) in nodes[4..].iter().enumerate() {
         let (entry, over) = (entry.clone(), over.clone());
@@ -87,11 +87,16 @@
                 note(&format!("{} is sent {id}", entry.name));
                 let got = call(entry.outbound, "GET", &format!("/guia/{id}"), &headers, b"", Duration::from_secs(2));
                 note(&format!("{id} gets {}", got.map_or("no answer".to_owned(), |a| a.status().to_string())));
-                thread::sleep(Duration::from_millis(400));
+                thread::sleep(Duration::from_millis(240));
             }
         });
     }
     thread::sleep(Duration::from_secs(2));
+    // It begins after a renewal of the machine's lease, which then lasts for 6 s.
+    let seen = Instant::now();
+    while !door.renewed.lock().unwrap().is_some_and(|at| at > seen) {
+        thread::sleep(Duration::from_millis(5));
+    }
     let begun = Instant::now();
     let until = |time: Duration| thread::sleep(time.saturating_sub(begun.elapsed()));
     if trouble {
--- a/review/support-3/lib.rs
+++ b/review/support-3/lib.rs
@@ -400,11 +400,16 @@
     lease: i64,
 }
 
+/// `history_s`
+const HISTORY: Duration = Duration::from_secs(20);
+
 #[derive(Default)]
 struct StoreState {
     revision: i64,
     items: BTreeMap<String, Item>,
-    history: Vec<(i64, String, Option<Item>)>,
+    history: Vec<(i64, String, Option<Item>, Instant)>,
+    /// Revision up to which the history has been discarded.
+    discarded: i64,
     leases: HashMap<i64, (Instant, Duration)>,
     next_lease: i64,
 }
@@ -415,15 +420,19 @@
         let created = self.items.get(key).map_or(self.revision, |item| item.created);
         let item = Item { value: value.to_owned(), revision: self.revision, created, lease };
         self.items.insert(key.to_owned(), item.clone());
-        self.history.push((self.revision, key.to_owned(), Some(item)));
+        self.history.push((self.revision, key.to_owned(), Some(item), Instant::now()));
     }
     fn delete(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            self.history.push((self.revision, key.to_owned(), None));
+            self.history.push((self.revision, key.to_owned(), None, Instant::now()));
         }
     }
     fn expire(&mut self) {
+        let old = self.history.iter().take_while(|event| event.3.elapsed() > HISTORY).count();
+        if let Some(last) = self.history.drain(..old).next_back() {
+            self.discarded = last.0;
+        }
         self.leases.retain(|_, (at, ttl)| at.elapsed() < *ttl);
         let leases = &self.leases;
         let ended: Vec<String> = self
@@ -465,6 +474,35 @@
     pub mode: Arc<AtomicU64>,
     /// When a lease was last renewed through it.
     pub renewed: Arc<Mutex<Option<Instant>>>,
+    /// Bytes per second of the machine's link, 0 for no limit.
+    pub rate: Arc<AtomicU64>,
+}
+
+/// A link that all answers to a machine share.
+#[derive(Clone, Default)]
+struct Link {
+    rate: Arc<AtomicU64>,
+    free: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Link {
+    fn write(&self, output: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+        for piece in bytes.chunks(4_096) {
+            let rate = self.rate.load(Ordering::Relaxed);
+            if rate > 0 {
+                let wait = {
+                    let mut free = self.free.lock().unwrap();
+                    let now = Instant::now();
+                    let start = free.map_or(now, |at| at.max(now));
+                    *free = Some(start + Duration::from_secs_f64(piece.len() as f64 / rate as f64));
+                    start - now
+                };
+                thread::sleep(wait);
+            }
+            output.write_all(piece)?;
+        }
+        output.flush()
+    }
 }
 
 fn decode(text: &str) -> String {
@@ -504,7 +542,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = serving.clone();
-                thread::spawn(move || store.serve(stream, &AtomicU64::new(SERVES), &Mutex::default()));
+                thread::spawn(move || store.serve(stream, &AtomicU64::new(SERVES), &Mutex::default(), &Link::default()));
             }
         });
         let ticking = store.clone();
@@ -523,14 +561,16 @@
         let listener = listen();
         let (address, mode) = (listener.local_addr().unwrap(), Arc::new(AtomicU64::new(SERVES)));
         let renewed: Arc<Mutex<Option<Instant>>> = Arc::default();
+        let link = Link::default();
+        let rate = link.rate.clone();
         let (store, shared, seen) = (self.clone(), mode.clone(), renewed.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, mode, renewed) = (store.clone(), shared.clone(), seen.clone());
-                thread::spawn(move || store.serve(stream, &mode, &renewed));
+                let (store, mode, renewed, link) = (store.clone(), shared.clone(), seen.clone(), link.clone());
+                thread::spawn(move || store.serve(stream, &mode, &renewed, &link));
             }
         });
-        Door { address, mode, renewed }
+        Door { address, mode, renewed, rate }
     }
 
     /// Writes a key without a lease, as the operator does.
@@ -551,7 +591,7 @@
         state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
-    fn serve(&self, stream: TcpStream, mode: &AtomicU64, renewed: &Mutex<Option<Instant>>) {
+    fn serve(&self, stream: TcpStream, mode: &AtomicU64, renewed: &Mutex<Option<Instant>>, link: &Link) {
         let _ = stream.set_nodelay(true);
         let Ok(mut output) = stream.try_clone() else { return };
         let mut input = BufReader::new(stream);
@@ -582,7 +622,8 @@
                 return;
             }
             let json = [("content-type", "application/json")];
-            if answer(&mut output, status, &json, body.as_bytes()).is_err() {
+            let mut bytes = Vec::new();
+            if answer(&mut bytes, status, &json, body.as_bytes()).is_err() || link.write(&mut output, &bytes).is_err() {
                 return;
             }
         }
@@ -625,11 +666,14 @@
                 let wait: u64 = query(&target, "wait_ms").parse().unwrap_or(0);
                 let end = Instant::now() + Duration::from_millis(wait.min(30_000));
                 loop {
+                    if after < state.discarded {
+                        return (410, "{}".to_owned());
+                    }
                     let events: Vec<String> = state
                         .history
                         .iter()
-                        .filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix))
-                        .map(|(revision, key, item)| match item {
+                        .filter(|(revision, key, ..)| *revision > after && key.starts_with(&prefix))
+                        .map(|(revision, key, item, _)| match item {
                             Some(item) => show(key, item),
                             None => format!("{{\"key\":{},\"revision\":{revision},\"deleted\":true}}", quote(key)),
                         })
