Give up no answer of the store that is still arriving

With successive_tables, versions came up to 11 s late after a start.

Cause: a node could not tell a lost answer from one that arrives over a narrow link. Every doubt of a watch, the failure of any other call and the limit of 1.5 s on whole reads gave up answers that made progress, and the next answer carried all versions since. In the record, the relays with 7 Mbit/s reopen their watches 1.2, 2.6, 5.4, 10.3 and 18.7 s after the first version, always with version 2.

Change: the client of the store reports arriving answers (TransferProgress). Doubts and losses wait until such an answer is complete or stalls for 0.6 s; reads and watches end when nothing arrives for 1.5 s. A follower that hears of a newer table asks the node that has it, and a watch reopened behind others reads the newest version first. What the watch has delivered counts for the doubt, so that a table from a peer does not hide a lost watch.

Evidence: failed before, on: overtaken_transfer (no last version after 12 s), successive_tables, slow_link. reopened_behind_peer passed before; it guards what the reopening is for. No call to the store is added.

--- a/crates/apricotfold-policy/src/watch_audit.rs
+++ b/crates/apricotfold-policy/src/watch_audit.rs
@@ -17,7 +17,7 @@
 const ENTRY_PATIENCE: Duration = Duration::from_millis(3_500);
 
 /// Longest patience. It doubles with each doubt that has not helped, so that a watch is not reopened
-/// over and over while a long answer is still arriving.
+/// over and over before a store that is slow or far behind can answer it.
 const MAX_PATIENCE: Duration = Duration::from_secs(8);
 
 /// Time without a word from a node that reaches the store after which the watches are in doubt anyway.
@@ -75,6 +75,10 @@
         }
     }
 
+    fn is_behind(&self, known: u64) -> bool {
+        self.since.is_some() && known < self.expected
+    }
+
     fn is_due(&mut self, known: u64, now: Instant) -> bool {
         let Some(since) = self.since.filter(|_| known < self.expected) else {
             *self = Self::new(self.shortest);
@@ -152,8 +156,15 @@
         self.delivered
     }
 
-    /// Records what another node that is in contact with the store has. `table` is the version of this
-    /// node's table.
+    /// Returns whether another node has a newer table than `table`, the version that this node's watch
+    /// has delivered.
+    #[must_use]
+    pub fn is_table_behind(&self, table: TableVersion) -> bool {
+        self.table.is_behind(table)
+    }
+
+    /// Records what another node that is in contact with the store has. `table` is the version that this
+    /// node's watch has delivered.
     pub fn observe(&mut self, other: WatchProgress, table: TableVersion, now: Instant) {
         self.confirmed = Some(now);
         self.table.expect(other.table, table, now);
@@ -186,8 +197,8 @@
         self.lost_elsewhere = self.lost_elsewhere.max(Some(lost));
     }
 
-    /// Returns why the watches have to be opened anew, if they have to. `table` is the version of this
-    /// node's table.
+    /// Returns why the watches have to be opened anew, if they have to. `table` is the version of the table
+    /// that this node's watch has delivered.
     pub fn check(&mut self, table: TableVersion, now: Instant) -> Option<WatchDoubt> {
         let confirmed = *self.confirmed.get_or_insert(now);
         let opened = *self.opened.get_or_insert(now);
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -121,6 +121,8 @@
     pub inbound_meter: LinkMeter,
     /// Availability of the store.
     pub store_health: StoreHealth,
+    /// Held while another follower of the store is asked for its newer table.
+    pub table_fetch: tokio::sync::Mutex<()>,
     /// Phase of the process and the requests in progress.
     pub lifecycle: Lifecycle,
     /// Limits on what strangers may make the node hold.
@@ -193,6 +195,7 @@
             link_meter,
             inbound_meter,
             store_health: StoreHealth::new(),
+            table_fetch: tokio::sync::Mutex::default(),
             lifecycle: Lifecycle::new(),
             limits: node_limits,
             held_memory: Arc::new(HeldMemory::new(node_limits.held_bytes)),
--- a/crates/apricotfold-proxy/src/instance_watcher.rs
+++ b/crates/apricotfold-proxy/src/instance_watcher.rs
@@ -6,7 +6,7 @@
 
 use apricotfold_model::{InstanceRecord, log_event};
 use apricotfold_store::{
-    ConfigStore, RangeResponse, StoreEntry, StoreError, WatchBatch, WatchEvent,
+    ConfigStore, RangeResponse, StoreEntry, StoreError, TransferProgress, WatchBatch, WatchEvent,
 };
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -40,8 +40,9 @@
     fn follow<'a>(
         &'a self,
         failures: &'a mut usize,
+        progress: &'a TransferProgress,
     ) -> BoxFuture<'a, Result<Infallible, StoreError>> {
-        self.watch_changes(failures).boxed()
+        self.watch_changes(failures, progress).boxed()
     }
 }
 
@@ -51,14 +52,15 @@
         Self { engine, store }
     }
 
-    async fn watch_changes(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
+    async fn watch_changes(
+        &self,
+        failures: &mut usize,
+        progress: &TransferProgress,
+    ) -> Result<Infallible, StoreError> {
         // The first listing may be stale: the watch from its revision on delivers what is missing.
         // After a failure the store may have dropped the history that such a watch needs.
-        let listing = if *failures == 0 {
-            self.store.list_stale(WATCH_PREFIX).await
-        } else {
-            self.store.list(WATCH_PREFIX).await
-        };
+        let stale = *failures == 0;
+        let listing = self.store.list_within(WATCH_PREFIX, stale, progress).await;
         telemetry::count_store_call("list", listing.is_ok());
         let listing = listing?;
         self.engine.store_health.record_answer("list");
@@ -75,9 +77,15 @@
             doubts.mark_unchanged();
             let keys = WatchedKeys::Entries;
             let terms = health.watch_terms(keys);
-            let watch = self.store.watch_within(WATCH_PREFIX, revision + 1, terms);
+            let watch = self
+                .store
+                .watch_within(WATCH_PREFIX, revision + 1, terms, progress);
             let mut watch = watch.await?;
-            while let Some(batch) = health.next_batch(keys, &mut watch, &mut doubts).await {
+            loop {
+                let next = health.next_batch(keys, &mut watch, &mut doubts, progress);
+                let Some(batch) = next.await else {
+                    break;
+                };
                 telemetry::count_store_call("watch", batch.is_ok());
                 let batch = batch?;
                 health.record_answer("watch");
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -289,6 +289,19 @@
     timed_exchange(engine, address, ExchangeScope::Progress, &|_| {}).await
 }
 
+/// Asks a peer for a newer table, and for a whole one if its deltas do not fit this node's.
+///
+/// # Errors
+///
+/// Returns an error if the peer gave no usable response.
+pub async fn ask_table(engine: &Arc<Engine>, address: SocketAddr) -> eyre::Result<()> {
+    let answer = timed_exchange(engine, address, ExchangeScope::Table, &|_| {}).await?;
+    if answer.table.is_some() && engine.tables.transfer_base() == 0 {
+        timed_exchange(engine, address, ExchangeScope::Table, &|_| {}).await?;
+    }
+    Ok(())
+}
+
 async fn timed_exchange(
     engine: &Arc<Engine>,
     address: SocketAddr,
--- a/crates/apricotfold-proxy/src/store/watch_monitor.rs
+++ b/crates/apricotfold-proxy/src/store/watch_monitor.rs
@@ -10,7 +10,7 @@
 use rand::seq::IteratorRandom;
 
 use crate::engine::Engine;
-use crate::peer_exchange::{ExchangeResponse, ask_progress};
+use crate::peer_exchange::{ExchangeResponse, ask_progress, ask_table};
 
 /// Has lost watches opened anew, and asks another node how far its watches have come: the one that
 /// monitors the watches of the region, or a random one that follows the store if this node does or has
@@ -26,7 +26,7 @@
     };
     let health = &engine.store_health;
     let role = health.choose_monitor(&candidates, &engine.node());
-    health.check_watches(engine.tables.version());
+    health.check_watches();
     let engine = engine.clone();
     match role {
         Some(MonitorRole::Asks(monitor)) => {
@@ -41,7 +41,8 @@
 /// Asks the monitor of the region, and has the watches opened anew if it has lost an answer since
 /// they were opened.
 async fn ask_monitor(engine: &Arc<Engine>, monitor: &NodeId) {
-    let answer = match address_of(engine, monitor) {
+    let address = address_of(engine, monitor);
+    let answer = match address {
         Some(address) => ask(engine, address).await,
         None => None,
     };
@@ -58,7 +59,10 @@
         health.observe_loss(lost);
     }
     observe(engine, answer);
-    health.check_watches(engine.tables.version());
+    health.check_watches();
+    if let Some(address) = address {
+        fetch_table(engine, answer, address).await;
+    }
 }
 
 /// Asks a random node that follows the store.
@@ -76,13 +80,29 @@
         && is_in_contact(&answer)
     {
         observe(engine, &answer);
+        fetch_table(engine, &answer, address).await;
     }
 }
 
 fn observe(engine: &Engine, answer: &ExchangeResponse) {
     if let Some(progress) = answer.progress {
-        let table = engine.tables.version();
-        engine.store_health.observe_progress(progress, table);
+        engine.store_health.observe_progress(progress);
+    }
+}
+
+/// Asks a node for its table if it is newer. Deltas between nodes are small, while the store sends a table
+/// whole, behind all versions that are already on their way.
+async fn fetch_table(engine: &Arc<Engine>, answer: &ExchangeResponse, address: SocketAddr) {
+    let version = answer.progress.map_or(0, |progress| progress.table);
+    if version <= engine.tables.version() {
+        return;
+    }
+    // An answer that takes longer than the interval of comparisons is not asked for twice.
+    let Ok(_fetching) = engine.table_fetch.try_lock() else {
+        return;
+    };
+    if let Err(cause) = ask_table(engine, address).await {
+        log_event!(debug, ExchangeFailed, "table of {address}: {cause}");
     }
 }
 
--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -10,7 +10,9 @@
     EntryRevision, MonitorChoice, MonitorRole, STORE_SILENCE, StoreContact, WatchAudit, WatchDoubt,
     WatchProgress,
 };
-use apricotfold_store::{ConfigStore, Revision, StoreError, WatchBatch, WatchStream, WatchTerms};
+use apricotfold_store::{
+    ConfigStore, Revision, StoreError, TransferProgress, WatchBatch, WatchStream, WatchTerms,
+};
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use strum::Display;
@@ -69,6 +71,8 @@
 struct HealthState {
     contact: StoreContact,
     watches: WatchAudit,
+    /// Version of the table up to which the node's own watch has come.
+    watched_table: TableVersion,
     monitors: MonitorChoice,
     /// Whether this node monitors the watches of its region.
     monitoring: bool,
@@ -138,7 +142,7 @@
     }
 
     /// Subscribes to losses of the store. A pending watch may be on a dead connection, so it is
-    /// reopened when any other call fails.
+    /// reopened when any other call fails, unless its answer is arriving.
     pub fn watch_losses(&self) -> watch::Receiver<u64> {
         self.losses.subscribe()
     }
@@ -165,18 +169,38 @@
         self.lock().watches.delivered()
     }
 
-    /// Records what another node that is in contact with the store has; `table` is the version of this
-    /// node's table.
-    pub fn observe_progress(&self, other: WatchProgress, table: TableVersion) {
-        self.lock().watches.observe(other, table, Instant::now());
+    /// Records the version of the table up to which the node's own watch has come. A table that another
+    /// node sent does not show that the watch is open.
+    pub fn record_watched_table(&self, version: TableVersion) {
+        self.lock().watched_table = version;
+    }
+
+    /// Records what another node that is in contact with the store has.
+    pub fn observe_progress(&self, mut other: WatchProgress) {
+        let state = &mut *self.lock();
+        let table = state.watched_table;
+        if table == 0 {
+            // The first read is under way, and no watch is open yet.
+            other.table = 0;
+        }
+        state.watches.observe(other, table, Instant::now());
+    }
+
+    /// Returns whether another node has a newer table than the node's own watch has delivered.
+    pub fn is_table_behind(&self) -> bool {
+        let state = self.lock();
+        state.watches.is_table_behind(state.watched_table)
     }
 
     /// Has the watches opened anew if other nodes show, or cannot disprove, that their answers are lost.
-    /// `table` is the version of this node's table.
-    pub fn check_watches(&self, table: TableVersion) {
-        let doubt = self.lock().watches.check(table, Instant::now());
+    pub fn check_watches(&self) {
+        let (doubt, table) = {
+            let state = &mut *self.lock();
+            let table = state.watched_table;
+            (state.watches.check(table, Instant::now()), table)
+        };
         if let Some(doubt) = doubt {
-            self.reopen_watches(doubt, &format!("own table {table}"));
+            self.reopen_watches(doubt, &format!("watched table {table}"));
         }
     }
 
@@ -259,12 +283,13 @@
     }
 
     /// Waits for the next batch of a watch. Returns `None` if the watch has to be opened anew: its answer
-    /// is overdue, or there is a doubt whether it will come.
+    /// is overdue, or there is a doubt whether it will come. An answer that is arriving dispels the doubt.
     pub async fn next_batch(
         &self,
         keys: WatchedKeys,
         watch: &mut WatchStream,
         doubts: &mut watch::Receiver<u64>,
+        progress: &TransferProgress,
     ) -> Option<Result<WatchBatch, StoreError>> {
         tokio::select! {
             batch = watch.next() => {
@@ -273,8 +298,7 @@
                 }
                 batch
             }
-            // The sender lives as long as this value.
-            Ok(()) = doubts.changed() => None,
+            () = wait_unless_arriving(doubts, progress) => None,
         }
     }
 
@@ -319,6 +343,17 @@
     }
 }
 
+/// Waits for a sign that an answer may be lost, and passes over those that come while it is arriving.
+async fn wait_unless_arriving(signs: &mut watch::Receiver<u64>, progress: &TransferProgress) {
+    // The sender lives as long as the engine.
+    while signs.changed().await.is_ok() {
+        if progress.stalls().await {
+            return;
+        }
+        signs.mark_unchanged();
+    }
+}
+
 fn entry_revision(revision: Revision) -> EntryRevision {
     EntryRevision::try_from(revision).unwrap_or(0)
 }
@@ -343,10 +378,12 @@
 
 /// Reads and watches some of the store's keys.
 pub trait KeyWatcher: Send + Sync {
-    /// Reads and watches until a call fails. Resets `failures` once the store has answered.
+    /// Reads and watches until a call fails. Resets `failures` once the store has answered, and reports
+    /// answers that are arriving to `progress`.
     fn follow<'a>(
         &'a self,
         failures: &'a mut usize,
+        progress: &'a TransferProgress,
     ) -> BoxFuture<'a, Result<Infallible, StoreError>>;
 }
 
@@ -354,6 +391,7 @@
 /// itself.
 pub async fn watch_keys(engine: Arc<Engine>, follower: impl KeyWatcher) {
     let mut failures = 0;
+    let progress = TransferProgress::default();
     loop {
         let mut following = engine.watch_following();
         // The sender lives as long as the engine, so waiting cannot fail.
@@ -361,10 +399,10 @@
         let mut losses = engine.store_health.watch_losses();
         let mut returns = engine.store_health.watch_returns();
         tokio::select! {
-            Err(error) = follower.follow(&mut failures) => {
+            Err(error) = follower.follow(&mut failures, &progress) => {
                 engine.store_health.record_failure(&error);
             }
-            Ok(()) = losses.changed() => {}
+            () = wait_unless_arriving(&mut losses, &progress) => {}
             Ok(()) = returns.changed() => {
                 // Nothing that was read before holds, and a stale read may still give it.
                 failures = failures.max(1);
--- a/crates/apricotfold-proxy/src/table_cache.rs
+++ b/crates/apricotfold-proxy/src/table_cache.rs
@@ -2,7 +2,7 @@
 //! 4.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
@@ -82,6 +82,8 @@
     replacing: Mutex<()>,
     /// Whether deltas of a peer could not be applied, so that a whole table is needed.
     needs_whole: AtomicBool,
+    /// Version of the latest table that the store has delivered.
+    delivered: AtomicU64,
 }
 
 impl TableCache {
@@ -92,6 +94,7 @@
             cached: ArcSwap::default(),
             replacing: Mutex::default(),
             needs_whole: AtomicBool::new(false),
+            delivered: AtomicU64::new(0),
         }
     }
 
@@ -110,6 +113,11 @@
         self.cached.load().table.version
     }
 
+    /// Returns the version of the latest table that the store has delivered; 0 if it has delivered none.
+    pub fn delivered_version(&self) -> TableVersion {
+        self.delivered.load(Ordering::Relaxed)
+    }
+
     /// Returns the version from which peers can bring this node up to date; 0 if only a whole table
     /// will do.
     pub fn transfer_base(&self) -> TableVersion {
@@ -139,6 +147,7 @@
                 return false;
             }
         };
+        self.delivered.store(table.version, Ordering::Relaxed);
         let delta = (known.table.version > 0 && table.version > known.table.version)
             .then(|| table.delta_from(&known.table));
         let origin = format!(
--- a/crates/apricotfold-proxy/src/table_watcher.rs
+++ b/crates/apricotfold-proxy/src/table_watcher.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotfold_store::{ConfigStore, Revision, StoreError, WatchEvent};
+use apricotfold_store::{ConfigStore, Revision, StoreError, TransferProgress, WatchEvent};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 
@@ -32,8 +32,9 @@
     fn follow<'a>(
         &'a self,
         failures: &'a mut usize,
+        progress: &'a TransferProgress,
     ) -> BoxFuture<'a, Result<Infallible, StoreError>> {
-        self.watch_changes(failures).boxed()
+        self.watch_changes(failures, progress).boxed()
     }
 }
 
@@ -43,12 +44,16 @@
         Self { engine, store }
     }
 
-    async fn watch_changes(&self, failures: &mut usize) -> Result<Infallible, StoreError> {
+    async fn watch_changes(
+        &self,
+        failures: &mut usize,
+        progress: &TransferProgress,
+    ) -> Result<Infallible, StoreError> {
         // The first read of a process may be stale: the watch from its revision on delivers what is
         // missing. Later, a node that begins to follow the store does so because it may be late, and
         // after a failure the store may have dropped the history that such a watch needs.
         let starting = self.engine.tables.version() == 0 && *failures == 0;
-        let mut revision = self.read_table(starting).await?;
+        let mut revision = self.read_table(starting, progress).await?;
         *failures = 0;
         let mut pace = BatchBackoff::new(TABLE_BACKOFF);
         let health = &self.engine.store_health;
@@ -57,10 +62,13 @@
             let key = self.engine.tables.key();
             doubts.mark_unchanged();
             let terms = health.watch_terms(WatchedKeys::Table);
-            let watch = self.store.watch_within(self.prefix(), revision + 1, terms);
+            let watch = self
+                .store
+                .watch_within(self.prefix(), revision + 1, terms, progress);
             let mut watch = watch.await?;
             loop {
-                let next = health.next_batch(WatchedKeys::Table, &mut watch, &mut doubts);
+                let keys = WatchedKeys::Table;
+                let next = health.next_batch(keys, &mut watch, &mut doubts, progress);
                 let Ok(Some(batch)) = tokio::time::timeout(WATCH_TIMEOUT, next).await else {
                     break;
                 };
@@ -70,7 +78,7 @@
                 revision = revision.max(batch.revision);
                 self.apply_orders(&batch.events);
                 if let Some(text) = newest_text(&batch.events, key) {
-                    self.engine.tables.update(text);
+                    self.update_table(text);
                     tokio::time::sleep(pace.next_pause()).await;
                     if pace.is_busy() {
                         break;
@@ -80,11 +88,11 @@
                     break;
                 }
             }
-            // While versions follow each other quickly, a watch would deliver each of them in full.
-            // The newest one is read instead, until it no longer changes.
-            while pace.is_busy() {
+            // While versions follow each other quickly, or after the watch has missed some, a watch would
+            // deliver each of them in full. The newest one is read instead, until it no longer changes.
+            while pace.is_busy() || health.is_table_behind() {
                 let known = self.engine.tables.version();
-                revision = self.read_table(false).await?;
+                revision = self.read_table(false, progress).await?;
                 if self.engine.tables.version() == known {
                     break;
                 }
@@ -112,14 +120,14 @@
     /// Reads the table and the rollout orders; with `stale`, the read may return data that is some
     /// seconds old. Returns the store's revision. One read covers both, since a later watch begins at
     /// its revision.
-    async fn read_table(&self, stale: bool) -> Result<Revision, StoreError> {
+    async fn read_table(
+        &self,
+        stale: bool,
+        progress: &TransferProgress,
+    ) -> Result<Revision, StoreError> {
         let key = self.engine.tables.key();
         let started = Instant::now();
-        let answer = if stale {
-            self.store.list_stale(self.prefix()).await
-        } else {
-            self.store.list(self.prefix()).await
-        };
+        let answer = self.store.list_within(self.prefix(), stale, progress).await;
         telemetry::count_store_call("list", answer.is_ok());
         let answer = answer?;
         telemetry::record_table_read(started.elapsed());
@@ -128,10 +136,22 @@
         let rollouts = &self.engine.rollouts;
         rollouts.apply_order_listing(&answer.entries, !stale);
         if let Some(entry) = answer.entries.iter().find(|entry| entry.key == key) {
-            self.engine.tables.update(&entry.value);
+            self.update_table(&entry.value);
+        }
+        if !stale {
+            // The store has no newer one, whatever other nodes have.
+            let version = self.engine.tables.version();
+            self.engine.store_health.record_watched_table(version);
         }
         Ok(answer.revision)
     }
+
+    fn update_table(&self, text: &str) {
+        let tables = &self.engine.tables;
+        tables.update(text);
+        let health = &self.engine.store_health;
+        health.record_watched_table(tables.delivered_version());
+    }
 }
 
 fn newest_text<'a>(events: &'a [WatchEvent], key: &str) -> Option<&'a str> {
--- a/crates/apricotfold-proxy/tests/lost_watches.rs
+++ b/crates/apricotfold-proxy/tests/lost_watches.rs
@@ -69,6 +69,26 @@
     }
 }
 
+/// Guards against a table that a peer sent hiding that the node's own watch, which also brings the orders
+/// of operators, is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn reopened_behind_peer() {
+    let store = MemoryStore::default().other_client();
+    store.publish(&named(1));
+    let _peer = start("a", &store.other_client()).await;
+    let client = store.other_client();
+    let node = start("b", &client).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let opened = client.opened_watches(ORDERS);
+    client.lose_watches();
+    store.publish(&named(2));
+    wait_version(&node, 2).await;
+    wait_within(CALM_TIMEOUT, "a new watch", || async {
+        client.opened_watches(ORDERS) > opened
+    })
+    .await;
+}
+
 /// Guards against a node without peers that takes the answers to its renewals for a sign that its
 /// watch is open.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/apricotfold-proxy/tests/narrow_links.rs
+++ b/crates/apricotfold-proxy/tests/narrow_links.rs
@@ -25,6 +25,15 @@
 /// Interval between successive versions.
 const VERSION_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval between versions of which a narrow link does not carry each one.
+const STORM_INTERVAL: Duration = Duration::from_millis(180);
+
+/// Last version of such a series.
+const LAST_VERSION: u64 = 28;
+
+/// Time from a node's start after which it has settled and one of the nodes monitors the watches.
+const SETTLE_TIME: Duration = Duration::from_secs(8);
+
 /// Returns a table with `routes` more routes, and one route for each version from 2 on.
 fn large_table(version: u64, routes: u64) -> RawRouteTable {
     let mut table = table(version);
@@ -55,6 +64,34 @@
     published.elapsed()
 }
 
+/// Guards against a follower of the store that gives up answers because they take longer than its doubts,
+/// and begins them anew with all versions since: long after its start, one of two followers has a narrow
+/// link, and versions follow each other faster than it carries one.
+#[tokio::test(flavor = "multi_thread")]
+async fn overtaken_transfer() {
+    let store = MemoryStore::default().other_client();
+    store.publish(&large_table(1, ROUTES));
+    let wide = TestNode::start("a", &store.other_client()).await;
+    let narrow = TestNode::start_on_link("b", &store.other_client(), BANDWIDTH).await;
+    wide.wait_serving().await;
+    narrow.wait_serving().await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let mut published = Instant::now();
+    for version in 2..=LAST_VERSION {
+        tokio::time::sleep(STORM_INTERVAL).await;
+        published = Instant::now();
+        store.publish(&large_table(version, ROUTES));
+    }
+    for node in [&wide, &narrow] {
+        let activation = activation_time(node, LAST_VERSION, published);
+        let activation = tokio::time::timeout(ACTIVATION_TIMEOUT * 4, activation).await;
+        let in_time = activation
+            .as_ref()
+            .is_ok_and(|elapsed| *elapsed <= ACTIVATION_TIMEOUT);
+        assert!(in_time, "{} after {activation:?}", node.name);
+    }
+}
+
 /// Guards against tables that arrive late because relays send them to all nodes of their data centre
 /// over narrow links, and because transfers that take long are dropped and begun anew.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/apricotfold-proxy/tests/support/store.rs
+++ b/crates/apricotfold-proxy/tests/support/store.rs
@@ -9,8 +9,8 @@
 use apricotfold_model::{RawRouteTable, StepError};
 use apricotfold_store::{
     Compare, ConfigStore, EpochTracker, LeaseId, RangeResponse, Revision, StoreEntry, StoreError,
-    StoreFuture, StoreTxn, StoreWrite, TxnResponse, WatchBatch, WatchEvent, WatchStream,
-    WatchTerms, WriteEffect,
+    StoreFuture, StoreTxn, StoreWrite, TransferProgress, TxnResponse, WatchBatch, WatchEvent,
+    WatchStream, WatchTerms, WriteEffect,
 };
 use futures_util::{FutureExt, StreamExt};
 use tokio::sync::watch;
@@ -20,6 +20,9 @@
 /// Interval at which watches check for changes.
 const WATCH_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval between the parts of a long answer.
+const PART_INTERVAL: Duration = Duration::from_millis(20);
+
 /// State of a store. A clone is a copy that the store can return to.
 #[derive(Clone, Default)]
 pub struct StoreState {
@@ -111,6 +114,17 @@
         Duration::from_micros(bytes as u64 * 1_000_000 / bandwidth)
     }
 
+    /// Takes the time for a number of bytes, which arrive in parts.
+    async fn transfer(&self, bytes: usize, progress: &TransferProgress) {
+        let end = Instant::now() + self.transfer_time(bytes);
+        let arriving = progress.begin();
+        while Instant::now() < end {
+            let next = end.min(Instant::now() + PART_INTERVAL);
+            tokio::time::sleep_until(next.into()).await;
+            arriving.record_part();
+        }
+    }
+
     fn publish_address(&self, value: &str) -> String {
         match &self.public_address {
             Some((own, public)) => value.replace(&own.to_string(), &public.to_string()),
@@ -264,14 +278,31 @@
     }
 
     fn list_stale<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, RangeResponse> {
-        // Listings of what nodes write are not counted, only reads of what operators write.
-        if TABLE_KEY.starts_with(prefix) {
-            self.stale_reads.fetch_add(1, Ordering::Relaxed);
+        async move {
+            let progress = TransferProgress::default();
+            self.list_within(prefix, true, &progress).await
         }
-        self.list(prefix)
+        .boxed()
     }
 
     fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, RangeResponse> {
+        async move {
+            let progress = TransferProgress::default();
+            self.list_within(prefix, false, &progress).await
+        }
+        .boxed()
+    }
+
+    fn list_within<'a>(
+        &'a self,
+        prefix: &'a str,
+        stale: bool,
+        progress: &'a TransferProgress,
+    ) -> StoreFuture<'a, RangeResponse> {
+        // Listings of what nodes write are not counted, only reads of what operators write.
+        if stale && TABLE_KEY.starts_with(prefix) {
+            self.stale_reads.fetch_add(1, Ordering::Relaxed);
+        }
         let answer = self.answer(move |state| {
             let entries = state.entries.values();
             RangeResponse {
@@ -285,7 +316,7 @@
         async move {
             let answer = answer.await?;
             let bytes = value_bytes(answer.entries.iter());
-            tokio::time::sleep(self.link().transfer_time(bytes)).await;
+            self.link().transfer(bytes, progress).await;
             Ok(answer)
         }
         .boxed()
@@ -361,7 +392,7 @@
             wait: Duration::from_secs(20),
             overdue: Duration::from_secs(2),
         };
-        self.watch_within(prefix, revision, terms)
+        self.watch_within(prefix, revision, terms, &TransferProgress::default())
     }
 
     fn watch_within<'a>(
@@ -369,8 +400,9 @@
         prefix: &'a str,
         revision: Revision,
         terms: WatchTerms,
+        progress: &TransferProgress,
     ) -> StoreFuture<'a, WatchStream> {
-        let prefix = prefix.to_owned();
+        let (prefix, progress) = (prefix.to_owned(), progress.clone());
         {
             let mut opened = self.opened_watches.lock().expect("no panic while locked");
             opened.push(prefix.clone());
@@ -378,7 +410,7 @@
         let start = (self.clone(), revision - 1);
         let losses = self.lost_watches.load(Ordering::Relaxed);
         let stream = futures_util::stream::unfold(start, move |(store, after)| {
-            let prefix = prefix.clone();
+            let (prefix, progress) = (prefix.clone(), progress.clone());
             let started = Instant::now();
             async move {
                 loop {
@@ -412,8 +444,7 @@
                             WatchEvent::Put(entry) => Some(entry),
                             WatchEvent::Delete(_) => None,
                         });
-                        let transfer = store.link().transfer_time(value_bytes(written));
-                        tokio::time::sleep(transfer).await;
+                        store.link().transfer(value_bytes(written), &progress).await;
                         return Some((Ok(batch), (store, revision)));
                     }
                     tokio::time::sleep(WATCH_INTERVAL).await;
--- a/crates/apricotfold-store/src/lib.rs
+++ b/crates/apricotfold-store/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod epoch;
 mod http;
+mod progress;
 mod txn;
 mod wire;
 
@@ -17,6 +18,7 @@
 
 pub use epoch::{EpochTracker, StoreEpoch};
 pub use http::HttpStore;
+pub use progress::{ArrivingAnswer, TransferProgress};
 pub use txn::{Compare, StoreTxn, StoreWrite, TxnResponse};
 
 /// Id of a lease, assigned by the store.
@@ -130,6 +132,22 @@
         self.list(prefix)
     }
 
+    /// Like [`list`](Self::list), or [`list_stale`](Self::list_stale) if `stale` is set, and reports the
+    /// arrival of a long answer. The default is for stores whose answers are short.
+    fn list_within<'a>(
+        &'a self,
+        prefix: &'a str,
+        stale: bool,
+        progress: &'a TransferProgress,
+    ) -> StoreFuture<'a, RangeResponse> {
+        let _ = progress;
+        if stale {
+            self.list_stale(prefix)
+        } else {
+            self.list(prefix)
+        }
+    }
+
     /// Applies the writes of a transaction atomically if every comparison holds.
     ///
     /// If a comparison fails, the result carries the current entries of all compared keys, so that
@@ -152,15 +170,16 @@
 
     /// Like [`watch`](Self::watch), for a store that answers each wait in a call of its own, also if
     /// nothing has changed. The stream ends without an error when an answer is overdue, because a
-    /// connection on which an answer was lost stays open and silent. The default is for stores that push
-    /// changes, and ignores the terms.
+    /// connection on which an answer was lost stays open and silent. An answer that has begun is reported to
+    /// `progress`. The default is for stores that push changes, and ignores both.
     fn watch_within<'a>(
         &'a self,
         prefix: &'a str,
         revision: Revision,
         terms: WatchTerms,
+        progress: &TransferProgress,
     ) -> StoreFuture<'a, WatchStream> {
-        let _ = terms;
+        let _ = (terms, progress);
         self.watch(prefix, revision)
     }
 
