Believe no target that could not be asked

Cause: without a route table there is no path for the health check, and TargetReply::Unasked counted as a confirmation.

Change: a target that cannot be asked confirms no more than a silent one. Its announcements are kept and checked when a table names the path. So that a sound target is not lost with it, a node that is refused by one that knows no target introduces itself; that one then asks it for the table and for departures, as nodes without the store do.

Evidence: restarted_while_turned_away failed before (222 calls after the second restart), as did before_first_table. sound_without_store and successor_without_store passed before and guard what must stay. No call to the store is added.

--- a/crates/apricotfold-policy/src/local_instance.rs
+++ b/crates/apricotfold-policy/src/local_instance.rs
@@ -120,7 +120,7 @@
     /// before, in any order, so that only the target itself can confirm them, until they can no longer
     /// be as late as that. Otherwise, a further announcement of the same incarnation shows that it is
     /// still running, unless the target contradicts it. While the known target announces itself, a silent
-    /// target confirms no other one.
+    /// target confirms no other one. A target that cannot be asked confirms no more than a silent one.
     #[must_use]
     pub fn is_confirmed(
         &self,
@@ -130,9 +130,11 @@
     ) -> bool {
         let starting = self.life == 0 && self.timely_from.is_some_and(|timely| now < timely);
         match reply {
-            TargetReply::Accepts | TargetReply::Unasked => true,
-            TargetReply::Silent if !starting && !self.is_running(now) => true,
-            TargetReply::Silent | TargetReply::Refuses => {
+            TargetReply::Accepts => true,
+            TargetReply::Silent | TargetReply::Unasked if !starting && !self.is_running(now) => {
+                true
+            }
+            TargetReply::Silent | TargetReply::Unasked | TargetReply::Refuses => {
                 !starting && self.is_repeated(announcement)
             }
             TargetReply::Contradicts => false,
--- a/crates/apricotfold-proxy/src/announce_server.rs
+++ b/crates/apricotfold-proxy/src/announce_server.rs
@@ -11,6 +11,7 @@
 use futures_util::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 use tokio::sync::Mutex;
 
 use crate::adapters::{AnnounceMessage, AnnounceProtocol};
@@ -37,6 +38,15 @@
 /// them must not become a flood of checks, each of which takes one of the target's slots.
 const REPLY_LIFETIME: Duration = Duration::from_millis(250);
 
+/// Interval at which a table is looked for that names the path for asking the target.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Number of announcements that wait for such a table. A target starts a few times at most until then.
+const MAX_UNASKED: usize = 4;
+
+/// Announcements that could not be checked, oldest first.
+type UnaskedList = SmallVec<[InstanceAnnouncement; MAX_UNASKED]>;
+
 /// Handles the local target's announcements.
 pub struct AnnounceHandler {
     engine: Arc<Engine>,
@@ -44,6 +54,8 @@
     refusals: ThrottledLog,
     /// When the known target last contradicted an announcement. One check runs at a time.
     contradicted: Mutex<Option<Instant>>,
+    /// Announcements whose target could not be asked, because no table names the path for that.
+    unasked: std::sync::Mutex<UnaskedList>,
 }
 
 impl AnnounceHandler {
@@ -54,11 +66,12 @@
             protocol,
             refusals: ThrottledLog::default(),
             contradicted: Mutex::default(),
+            unasked: std::sync::Mutex::default(),
         }
     }
 
     async fn answer(
-        &self,
+        self: &Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, CallerDisconnected> {
         let (parts, incoming) = request.into_parts();
@@ -124,7 +137,7 @@
 
     /// Applies an announcement of the local target. If it is not of the known incarnation, the target is
     /// asked, because it may be a delayed one of a target that has left.
-    async fn announce(&self, announcement: InstanceAnnouncement) {
+    async fn announce(self: &Arc<Self>, announcement: InstanceAnnouncement) {
         let identity = {
             let config = self.engine.config.load();
             TargetIdentity {
@@ -149,8 +162,11 @@
             let reply = self.ask_target(&announcement).await;
             let mut local = self.engine.local();
             if !local.is_confirmed(&announcement, reply, Instant::now()) {
-                local.keep_unconfirmed(announcement);
+                local.keep_unconfirmed(announcement.clone());
                 drop(local);
+                if reply == TargetReply::Unasked {
+                    self.check_later(announcement);
+                }
                 let detail = format!("{text}, the target {reply}");
                 self.refuse(AnnouncementRefusal::Unconfirmed, &detail);
                 return;
@@ -164,6 +180,44 @@
         }
     }
 
+    fn lock_unasked(&self) -> std::sync::MutexGuard<'_, UnaskedList> {
+        self.unasked.lock().expect("no panic while locked")
+    }
+
+    /// Keeps an announcement until a table names the path for asking the target: it may be the last one for
+    /// a while.
+    fn check_later(self: &Arc<Self>, announcement: InstanceAnnouncement) {
+        let mut unasked = self.lock_unasked();
+        let waits = !unasked.is_empty();
+        unasked.retain(|known| known.incarnation() != announcement.incarnation());
+        if unasked.len() == MAX_UNASKED {
+            unasked.remove(0);
+        }
+        unasked.push(announcement);
+        if !waits {
+            tokio::spawn(self.clone().check_unasked());
+        }
+    }
+
+    /// Waits for a table that names the node's service, and checks the announcements again.
+    fn check_unasked(self: Arc<Self>) -> BoxFuture<'static, ()> {
+        async move {
+            let named = || {
+                let service = &self.engine.config.load().service;
+                let table = self.engine.tables.current();
+                table.table.service(service).is_some()
+            };
+            while !named() {
+                tokio::time::sleep(RECHECK_INTERVAL).await;
+            }
+            let unasked = std::mem::take(&mut *self.lock_unasked());
+            for announcement in unasked {
+                self.announce(announcement).await;
+            }
+        }
+        .boxed()
+    }
+
     /// Asks the target whether an announcement is its own.
     async fn ask_target(&self, announcement: &InstanceAnnouncement) -> TargetReply {
         let mut contradicted = self.contradicted.lock().await;
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -151,6 +151,8 @@
     target_pace: Mutex<TargetPace>,
     clock_offsets: Mutex<PeerOffsets>,
     inbound_waits: Mutex<InboundWaits>,
+    /// When this node last introduced itself to others.
+    introduced: Mutex<HashMap<NodeId, Instant>>,
     /// Service time that the local target reported last, in percent of its usual one.
     pace: AtomicU32,
     target_down: AtomicBool,
@@ -216,6 +218,7 @@
             target_pace: Mutex::new(TargetPace::new(0)),
             clock_offsets: Mutex::default(),
             inbound_waits: Mutex::default(),
+            introduced: Mutex::default(),
             pace: AtomicU32::new(DEFAULT_PACE),
             target_down: AtomicBool::new(false),
             node_epoch: AtomicU64::new(0),
@@ -257,6 +260,11 @@
         lock(&self.clock_offsets)
     }
 
+    /// Locks the times at which this node last introduced itself to others.
+    pub fn introduced(&self) -> MutexGuard<'_, HashMap<NodeId, Instant>> {
+        self.introduced.lock().expect("no panic while locked")
+    }
+
     /// Locks what other nodes state of the wait for their incoming links.
     pub fn inbound_waits(&self) -> MutexGuard<'_, InboundWaits> {
         lock(&self.inbound_waits)
--- a/crates/apricotfold-proxy/src/peer_call.rs
+++ b/crates/apricotfold-proxy/src/peer_call.rs
@@ -17,6 +17,7 @@
 use crate::engine::Engine;
 use crate::gated_body::BodyGate;
 use crate::hop_by_hop::strip_hop_by_hop_headers;
+use crate::peer_exchange;
 use crate::target_call::{CallContext, CallRequest, TargetRefusal, TargetResponse};
 
 /// Header with the [`WireCallContext`].
@@ -236,6 +237,8 @@
     if let Some(WireRefusal(outcome, reason, arrived)) = refused {
         if let Some(record) = read_header(&parts.headers, &RECORD_HEADER) {
             apply_record(engine, record);
+        } else if reason == RefusalReason::NoLocalTarget {
+            peer_exchange::introduce(engine, &record.node, address);
         }
         return Err(TargetRefusal {
             outcome,
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -189,6 +189,26 @@
     }
 }
 
+/// Gives this node's record to one that knows no target beside it. If it has started while the store turned
+/// it away, it has no table to ask its target by, and knows no peer that it could ask for one.
+pub fn introduce(engine: &Arc<Engine>, node: &NodeId, address: SocketAddr) {
+    {
+        let mut introduced = engine.introduced();
+        introduced.retain(|_, at| at.elapsed() < EXCHANGE_INTERVAL);
+        if introduced.contains_key(node) {
+            return;
+        }
+        introduced.insert(node.clone(), Instant::now());
+    }
+    let engine = engine.clone();
+    tokio::spawn(async move {
+        let exchange = timed_exchange(&engine, address, ExchangeScope::Table, &|_| {});
+        if let Err(cause) = exchange.await {
+            log_event!(debug, ExchangeFailed, "introduction to {address}: {cause}");
+        }
+    });
+}
+
 /// What a node asks a peer for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ExchangeScope {
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -26,7 +26,8 @@
 const LEAVING_TTL: Duration = Duration::from_mins(1);
 
 /// Time from the start after which a node whose store gives no answer uses its target without knowing
-/// what an earlier process has written. The target itself has confirmed then that it accepts work.
+/// what an earlier process has written. Until announcements can no longer be late, the target itself has
+/// then confirmed that it accepts work.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Interval of lease renewals, which also show whether the store is available.
--- a/crates/apricotfold-proxy/tests/kept_departures.rs
+++ b/crates/apricotfold-proxy/tests/kept_departures.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::store::MemoryStore;
 use support::{TestNode, table, wait_for};
@@ -18,6 +18,10 @@
 /// Time within which a departing target gets no new work.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for which a departed target is checked to get no work: callers come back to a node that refused
+/// them after a while.
+const UNUSED_TIME: Duration = Duration::from_secs(4);
+
 /// A node whose process is killed, another one that sends it work, and the killed one's client of the
 /// store.
 struct DepartingNode {
@@ -30,10 +34,14 @@
 
 impl DepartingNode {
     async fn start() -> Self {
+        Self::start_named("a").await
+    }
+
+    async fn start_named(name: &str) -> Self {
         let store = MemoryStore::default().other_client();
         store.publish(&table(1));
         let client = store.other_client();
-        let node = TestNode::start_killable("a", &client).await;
+        let node = TestNode::start_killable(name, &client).await;
         let other = TestNode::start("b", &store.other_client()).await;
         wait_for("work for both targets", || async {
             call_all(&other, "first").await;
@@ -157,6 +165,96 @@
     departing.assert_unused().await;
 }
 
+/// A node that the store turns away, whose process is killed and started again, and nodes that send it work.
+/// It is no relay, so that no other one polls it.
+struct TurnedAway {
+    departing: DepartingNode,
+    /// More nodes than are told of a departure that the store does not learn of.
+    others: Vec<TestNode>,
+}
+
+impl TurnedAway {
+    async fn start() -> Self {
+        let departing = DepartingNode::start_named("z").await;
+        let mut others = Vec::new();
+        for name in ["c", "d", "e", "f"] {
+            let client = departing.client.other_client();
+            others.push(TestNode::start(name, &client).await);
+        }
+        let away = Self { departing, others };
+        wait_for("work for the target", || async {
+            away.call_from_others("first").await;
+            !away.departing.node.target.calls("first").is_empty()
+        })
+        .await;
+        away.departing.client.set_unreachable(true);
+        away
+    }
+
+    /// Sends more calls from the other nodes than the other targets take.
+    async fn call_from_others(&self, word: &str) {
+        let calls = self.others.iter().map(|other| call_all(other, word));
+        futures_util::future::join_all(calls).await;
+    }
+
+    async fn wait_used(&self, word: &str) {
+        wait_for("work for the target", || async {
+            self.call_from_others(word).await;
+            !self.departing.node.target.calls(word).is_empty()
+        })
+        .await;
+    }
+
+    /// Sends calls for some time, and checks that the target gets none of them.
+    async fn assert_unused(&self, word: &str) {
+        let end = Instant::now() + UNUSED_TIME;
+        while Instant::now() < end {
+            self.call_from_others(word).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let calls = self.departing.node.target.calls(word);
+        assert!(calls.is_empty(), "{word}: {} calls", calls.len());
+    }
+}
+
+/// Guards against a process without a route table that takes late announcements for proof that its target
+/// is there: the store turns the node away before the departure, and while it starts again, twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_while_turned_away() {
+    let mut away = TurnedAway::start().await;
+    away.departing.node.leave().await;
+    away.departing.node.target.set_leaving();
+    for word in ["once", "twice"] {
+        away.departing.restart().await;
+        away.assert_unused(word).await;
+    }
+    away.departing.client.set_unreachable(false);
+    away.departing.announce_late().await;
+    away.assert_unused("back").await;
+    let entry = away.departing.client.read("apricotfold/nodes/z");
+    let ready = |entry: String| entry.contains(r#""state":"ready""#);
+    assert!(!entry.is_some_and(ready), "written as ready");
+}
+
+/// Guards against a sound target that is not used because its node has started while the store turned it
+/// away, so that it has no route table to ask the target by.
+#[tokio::test(flavor = "multi_thread")]
+async fn sound_without_store() {
+    let mut away = TurnedAway::start().await;
+    away.departing.restart().await;
+    away.wait_used("again").await;
+}
+
+/// Guards against a next incarnation that is not used because the store turns its node away.
+#[tokio::test(flavor = "multi_thread")]
+async fn successor_without_store() {
+    let mut away = TurnedAway::start().await;
+    away.departing.node.leave().await;
+    away.departing.restart().await;
+    away.departing.node.announce_successor("i-next").await;
+    away.wait_used("next").await;
+}
+
 /// Guards against an acknowledgement that nobody but the process itself could keep.
 #[tokio::test(flavor = "multi_thread")]
 async fn nobody_keeps_it() {
