Give a quota up when another node may own it

Cause: a node kept its quotas without the store for as long as its own list of nodes named it first. The store never tells a node that its own entry has lapsed, while all others choose a successor 6 s after the last renewal. Both then handed out what nobody holds. A node that follows relays takes their list, without itself, and gave its quotas up already.

Change: past the earliest end of its entry a node leaves itself out of the candidates and asks its successor, if another node says that the store has answered it since (less than 2 s before that end), or none gives its word (OwnerTerm).

No call to the store and no message is added.

--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -105,9 +105,9 @@
 pub use plan::{AttemptNumber, CallLimits, CallPlan, PlanAction, PlanActions, PlanEvent};
 pub use poll_order::{PollOrder, RemoteOrder};
 pub use quota::{
-    LEASE_TIME, MessageFault, MessageNumber, OwnerCandidates, OwnerChange, QuotaHolder, QuotaNode,
-    QuotaOwner, QuotaShare, RENEWAL_INTERVAL, ShareAsk, ShareGrant, TakeResult, choose_candidates,
-    divide_fairly,
+    LEASE_TIME, MessageFault, MessageNumber, OwnerCandidates, OwnerChange, OwnerTerm, QuotaHolder,
+    QuotaNode, QuotaOwner, QuotaShare, RENEWAL_INTERVAL, ShareAsk, ShareGrant, TakeResult,
+    choose_candidates, divide_fairly,
 };
 pub use rate_gate::RateGate;
 pub use relay_choice::{
--- a/crates/apricotfold-policy/src/quota/mod.rs
+++ b/crates/apricotfold-policy/src/quota/mod.rs
@@ -9,6 +9,7 @@
 mod node;
 mod owner;
 mod ranking;
+mod term;
 
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 pub use node::{MessageFault, MessageNumber, OwnerChange, QuotaNode};
 pub use owner::QuotaOwner;
 pub use ranking::{OwnerCandidates, choose_candidates};
+pub use term::OwnerTerm;
 
 /// Time for which a share is valid. A share that was renewed [`RENEWAL_INTERVAL`] before a partition
 /// of 9 s must outlast it, because its owner must not lease it again while its holder may still use it.
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -363,6 +363,8 @@
         let mut offsets = engine.clock_offsets();
         offsets.record(&reading.node, theirs, sent, now - started, now);
     }
+    let age = answer.store_age_ms.map(Duration::from_millis);
+    engine.store_health.record_word(age);
     apply_answer(engine, &answer, address);
     Ok(answer)
 }
--- a/crates/apricotfold-proxy/src/quota/state.rs
+++ b/crates/apricotfold-proxy/src/quota/state.rs
@@ -33,6 +33,8 @@
     version: TableVersion,
     /// When the owners were last determined; `None` if the table has changed since.
     updated: Option<Instant>,
+    /// Whether another node may own what this one has owned.
+    succeeded: bool,
 }
 
 impl GateState {
@@ -46,6 +48,7 @@
             survey: 0,
             version: 0,
             updated: None,
+            succeeded: false,
         }
     }
 
@@ -66,13 +69,25 @@
     /// Determines the owners anew, if it is time. Returns whether this node owns limits that it did not own
     /// before.
     pub fn update_owners(&mut self, engine: &Engine, now: Instant) -> bool {
+        let own = engine.node();
+        let succeeded = {
+            let registry = engine.registry();
+            let alone = registry.records().all(|record| record.node == own);
+            engine.store_health.may_be_succeeded(alone)
+        };
         let recent = |updated| now.saturating_duration_since(updated) < UPDATE_INTERVAL;
-        if self.updated.is_some_and(recent) && !self.quotas.is_unknown() {
+        let unchanged = succeeded == self.succeeded && !self.quotas.is_unknown();
+        if self.updated.is_some_and(recent) && unchanged {
             return false;
         }
         self.updated = Some(now);
-        // What the store has decides: a node that is cut off is gone from there.
-        let candidates = choose_candidates(engine.registry().confirmed());
+        self.succeeded = succeeded;
+        // What the store has decides: a node that is cut off is gone from there. It asks its successor then.
+        let candidates = {
+            let registry = engine.registry();
+            let confirmed = registry.confirmed();
+            choose_candidates(confirmed.filter(|record| !succeeded || record.node != own))
+        };
         let age = engine.store_health.age();
         let in_contact = age.is_some_and(|age| age <= STORE_SILENCE);
         let change = self.quotas.update_owners(candidates, in_contact, now);
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -190,7 +190,10 @@
             self.engine.store_health.record_answer_time(elapsed);
         }
         self.note_call("renew", left.as_ref().err());
-        if left?.is_zero() {
+        let left = left?;
+        // The lease runs from the arrival of the call.
+        self.engine.store_health.record_entry(started + left);
+        if left.is_zero() {
             self.lease = None;
             self.written = None;
             log_event!(warn, RegistrationLost, "lease {lease} has ended");
@@ -206,9 +209,11 @@
         let lease = match self.lease {
             Some((lease, known)) if known == ttl => lease,
             _ => {
+                let started = Instant::now();
                 let granted = self.store.grant(ttl).await;
                 self.note_call("grant", granted.as_ref().err());
                 let lease = granted?;
+                self.engine.store_health.record_entry(started + ttl);
                 self.lease = Some((lease, ttl));
                 lease
             }
--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -7,8 +7,8 @@
 
 use apricotfold_model::{NodeId, TableVersion, log_event};
 use apricotfold_policy::{
-    EntryRevision, MonitorChoice, MonitorRole, STORE_SILENCE, StoreContact, WatchAudit, WatchDoubt,
-    WatchProgress,
+    EntryRevision, MonitorChoice, MonitorRole, OwnerTerm, STORE_SILENCE, StoreContact, WatchAudit,
+    WatchDoubt, WatchProgress,
 };
 use apricotfold_store::{
     ConfigStore, Revision, StoreError, TransferProgress, WatchBatch, WatchStream, WatchTerms,
@@ -74,6 +74,7 @@
     /// Version of the table up to which the node's own watch has come.
     watched_table: TableVersion,
     monitors: MonitorChoice,
+    term: OwnerTerm,
     /// Whether this node monitors the watches of its region.
     monitoring: bool,
     /// When a renewal was last requested only to learn whether the store answers.
@@ -131,6 +132,23 @@
         self.lock().contact.answer_time = elapsed;
     }
 
+    /// Records that this node's entry cannot end before `until`.
+    pub fn record_entry(&self, until: Instant) {
+        self.lock().term.record_entry(until);
+    }
+
+    /// Records how long ago the store answered another node, as that one says; `None` if it never has.
+    pub fn record_word(&self, age: Option<Duration>) {
+        let now = Instant::now();
+        let answered = age.and_then(|age| now.checked_sub(age));
+        self.lock().term.record_word(answered, now);
+    }
+
+    /// Returns whether another node may own the quotas of this one. `alone` tells that no other node is known.
+    pub fn may_be_succeeded(&self, alone: bool) -> bool {
+        self.lock().term.may_have_ended(alone, Instant::now())
+    }
+
     /// Records a call without a usable response.
     pub fn record_failure(&self, error: &StoreError) {
         self.lock().contact.steady_since = None;
--- a/crates/apricotfold-proxy/tests/quota_sharing.rs
+++ b/crates/apricotfold-proxy/tests/quota_sharing.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotfold_model::{ApiKeyDigest, RawRouteTable, RawTenant};
+use apricotfold_model::{ApiKeyDigest, InstanceRecord, RawRouteTable, RawTenant};
+use apricotfold_policy::choose_candidates;
+use serde_json::Value;
 use support::caller::{CallerResponse, exchange};
 use support::store::MemoryStore;
 use support::{TestNode, rand_id, table, wait_within};
@@ -14,6 +16,10 @@
 /// Time within which a tenant must get its limit after nodes have started.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for which the store turns a node away: its entry lapses after 6 s at the latest, others notice that within
+/// 3.5 s, and a window of the limit follows.
+const AWAY_TIME: Duration = Duration::from_secs(15);
+
 /// Returns a table with one tenant for each key and rate; a burst is a second of the rate.
 fn limited(version: u64, tenants: &[(&str, f64)]) -> RawRouteTable {
     let mut table = table(version);
@@ -182,6 +188,105 @@
     assert!(peak(&ran) <= 152, "{}", peak(&ran));
 }
 
+/// Returns the node that owns the limit of a tenant, by the entries in the store.
+fn owner(nodes: &[TestNode], store: &MemoryStore, tenant: &str) -> usize {
+    let records: Vec<InstanceRecord> = nodes
+        .iter()
+        .map(|node| {
+            let entry = store.read(&format!("apricotfold/nodes/{}", node.name));
+            let entry: Value = serde_json::from_str(&entry.expect("an entry")).expect("JSON");
+            serde_json::from_value(entry["record"].clone()).expect("a record")
+        })
+        .collect();
+    let candidates = choose_candidates(records.iter());
+    let owner = candidates.owner(tenant).expect("an owner");
+    let owns = |node: &TestNode| node.name == owner.as_str();
+    nodes.iter().position(owns).expect("a node")
+}
+
+/// Guards against a limit that has two owners: the store turns the first one away, and its entry lapses for
+/// the others, while it goes on handing out what nobody holds. It must ask its successor instead.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_turned_away() {
+    let store = MemoryStore::default().other_client();
+    let mut table = limited(1, &[("free", 0.0), ("hot", 40.0)]);
+    let tenants = table.tenants.iter_mut().flatten();
+    tenants.for_each(|tenant| tenant.burst = tenant.burst.min(4.0));
+    store.publish(&table);
+    let mut clients = Vec::new();
+    let mut nodes = Vec::new();
+    // In small data centres, all nodes follow the store themselves.
+    let places = [
+        ("a", "poa-a"),
+        ("b", "poa-a"),
+        ("c", "poa-b"),
+        ("d", "poa-b"),
+        ("e", "fln-a"),
+        ("f", "fln-a"),
+    ];
+    for (name, data_centre) in places {
+        let client = store.other_client();
+        nodes.push(TestNode::start_in(data_centre, name, &client).await);
+        clients.push(client);
+    }
+    for node in &nodes {
+        wait_within(SETTLE_TIMEOUT, "a token", || async {
+            status(node, "hot").await == 200
+        })
+        .await;
+    }
+    // Half of the requests enter at the owner.
+    let first = owner(&nodes, &store, "tenant-hot");
+    let all: Vec<&TestNode> = nodes
+        .iter()
+        .flat_map(|node| [node, &nodes[first]])
+        .collect();
+    let (mut ran, _) = load(&all, "hot", 160, Duration::from_secs(10)).await;
+    clients[first].set_unreachable(true);
+    let (during, _) = load(&all, "hot", 160, AWAY_TIME).await;
+    clients[first].set_unreachable(false);
+    // Half of the limit at least, although another node takes over.
+    assert!(during.len() >= 300, "{}", during.len());
+    ran.extend(during);
+    ran.extend(load(&all, "hot", 160, Duration::from_secs(6)).await.0);
+    ran.sort_unstable();
+    // (40 x 5 + 4) x 1.1 + 20
+    assert!(peak(&ran) <= 244, "{}", peak(&ran));
+}
+
+/// Guards against a limit that nobody owns while the store answers no node: a tenant below its limit must
+/// not be refused for that long.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_away_for_all() {
+    let store = MemoryStore::default().other_client();
+    store.publish(&limited(1, &[("free", 0.0), ("hot", 20.0)]));
+    let clients = [
+        store.other_client(),
+        store.other_client(),
+        store.other_client(),
+    ];
+    let mut nodes = Vec::new();
+    for (name, client) in ["a", "b", "c"].into_iter().zip(&clients) {
+        nodes.push(TestNode::start(name, client).await);
+    }
+    for node in &nodes {
+        wait_within(SETTLE_TIMEOUT, "a token", || async {
+            status(node, "hot").await == 200
+        })
+        .await;
+    }
+    let all: Vec<&TestNode> = nodes.iter().collect();
+    load(&all, "hot", 12, Duration::from_secs(8)).await;
+    for client in &clients {
+        client.set_unreachable(true);
+    }
+    let (ran, refused) = load(&all, "hot", 12, Duration::from_secs(12)).await;
+    assert!(refused.is_empty(), "{refused:?}, {} ran", ran.len());
+    // Demand that moves to one node finds what nobody holds, which only an owner hands out.
+    let (ran, refused) = load(&all[..1], "hot", 12, Duration::from_secs(6)).await;
+    assert!(refused.len() <= 6, "{refused:?}, {} ran", ran.len());
+}
+
 /// Guards against a node that is alone and waits for others, against messages that end it or change what
 /// it grants, and against a token that is lost with a request that has not run.
 #[tokio::test(flavor = "multi_thread")]
