Tell no node of the departure that it states itself

Cause of a part of lost_departure: the answer to an exchange named the departure that the same exchange had just told, and apply_departure takes a target that drains for one that has gone.

Change: the answer leaves out a departure that the asking node's own record states.

--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -520,6 +520,7 @@
         return empty_response(StatusCode::BAD_REQUEST);
     };
     let mut refuting_epoch = None;
+    let stated = asked.record.as_ref().and_then(InstanceRecord::departure);
     if let Some(record) = asked.record
         && record.node == asked.node
     {
@@ -533,7 +534,9 @@
             );
         }
     }
+    // A node that states a departure itself knows it better: its target may still be draining.
     let departed = engine.registry().announced_departure(&asked.node).cloned();
+    let departed = departed.filter(|departed| stated.as_ref() != Some(departed));
     let cached = engine.tables.current();
     let records = {
         let registry = engine.registry();
--- a/crates/apricotfold-proxy/tests/kept_departures.rs
+++ b/crates/apricotfold-proxy/tests/kept_departures.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde_json::{Value, json};
+use support::caller::exchange;
 use support::store::MemoryStore;
 use support::{TestNode, table, wait_for};
 
@@ -255,6 +257,30 @@
     away.wait_used("next").await;
 }
 
+/// Guards against a target that drains and counts as gone, because a peer tells its node of the departure that
+/// it has just heard from it.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_is_not_gone() {
+    let departing = DepartingNode::start().await;
+    departing.node.announce(9, "draining").await;
+    let key = "apricotfold/nodes/a";
+    let entry = departing.client.read(key).expect("an entry");
+    let entry: Value = serde_json::from_str(&entry).expect("JSON");
+    let told = |record: &Value| {
+        let body = json!({"node": "a", "table-version": 1, "digest": 0, "record": record});
+        let address = departing.other.config.peer_address;
+        async move {
+            let headers = [("apricotfold-exchange", "1")];
+            let answer = exchange(address, "POST", "/", &headers, &body.to_string()).await;
+            let answer: Value = serde_json::from_str(&answer.body).expect("JSON");
+            answer["departed"].clone()
+        }
+    };
+    assert_eq!(told(&entry["record"]).await, Value::Null);
+    // A process that does not know is told.
+    assert_eq!(told(&Value::Null).await["instance"], "i-a");
+}
+
 /// Guards against an acknowledgement that nobody but the process itself could keep.
 #[tokio::test(flavor = "multi_thread")]
 async fn nobody_keeps_it() {
