Tell a node that asks for progress of no departure

Cause of lost_departure: a node that compares its watches with a peer's every 0.7 s sends no record with that question, and was told the departure that it had told before; a target that drains then counted as gone, and "draining" was never written again after the store went back.

Change: the answer to a question for progress names no departure.

--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -534,9 +534,11 @@
             );
         }
     }
-    // A node that states a departure itself knows it better: its target may still be draining.
+    // A node that states a departure itself knows it better: its target may still be draining. One that asks for
+    // nothing but progress states nothing.
     let departed = engine.registry().announced_departure(&asked.node).cloned();
-    let departed = departed.filter(|departed| stated.as_ref() != Some(departed));
+    let departed =
+        departed.filter(|departed| !asked.progress_only && stated.as_ref() != Some(departed));
     let cached = engine.tables.current();
     let records = {
         let registry = engine.registry();
--- a/crates/apricotfold-proxy/tests/kept_departures.rs
+++ b/crates/apricotfold-proxy/tests/kept_departures.rs
@@ -266,8 +266,11 @@
     let key = "apricotfold/nodes/a";
     let entry = departing.client.read(key).expect("an entry");
     let entry: Value = serde_json::from_str(&entry).expect("JSON");
-    let told = |record: &Value| {
-        let body = json!({"node": "a", "table-version": 1, "digest": 0, "record": record});
+    let told = |record: &Value, progress_only: bool| {
+        let body = json!({
+            "node": "a", "table-version": 1, "digest": 0, "record": record,
+            "progress-only": progress_only,
+        });
         let address = departing.other.config.peer_address;
         async move {
             let headers = [("apricotfold-exchange", "1")];
@@ -276,9 +279,10 @@
             answer["departed"].clone()
         }
     };
-    assert_eq!(told(&entry["record"]).await, Value::Null);
+    assert_eq!(told(&entry["record"], false).await, Value::Null);
+    assert_eq!(told(&Value::Null, true).await, Value::Null);
     // A process that does not know is told.
-    assert_eq!(told(&Value::Null).await["instance"], "i-a");
+    assert_eq!(told(&Value::Null, false).await["instance"], "i-a");
 }
 
 /// Guards against an acknowledgement that nobody but the process itself could keep.
