--- a/crates/apricotfold-policy/src/quota/term.rs
+++ b/crates/apricotfold-policy/src/quota/term.rs
@@ -1,4 +1,4 @@
-//! Time for which a node may own quotas without the store's word. See `docs/design/quotas.md`.
+//! Time for which a node may own quotas without an answer of the store. See `docs/design/quotas.md`.
 
 use std::time::{Duration, Instant};
 
@@ -7,8 +7,8 @@
 /// sooner after them.
 const SHARED_SILENCE: Duration = Duration::from_secs(2);
 
-/// Time for which the word of another node counts. Two random ones are asked every 0.7 s.
-const WORD_LIFETIME: Duration = Duration::from_secs(2);
+/// Time for which the report of another node counts. Two random ones are asked every 0.7 s.
+const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
 /// What a node knows of its right to own quotas, which rests on its entry in the store.
 ///
@@ -19,9 +19,9 @@
 pub struct OwnerTerm {
     /// Time before which the entry cannot end.
     entry_until: Option<Instant>,
-    /// When another node last gave its word.
+    /// When another node last reported.
     heard: Option<Instant>,
-    /// When the store last answered any of them, as far as they have said.
+    /// When the store last answered any of them, as far as they have reported.
     others_answered: Option<Instant>,
 }
 
@@ -32,8 +32,8 @@
         self.entry_until = Some(until);
     }
 
-    /// Records the word of another node: when the store last answered it, if it has.
-    pub fn record_word(&mut self, answered: Option<Instant>, now: Instant) {
+    /// Records the report of another node: when the store last answered it, if it has.
+    pub fn record_report(&mut self, answered: Option<Instant>, now: Instant) {
         self.heard = Some(now);
         self.others_answered = self.others_answered.max(answered);
     }
@@ -49,6 +49,6 @@
             return true;
         }
         let heard = self.heard;
-        heard.is_none_or(|heard| now.saturating_duration_since(heard) >= WORD_LIFETIME)
+        heard.is_none_or(|heard| now.saturating_duration_since(heard) >= REPORT_LIFETIME)
     }
 }
--- a/crates/apricotfold-policy/tests/quota_term.rs
+++ b/crates/apricotfold-policy/tests/quota_term.rs
@@ -1,4 +1,4 @@
-//! Time for which a node may own quotas without the store's word.
+//! Time for which a node may own quotas without an answer of the store.
 
 use std::time::{Duration, Instant};
 
@@ -11,15 +11,15 @@
 const INTERVAL: Duration = Duration::from_millis(700);
 
 /// Plays a silence of the store towards one node that renewed its lease at the start, and returns when it may no
-/// longer own quotas. `word` is when the store last answered the others, if they give their word.
-fn end(word: impl Fn(Instant) -> Option<Option<Instant>>, start: Instant) -> Option<Duration> {
+/// longer own quotas. `report` is when the store last answered the others, if they report it.
+fn end(report: impl Fn(Instant) -> Option<Option<Instant>>, start: Instant) -> Option<Duration> {
     let mut term = OwnerTerm::default();
     term.record_entry(start + LEASE);
     (0..40)
         .map(|round| start + INTERVAL * round)
         .find_map(|now| {
-            if let Some(answered) = word(now) {
-                term.record_word(answered, now);
+            if let Some(answered) = report(now) {
+                term.record_report(answered, now);
             }
             term.may_have_ended(false, now).then_some(now - start)
         })
@@ -61,7 +61,7 @@
     let mut term = OwnerTerm::default();
     term.record_entry(start + LEASE);
     let now = start + LEASE * 2;
-    term.record_word(Some(now), now);
+    term.record_report(Some(now), now);
     assert!(term.may_have_ended(false, now));
     term.record_entry(now + LEASE);
     assert!(!term.may_have_ended(false, now));
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -262,7 +262,7 @@
 
     /// Locks the times at which this node last introduced itself to others.
     pub fn introduced(&self) -> MutexGuard<'_, HashMap<NodeId, Instant>> {
-        self.introduced.lock().expect("no panic while locked")
+        lock(&self.introduced)
     }
 
     /// Locks what other nodes state of the wait for their incoming links.
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -364,7 +364,7 @@
         offsets.record(&reading.node, theirs, sent, now - started, now);
     }
     let age = answer.store_age_ms.map(Duration::from_millis);
-    engine.store_health.record_word(age);
+    engine.store_health.record_report(age);
     apply_answer(engine, &answer, address);
     Ok(answer)
 }
--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -138,10 +138,10 @@
     }
 
     /// Records how long ago the store answered another node, as that one says; `None` if it never has.
-    pub fn record_word(&self, age: Option<Duration>) {
+    pub fn record_report(&self, age: Option<Duration>) {
         let now = Instant::now();
         let answered = age.and_then(|age| now.checked_sub(age));
-        self.lock().term.record_word(answered, now);
+        self.lock().term.record_report(answered, now);
     }
 
     /// Returns whether another node may own the quotas of this one. `alone` tells that no other node is known.
