--- a/crates/apricotfold-proxy/src/lib.rs
+++ b/crates/apricotfold-proxy/src/lib.rs
@@ -38,7 +38,7 @@
 mod peer_server;
 mod quota;
 mod registration;
-mod relay_poller;
+mod relays;
 pub mod request_codec;
 mod response_codec;
 mod rollout;
--- /dev/null
+++ b/crates/apricotfold-proxy/src/relays/mod.rs
@@ -0,0 +1,4 @@
+//! How nodes that do not follow the store learn of changes from those that do. See `docs/platform.md`,
+//! section 4.
+
+pub mod poller;
--- a/crates/apricotfold-proxy/src/run.rs
+++ b/crates/apricotfold-proxy/src/run.rs
@@ -20,7 +20,7 @@
 use crate::peer_exchange;
 use crate::peer_server::PeerHandler;
 use crate::registration::Registration;
-use crate::relay_poller::RelayPoller;
+use crate::relays::poller::RelayPoller;
 use crate::rollout::{RolloutKeeper, run_decisions, run_reports};
 use crate::settings_file::{SettingsReader, follow};
 use crate::status_server::{MetricsHandler, ReadyHandler};
