Tell nodes that their relays leave before they close

Cause: at the end of a roll-out the relays of all data centres get SIGTERM together. Their followers learned it only from closed connections: the watch of entries holds changes back for up to 2.5 s, and an instance that has left is merely missing in the list that a relay sends, which counts as lapsed. Successors began when the relays had closed, and all others read whole tables from the store over the link between the regions.

Change: a process whose instance leaves tells its relays and their successors, and lists its own departure for those who poll it. Lists of instances come with recent departures. A replaced relay is polled until the new ones follow the store. No store call is added.

--- a/crates/apricotfold-policy/src/instance_registry.rs
+++ b/crates/apricotfold-policy/src/instance_registry.rs
@@ -11,6 +11,8 @@
 };
 use smallvec::SmallVec;
 
+use crate::NodeDeparture;
+
 /// Time for which an instance is still used after its store entry lapsed. Leases expire while the
 /// store is unavailable; live nodes write their entries again within about 2 s of its return.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
@@ -26,6 +28,10 @@
 /// Time for which a stated departure is remembered. Leaving instances end within that time.
 const DEPARTURE_MEMORY: Duration = Duration::from_mins(10);
 
+/// Time for which a departure is told to other nodes. Those that poll this one have then asked several
+/// times.
+const TELLING_TIME: Duration = Duration::from_secs(10);
+
 /// Nodes whose instances changed.
 pub type ChangedNodes = SmallVec<[NodeId; 4]>;
 
@@ -73,10 +79,16 @@
     order: (NodeEpoch, TargetLife),
     /// The incarnation, if it was the target itself that said so.
     departure: Option<TargetIncarnation>,
+    /// Whether it has left; if not, it drains.
+    gone: bool,
     noticed: Instant,
 }
 
 impl LeftInstance {
+    fn is_told(&self, now: Instant) -> bool {
+        self.gone && now.saturating_duration_since(self.noticed) < TELLING_TIME
+    }
+
     fn concerns(&self, record: &InstanceRecord) -> bool {
         record.life_order() <= self.order
     }
@@ -190,15 +202,73 @@
         let order = record.life_order();
         // An earlier process or incarnation changes nothing.
         if known.is_none_or(|known| known.order <= order) {
+            let was_gone = known.is_some_and(|known| known.gone && known.order == order);
             let later = LeftInstance {
                 order,
                 departure: record.departure(),
+                gone: was_gone || record.state == InstanceState::Gone,
                 noticed: now,
             };
             self.left.insert(record.node.clone(), later);
         }
     }
 
+    /// Returns the departures that nodes which receive the list of instances have to be told of.
+    #[must_use]
+    pub fn told_departures(&self, now: Instant) -> Vec<NodeDeparture> {
+        let told = self.left.iter().filter(|(_, left)| left.is_told(now));
+        told.map(|(node, left)| {
+            let (node_epoch, life) = left.order;
+            NodeDeparture {
+                node: node.clone(),
+                node_epoch,
+                life,
+            }
+        })
+        .collect()
+    }
+
+    /// Applies departures that another node told. Returns whether an instance was dropped.
+    pub fn apply_departures(&mut self, departures: &[NodeDeparture], now: Instant) -> bool {
+        let mut changed = false;
+        for departure in departures {
+            changed |= self.apply_departure(departure, now);
+        }
+        changed
+    }
+
+    fn apply_departure(&mut self, departure: &NodeDeparture, now: Instant) -> bool {
+        let (node, order) = (&departure.node, departure.life_order());
+        let left = self.left.get_mut(node);
+        if let Some(left) = left.filter(|left| left.order >= order) {
+            left.gone |= left.order == order;
+        } else {
+            let left = LeftInstance {
+                order,
+                departure: None,
+                gone: true,
+                noticed: now,
+            };
+            self.left.insert(node.clone(), left);
+        }
+        if self
+            .vanished
+            .get(node)
+            .is_some_and(|vanished| vanished.order == order)
+        {
+            self.vanished.remove(node);
+        }
+        let known = self.known.get(node).map(|known| &known.record);
+        let Some(record) = known.filter(|record| record.life_order() <= order) else {
+            return false;
+        };
+        if record.state == InstanceState::Ready && record.life_order() < order {
+            self.ended.push(record.incarnation());
+        }
+        self.known.remove(node);
+        true
+    }
+
     /// Records that the store no longer has an entry for a node. A draining instance is dropped at
     /// once, a ready one after a grace period unless its entry returns or its node answers. Returns
     /// whether an instance was dropped.
@@ -372,6 +442,15 @@
         })
     }
 
+    /// Returns the records of the nodes that are not known to leave. The store may still list others as
+    /// ready, and so may nodes that have not heard of their departure.
+    pub fn staying(&self) -> impl Iterator<Item = &InstanceRecord> + Clone {
+        self.records().filter(|record| {
+            let left = self.left.get(&record.node);
+            !left.is_some_and(|left| left.concerns(record))
+        })
+    }
+
     /// Returns all records, to be sent to a peer.
     pub fn records(&self) -> impl Iterator<Item = &InstanceRecord> + Clone {
         self.known.values().map(|known| &known.record)
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -43,6 +43,7 @@
 mod local_instance;
 mod local_runs;
 mod named_limits;
+mod node_departure;
 mod node_limits;
 mod open_connections;
 mod parent_throttle;
@@ -98,6 +99,7 @@
 pub use local_instance::{AnnouncementEffect, LocalInstance, TargetReply};
 pub use local_runs::{LocalRuns, NestedCapacity, RunId, RunSummary};
 pub use named_limits::NamedLimits;
+pub use node_departure::NodeDeparture;
 pub use node_limits::{CONNECTION_BYTES, NodeLimits};
 pub use open_connections::{AcceptDecision, ConnectionId, ConnectionPhase, OpenConnections};
 pub use parent_throttle::ParentThrottle;
@@ -111,8 +113,8 @@
 };
 pub use rate_gate::RateGate;
 pub use relay_choice::{
-    FollowRole, FollowerNodes, RelayNodes, RemoteRelays, choose_followers, choose_monitors,
-    choose_remote_relays, choose_role,
+    FollowRole, FollowerNodes, RelayNodes, RemoteRelays, SuccessorNodes, choose_followers,
+    choose_monitors, choose_remote_relays, choose_role, choose_successors,
 };
 pub use request_intake::{IntakePhase, RequestIntake};
 pub use retry_after::{RetryDetector, advise_retry_after};
--- a/crates/apricotfold-policy/src/relay_choice.rs
+++ b/crates/apricotfold-policy/src/relay_choice.rs
@@ -28,6 +28,9 @@
 /// Relays of other data centres.
 pub type RemoteRelays = SmallVec<[NodeId; 8]>;
 
+/// Nodes that take the place of relays, the first ones first.
+pub type SuccessorNodes = SmallVec<[NodeId; RELAY_COUNT * 2]>;
+
 /// Source from which a node receives changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FollowRole {
@@ -71,6 +74,20 @@
         .collect()
 }
 
+/// Determines the nodes that take the place of the relays of a data centre. `is_excluded` tells the relays,
+/// and nodes that do not answer. As long as nodes have the same information, they choose the same ones, so
+/// that one or two of them read the table from the store while the others wait for these.
+pub fn choose_successors<'a>(
+    data_centre: &DataCentreName,
+    is_excluded: impl Fn(&NodeId) -> bool,
+    records: impl Iterator<Item = &'a InstanceRecord>,
+) -> SuccessorNodes {
+    let local = records.filter(|record| record.data_centre == *data_centre);
+    let candidates = ranked_candidates(local.filter(|record| !is_excluded(&record.node)));
+    let successors = candidates.into_iter().take(RELAY_COUNT * 2);
+    successors.map(|record| record.node.clone()).collect()
+}
+
 /// Determines the nodes that follow the store themselves, as far as roles alone tell. A node compares
 /// what its watches have delivered with what theirs have.
 pub fn choose_followers<'a>(records: impl Iterator<Item = &'a InstanceRecord>) -> RemoteRelays {
--- a/crates/apricotfold-policy/tests/instance_registry.rs
+++ b/crates/apricotfold-policy/tests/instance_registry.rs
@@ -307,3 +307,30 @@
     registry.apply_peer_record(record(2, 2, InstanceState::Gone, 1), now);
     assert_eq!(registry.take_ended(), [former.incarnation()]);
 }
+
+/// Guards against nodes that go on using an instance which has left, because it is only missing in the list
+/// that a peer sends, and against a departure that outlasts a restart of its node.
+#[test]
+fn told_departure() {
+    let now = Instant::now();
+    let mut relay = InstanceRegistry::default();
+    relay.apply_entry(record(1, 1, InstanceState::Ready, 4), now);
+    let mut follower = relay.clone();
+    relay.apply_peer_record(record(1, 1, InstanceState::Gone, 5), now);
+    let told = relay.told_departures(now);
+    assert!(follower.apply_departures(&told, now));
+    assert_eq!(ready(&follower, now), 0);
+    assert!(!follower.apply_departures(&told, now));
+    // Another peer has not heard of it yet.
+    let late = vec![record(1, 1, InstanceState::Ready, 4)];
+    follower.apply_listing(late, now);
+    assert_eq!(ready(&follower, now), 0);
+    assert_eq!(follower.staying().count(), 0);
+    follower.apply_listing(vec![record(1, 2, InstanceState::Ready, 1)], now);
+    assert!(!follower.apply_departures(&told, now));
+    assert_eq!(ready(&follower, now), 1);
+    assert_eq!(follower.staying().count(), 1);
+    assert!(follower.take_ended().is_empty());
+    let later = now + Duration::from_mins(1);
+    assert!(relay.told_departures(later).is_empty());
+}
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -10,7 +10,7 @@
     InstanceRecord, InstanceState, NodeEpoch, NodeId, TableVersion, TargetIncarnation, log_event,
     saturating_millis,
 };
-use apricotfold_policy::{KnownRollout, STORE_SILENCE, WatchProgress};
+use apricotfold_policy::{KnownRollout, NodeDeparture, STORE_SILENCE, WatchProgress};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use futures_util::future::select_ok;
@@ -25,6 +25,7 @@
 use crate::compressed_json::{compress, decompress};
 use crate::engine::Engine;
 use crate::gated_body::GatedBody;
+use crate::relays::hand_over::list_own_departure;
 use crate::store::watch_monitor;
 use crate::table_cache::TableTransfer;
 use crate::telemetry;
@@ -104,6 +105,9 @@
     /// Compressed list of the instances that the store has, as far as the peer knows, if the digests
     /// differ.
     records: Option<String>,
+    /// Instances that are not in the list because they have left; empty from earlier releases.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    departures: Vec<NodeDeparture>,
     /// Epoch that the node must exceed for its record to count, as far as the peer knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     refuting_epoch: Option<NodeEpoch>,
@@ -189,6 +193,16 @@
     }
 }
 
+/// Gives this node's record to a peer.
+///
+/// # Errors
+///
+/// Returns an error if the peer gave no usable response.
+pub async fn tell_record(engine: &Arc<Engine>, address: SocketAddr) -> eyre::Result<()> {
+    timed_exchange(engine, address, ExchangeScope::Table, &|_| {}).await?;
+    Ok(())
+}
+
 /// Gives this node's record to one that knows no target beside it. If it has started while the store turned
 /// it away, it has no table to ask its target by, and knows no peer that it could ask for one.
 pub fn introduce(engine: &Arc<Engine>, node: &NodeId, address: SocketAddr) {
@@ -202,8 +216,7 @@
     }
     let engine = engine.clone();
     tokio::spawn(async move {
-        let exchange = timed_exchange(&engine, address, ExchangeScope::Table, &|_| {});
-        if let Err(cause) = exchange.await {
+        if let Err(cause) = tell_record(&engine, address).await {
             log_event!(debug, ExchangeFailed, "introduction to {address}: {cause}");
         }
     });
@@ -440,6 +453,7 @@
     if let Some(transfer) = &answer.table {
         apply_table(engine, transfer, address);
     }
+    apply_departures(engine, &answer.departures, address);
     if let Some(compressed) = &answer.records {
         match decompress::<Vec<InstanceRecord>>(compressed) {
             Ok(records) => apply_instances(engine, &records, answer.follows_store, address),
@@ -486,6 +500,18 @@
     }
 }
 
+/// Applies departures of other nodes' instances that a peer told.
+fn apply_departures(engine: &Engine, departures: &[NodeDeparture], address: SocketAddr) {
+    let own = engine.node();
+    let others = departures.iter().filter(|departure| departure.node != own);
+    let others: Vec<NodeDeparture> = others.cloned().collect();
+    let mut registry = engine.registry();
+    if registry.apply_departures(&others, Instant::now()) {
+        let count = others.len();
+        log_event!(info, LearnedFromPeer, "{count} departures from {address}");
+    }
+}
+
 /// Applies a peer's instances. For a node that does not watch the store, the list of a peer that
 /// does replaces what is known, as the store's own list would. Otherwise the list only adds
 /// instances.
@@ -540,15 +566,17 @@
     let departed =
         departed.filter(|departed| !asked.progress_only && stated.as_ref() != Some(departed));
     let cached = engine.tables.current();
-    let records = {
+    list_own_departure(engine);
+    let (records, departures) = {
         let registry = engine.registry();
         let digest = registry.digest();
-        let differs = !asked.table_only && digest != asked.digest;
-        differs.then(|| {
-            engine
-                .instance_list
-                .compressed(digest, || registry.confirmed().cloned().collect())
-        })
+        if asked.table_only || digest == asked.digest {
+            (None, Vec::new())
+        } else {
+            let list = || registry.confirmed().cloned().collect();
+            let records = engine.instance_list.compressed(digest, list);
+            (Some(records), registry.told_departures(Instant::now()))
+        }
     };
     let rollouts = {
         let view = engine.rollouts.view();
@@ -581,6 +609,7 @@
             cached.transfer_from(asked.table_version)
         },
         records,
+        departures,
         refuting_epoch,
         departed,
         rollouts,
--- a/crates/apricotfold-proxy/src/registration.rs
+++ b/crates/apricotfold-proxy/src/registration.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::engine::Engine;
+use crate::relays::hand_over::notify_relays;
 use crate::store_health::retry_pause;
 use crate::telemetry;
 
@@ -56,6 +57,8 @@
     store: Arc<dyn ConfigStore>,
     lease: Option<(LeaseId, Duration)>,
     written: Option<NodeEntry>,
+    /// Whether the relays have been told that the instance leaves.
+    notified: bool,
     /// Whether the store may have lost what was written, because it came back from an older copy.
     outdated: bool,
     revision: Revision,
@@ -73,6 +76,7 @@
             store,
             lease: None,
             written: None,
+            notified: false,
             outdated: false,
             revision: 0,
             failures: 0,
@@ -138,6 +142,11 @@
             return Ok(());
         }
         let wanted = self.with_silence(wanted);
+        let leaves = !is_ready(&wanted);
+        let notified = std::mem::replace(&mut self.notified, leaves);
+        if leaves && !notified {
+            notify_relays(&self.engine);
+        }
         if self.is_written(&wanted) {
             if self.renew().await? {
                 return Ok(());
--- a/crates/apricotfold-proxy/src/relays/poller.rs
+++ b/crates/apricotfold-proxy/src/relays/poller.rs
@@ -1,6 +1,7 @@
 //! Polls the relays of the data centre for changes instead of watching the store. See
 //! `docs/platform.md`, section 4.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,7 @@
 
 use crate::engine::Engine;
 use crate::peer_exchange::{ExchangeResponse, exchange};
+use crate::relays::hand_over::FormerRelays;
 
 /// Interval at which a node polls one of its relays. Two relays are polled in turn, so a change
 /// that one of them has missed arrives after two intervals.
@@ -28,11 +30,22 @@
 /// Time at which a relay last sent a part of a long answer.
 type ProgressMark = Arc<Mutex<Option<Instant>>>;
 
+/// Why a node is polled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PollSource {
+    /// It is a relay of the own data centre.
+    Relay,
+    /// It was one, and those that replace it do not follow the store yet.
+    Former,
+    /// It is a relay of another data centre.
+    Remote,
+}
+
 /// A finished poll.
 struct PollResult {
     relay: NodeId,
-    /// Whether the relay is in another data centre.
-    remote: bool,
+    address: SocketAddr,
+    source: PollSource,
     answered: bool,
     /// When the store last answered the relay; `None` if the answer is not usable.
     confirmed: Option<Instant>,
@@ -46,6 +59,7 @@
     fallback: DirectFallback,
     order: PollOrder,
     remote_order: RemoteOrder,
+    former: FormerRelays,
     /// Whether a relay of another data centre was polled since one of the own ones was usable.
     polls_remote: bool,
     polls: JoinSet<PollResult>,
@@ -64,6 +78,7 @@
             fallback: DirectFallback::new(Instant::now()),
             order: PollOrder::new(turn),
             remote_order: RemoteOrder::new(turn, Instant::now()),
+            former: FormerRelays::default(),
             polls_remote: false,
             polls: JoinSet::new(),
             awaited: SmallVec::new(),
@@ -99,7 +114,7 @@
     fn role(&self) -> FollowRole {
         let config = self.engine.config.load();
         let registry = self.engine.registry();
-        choose_role(&config.node, &config.data_centre, registry.records())
+        choose_role(&config.node, &config.data_centre, registry.staying())
     }
 
     /// Polls the next relay of the own data centre, or one of another if all of the own ones are awaited.
@@ -110,11 +125,25 @@
             return;
         }
         match self.order.next_relay(relays, &self.awaited, now) {
-            Some(relay) => self.poll(relay, false),
+            Some(relay) => self.poll_known(relay, PollSource::Relay),
             None => self.poll_remote(),
         }
     }
 
+    /// Polls a relay that the present ones replace. Returns false if there is none.
+    fn poll_former(&mut self) -> bool {
+        let FollowRole::Through(relays) = self.role() else {
+            return false;
+        };
+        let former = self.former.latest(&relays, Instant::now());
+        let Some((relay, address)) = former.filter(|(relay, _)| !self.awaited.contains(relay))
+        else {
+            return false;
+        };
+        self.poll(relay, address, PollSource::Former);
+        true
+    }
+
     /// Polls the next relay of another data centre, unless it is too early for that.
     fn poll_remote(&mut self) {
         let now = Instant::now();
@@ -123,7 +152,7 @@
         }
         let relays = {
             let config = self.engine.config.load();
-            choose_remote_relays(&config.data_centre, self.engine.registry().records())
+            choose_remote_relays(&config.data_centre, self.engine.registry().staying())
         };
         let next = self.remote_order.next_relay(&relays, &self.awaited, now);
         let Some(relay) = next else {
@@ -136,18 +165,21 @@
                 "polls relays of other data centres, {relay} first"
             );
         }
-        self.poll(relay, true);
+        self.poll_known(relay, PollSource::Remote);
     }
 
-    fn poll(&mut self, relay: NodeId, remote: bool) {
-        let address = self
-            .engine
-            .registry()
-            .record(&relay)
-            .map(|record| record.address);
-        let Some(address) = address else {
-            return;
+    /// Polls a node that is in the list of instances.
+    fn poll_known(&mut self, relay: NodeId, source: PollSource) {
+        let address = {
+            let registry = self.engine.registry();
+            registry.record(&relay).map(|record| record.address)
         };
+        if let Some(address) = address {
+            self.poll(relay, address, source);
+        }
+    }
+
+    fn poll(&mut self, relay: NodeId, address: SocketAddr, source: PollSource) {
         self.awaited.push(relay.clone());
         let (engine, progress) = (self.engine.clone(), self.progress.clone());
         self.polls.spawn(async move {
@@ -179,7 +211,8 @@
             };
             PollResult {
                 relay,
-                remote,
+                address,
+                source,
                 answered,
                 confirmed,
             }
@@ -206,17 +239,23 @@
     fn finish_poll(&mut self, result: &PollResult) {
         let now = Instant::now();
         self.awaited.retain(|relay| *relay != result.relay);
-        if result.remote {
+        if result.source == PollSource::Remote {
             self.finish_remote_poll(result, now);
             return;
         }
         self.order.record(&result.relay, result.answered, now);
+        let usable = result.confirmed.is_some();
+        let (relay, address) = (&result.relay, result.address);
+        self.former.record(relay, address, usable, now);
         if self.role() == FollowRole::Direct {
             return;
         }
-        match result.confirmed {
-            Some(_) => self.polls_remote = false,
-            None => self.poll_remote(),
+        if usable {
+            self.polls_remote = false;
+        } else if self.poll_former() {
+            return;
+        } else {
+            self.poll_remote();
         }
         let contact = self.engine.store_health.contact();
         let decided = self.fallback.after_answer(result.confirmed, contact, now);
--- a/crates/apricotfold-proxy/src/rollout/decisions.rs
+++ b/crates/apricotfold-proxy/src/rollout/decisions.rs
@@ -239,7 +239,7 @@
             return None;
         }
         let own = self.engine.node();
-        let followers = choose_followers(self.engine.registry().records());
+        let followers = choose_followers(self.engine.registry().staying());
         decider_rank(self.service(), &own, followers.iter())
     }
 
--- a/crates/apricotfold-proxy/src/store/watch_monitor.rs
+++ b/crates/apricotfold-proxy/src/store/watch_monitor.rs
@@ -22,7 +22,7 @@
             *other == config.data_centre || config.data_centres.get(other) == Some(&config.region)
         };
         let registry = engine.registry();
-        choose_monitors(&config.data_centre, in_region, registry.records())
+        choose_monitors(&config.data_centre, in_region, registry.staying())
     };
     let health = &engine.store_health;
     let role = health.choose_monitor(&candidates, &engine.node());
@@ -69,7 +69,7 @@
 async fn ask_follower(engine: &Arc<Engine>) {
     let own = engine.node();
     let follower = {
-        let followers = choose_followers(engine.registry().records());
+        let followers = choose_followers(engine.registry().staying());
         let others = followers.into_iter().filter(|node| *node != own);
         others.choose(engine.selector().random())
     };
