Let a few nodes take the place of relays that end without a word

Cause: each node decides for itself, by the same rule at the same time.

Change: the order in which relays are chosen tells who takes their place. The first two nodes not known to fail follow the store as before, the next ones 0.6 s later, all others after 1.2 s; until then they poll those whose turn it is. A node that nobody of its data centre answers does not wait.

--- a/crates/apricotfold-policy/src/direct_fallback.rs
+++ b/crates/apricotfold-policy/src/direct_fallback.rs
@@ -88,12 +88,13 @@
 
     /// Processes the result of polling a relay of the own data centre. `confirmed` is when the store last answered the
     /// relay, or `None` if the answer is not usable; `contact` is how the store has answered this node
-    /// itself. Returns whether the node follows the store from now on, or `None` to leave the role
-    /// unchanged.
+    /// itself. For `delay`, it is left to other nodes to take the relays' place. Returns whether the node
+    /// follows the store from now on, or `None` to leave the role unchanged.
     pub fn after_answer(
         &mut self,
         confirmed: Option<Instant>,
         contact: StoreContact,
+        delay: Duration,
         now: Instant,
     ) -> Option<bool> {
         if let Some(confirmed) = confirmed {
@@ -110,7 +111,8 @@
         let reached = answered.is_some_and(|answered| now < answered + STORE_SILENCE);
         let remote = self.remote_confirmed;
         let through_remote = remote.is_some_and(|confirmed| now < confirmed + DOUBT_TIME);
-        let is_lost = self.failures >= MAX_FAILURES && !through_remote;
+        let is_left = !delay.is_zero() && self.silence(now) < MAX_SILENCE + delay;
+        let is_lost = self.failures >= MAX_FAILURES && !through_remote && !is_left;
         if !is_lost || !reached || !self.is_steady(contact, now) {
             return None;
         }
@@ -129,7 +131,14 @@
     /// it elsewhere.
     #[must_use]
     pub fn is_in_doubt(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.confirmed) >= DOUBT_TIME
+        self.silence(now) >= DOUBT_TIME
+    }
+
+    /// Returns for how long the node has lacked a sign of the relays' contact with the store, beyond the time
+    /// after which it could follow the store itself.
+    #[must_use]
+    pub fn overdue(&self, now: Instant) -> Duration {
+        self.silence(now).saturating_sub(MAX_SILENCE)
     }
 
     /// Returns the time at which [`after_silence`](Self::after_silence) should be called again.
@@ -140,27 +149,32 @@
 
     /// Decides while polls are in progress. `progress` is the time at which a relay last sent a part
     /// of a long answer, which counts like a confirmation; `contact` is how the store has answered
-    /// this node. Returns whether the node follows the store from now on, or `None` to leave the role
+    /// this node; for `delay`, it is left to other nodes to take the relays' place. Returns whether the node follows the store from now on, or `None` to leave the role
     /// unchanged.
     pub fn after_silence(
         &mut self,
         progress: Option<Instant>,
         contact: StoreContact,
+        delay: Duration,
         now: Instant,
     ) -> Option<bool> {
         if let Some(progress) = progress {
             self.confirmed = self.confirmed.max(progress);
         }
         // A slow store answers relays as late as it answers this node.
-        let longest = MAX_SILENCE + contact.answer_time * 2;
-        let silence = now.saturating_duration_since(self.confirmed);
-        if silence < longest || !self.is_ahead(contact, now) {
+        let longest = MAX_SILENCE + contact.answer_time * 2 + delay;
+        if self.silence(now) < longest || !self.is_ahead(contact, now) {
             return None;
         }
         self.follow_store(now);
         Some(true)
     }
 
+    /// Returns the time since the relays are known to have been in contact with the store.
+    fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.confirmed)
+    }
+
     /// Returns whether the store has answered this node for some time without answering the relays.
     fn is_ahead(&self, contact: StoreContact, now: Instant) -> bool {
         let answered = contact.answered;
--- a/crates/apricotfold-policy/src/lib.rs
+++ b/crates/apricotfold-policy/src/lib.rs
@@ -114,7 +114,8 @@
 pub use rate_gate::RateGate;
 pub use relay_choice::{
     FollowRole, FollowerNodes, RelayNodes, RemoteRelays, SuccessorNodes, choose_followers,
-    choose_monitors, choose_remote_relays, choose_role, choose_successors,
+    choose_monitors, choose_remote_relays, choose_role, choose_successors, due_successors,
+    takeover_delay,
 };
 pub use request_intake::{IntakePhase, RequestIntake};
 pub use retry_after::{RetryDetector, advise_retry_after};
--- a/crates/apricotfold-policy/src/poll_order.rs
+++ b/crates/apricotfold-policy/src/poll_order.rs
@@ -44,6 +44,15 @@
         usable.find(|relay| !awaited.contains(relay)).cloned()
     }
 
+    /// Returns whether a relay has just failed to answer.
+    #[must_use]
+    pub fn has_failed(&self, relay: &NodeId, now: Instant) -> bool {
+        let mut failed = self.failed.iter();
+        failed.any(|(failed, at)| {
+            failed == relay && now.saturating_duration_since(*at) < FAILED_EXCLUSION
+        })
+    }
+
     /// Records whether a relay answered.
     pub fn record(&mut self, relay: &NodeId, answered: bool, now: Instant) {
         self.failed.retain(|(failed, _)| failed != relay);
--- a/crates/apricotfold-policy/src/relay_choice.rs
+++ b/crates/apricotfold-policy/src/relay_choice.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use apricotfold_model::{DataCentreName, InstanceRecord, InstanceState, NodeId};
 use smallvec::SmallVec;
@@ -28,8 +29,14 @@
 /// Relays of other data centres.
 pub type RemoteRelays = SmallVec<[NodeId; 8]>;
 
+/// Number of turns in which nodes take the place of relays that are not usable.
+const TAKEOVER_TURNS: usize = 2;
+
+/// Time that the nodes of a turn have to reach the store before those of the next one follow it, too.
+const TURN_TIME: Duration = Duration::from_millis(600);
+
 /// Nodes that take the place of relays, the first ones first.
-pub type SuccessorNodes = SmallVec<[NodeId; RELAY_COUNT * 2]>;
+pub type SuccessorNodes = SmallVec<[NodeId; RELAY_COUNT * TAKEOVER_TURNS]>;
 
 /// Source from which a node receives changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -84,10 +91,28 @@
 ) -> SuccessorNodes {
     let local = records.filter(|record| record.data_centre == *data_centre);
     let candidates = ranked_candidates(local.filter(|record| !is_excluded(&record.node)));
-    let successors = candidates.into_iter().take(RELAY_COUNT * 2);
+    let successors = candidates.into_iter().take(RELAY_COUNT * TAKEOVER_TURNS);
     successors.map(|record| record.node.clone()).collect()
 }
 
+/// Returns the time for which a node leaves it to the successors before it to follow the store.
+#[must_use]
+pub fn takeover_delay(own: &NodeId, successors: &[NodeId]) -> Duration {
+    let place = successors.iter().position(|node| node == own);
+    let turn = place.map_or(TAKEOVER_TURNS, |place| place / RELAY_COUNT);
+    TURN_TIME * u32::try_from(turn).unwrap_or(u32::MAX)
+}
+
+/// Returns those of the successors that should follow the store when nothing has been heard of it for
+/// `overdue` longer than nodes wait for their relays.
+#[must_use]
+pub fn due_successors(successors: &[NodeId], overdue: Duration) -> &[NodeId] {
+    let turns = 1 + overdue.as_millis() / TURN_TIME.as_millis();
+    let count = usize::try_from(turns).unwrap_or(usize::MAX);
+    let count = count.saturating_mul(RELAY_COUNT);
+    &successors[..count.min(successors.len())]
+}
+
 /// Determines the nodes that follow the store themselves, as far as roles alone tell. A node compares
 /// what its watches have delivered with what theirs have.
 pub fn choose_followers<'a>(records: impl Iterator<Item = &'a InstanceRecord>) -> RemoteRelays {
--- a/crates/apricotfold-policy/tests/relay_choice.rs
+++ b/crates/apricotfold-policy/tests/relay_choice.rs
@@ -1,9 +1,13 @@
 //! Selection of the nodes that follow the store on behalf of their data centre.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use apricotfold_model::{InstanceRecord, InstanceState, NodeId};
-use apricotfold_policy::{FollowRole, choose_remote_relays, choose_role};
+use apricotfold_policy::{
+    FollowRole, choose_remote_relays, choose_role, choose_successors, due_successors,
+    takeover_delay,
+};
 
 fn record(index: usize, data_centre: &str, state: InstanceState) -> InstanceRecord {
     InstanceRecord {
@@ -126,3 +130,31 @@
         assert_eq!(own_role, FollowRole::Direct, "{node}");
     }
 }
+
+/// Guards against more than a few nodes of a data centre that follow the store at once when its relays do not
+/// answer, and against a data centre of which none does because those chosen do not answer either.
+#[test]
+fn successors_in_turns() {
+    let records = records(20, "stgo-norte");
+    let data_centre = "stgo-norte".into();
+    let FollowRole::Through(relays) = role(&records, "elsewhere") else {
+        panic!("twenty nodes have relays");
+    };
+    let mut excluded: Vec<NodeId> = relays.to_vec();
+    while excluded.len() < records.len() {
+        let is_excluded = |node: &NodeId| excluded.contains(node);
+        let successors = choose_successors(&data_centre, is_excluded, records.iter());
+        let due = due_successors(&successors, Duration::ZERO);
+        let delays = records.iter().map(|record| &record.node);
+        let delays = delays.filter(|node| !excluded.contains(node));
+        let at_once = delays.filter(|node| takeover_delay(node, &successors).is_zero());
+        let at_once: BTreeSet<_> = at_once.collect();
+        assert_eq!(at_once, due.iter().collect());
+        assert_eq!(due.len(), 2);
+        assert_eq!(
+            due_successors(&successors, Duration::from_secs(5)),
+            &successors[..]
+        );
+        excluded.extend(due.to_vec());
+    }
+}
--- a/crates/apricotfold-proxy/src/relays/mod.rs
+++ b/crates/apricotfold-proxy/src/relays/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod hand_over;
 pub mod poller;
+mod succession;
--- a/crates/apricotfold-proxy/src/relays/poller.rs
+++ b/crates/apricotfold-proxy/src/relays/poller.rs
@@ -7,8 +7,8 @@
 
 use apricotfold_model::{NodeId, log_event};
 use apricotfold_policy::{
-    DirectFallback, FollowRole, PollOrder, RemoteOrder, STORE_SILENCE, choose_remote_relays,
-    choose_role,
+    DirectFallback, FollowRole, PollOrder, RemoteOrder, STORE_SILENCE, SuccessorNodes,
+    choose_remote_relays, choose_role, choose_successors, due_successors, takeover_delay,
 };
 use rand::RngExt;
 use smallvec::SmallVec;
@@ -18,6 +18,7 @@
 use crate::engine::Engine;
 use crate::peer_exchange::{ExchangeResponse, exchange};
 use crate::relays::hand_over::FormerRelays;
+use crate::relays::succession::Succession;
 
 /// Interval at which a node polls one of its relays. Two relays are polled in turn, so a change
 /// that one of them has missed arrives after two intervals.
@@ -37,6 +38,8 @@
     Relay,
     /// It was one, and those that replace it do not follow the store yet.
     Former,
+    /// It takes the place of relays that do not answer or have lost the store.
+    Successor,
     /// It is a relay of another data centre.
     Remote,
 }
@@ -60,6 +63,7 @@
     order: PollOrder,
     remote_order: RemoteOrder,
     former: FormerRelays,
+    succession: Succession,
     /// Whether a relay of another data centre was polled since one of the own ones was usable.
     polls_remote: bool,
     polls: JoinSet<PollResult>,
@@ -79,6 +83,7 @@
             order: PollOrder::new(turn),
             remote_order: RemoteOrder::new(turn, Instant::now()),
             former: FormerRelays::default(),
+            succession: Succession::default(),
             polls_remote: false,
             polls: JoinSet::new(),
             awaited: SmallVec::new(),
@@ -168,6 +173,39 @@
         self.poll_known(relay, PollSource::Remote);
     }
 
+    /// Polls a node that takes the place of the relays, unless it is too early for that.
+    fn poll_successor(&mut self, relays: &[NodeId]) {
+        let now = Instant::now();
+        if !self.succession.is_due(now) {
+            return;
+        }
+        let own = self.engine.node();
+        let successors = self.successors(relays, now);
+        let due = due_successors(&successors, self.fallback.overdue(now));
+        let others: SuccessorNodes = due.iter().filter(|node| **node != own).cloned().collect();
+        if let Some(successor) = self.order.next_relay(&others, &self.awaited, now) {
+            self.succession.begin_poll(now);
+            self.poll_known(successor, PollSource::Successor);
+        }
+    }
+
+    /// Returns the nodes that take the place of these relays.
+    fn successors(&self, relays: &[NodeId], now: Instant) -> SuccessorNodes {
+        let config = self.engine.config.load();
+        let is_excluded = |node: &NodeId| relays.contains(node) || self.order.has_failed(node, now);
+        let registry = self.engine.registry();
+        choose_successors(&config.data_centre, is_excluded, registry.staying())
+    }
+
+    /// Returns the time for which this node leaves it to others to follow the store in place of these
+    /// relays. If no node of the data centre answers, no other could.
+    fn takeover_delay(&self, relays: &[NodeId], now: Instant) -> Duration {
+        if !self.succession.has_answered(now) {
+            return Duration::ZERO;
+        }
+        takeover_delay(&self.engine.node(), &self.successors(relays, now))
+    }
+
     /// Polls a node that is in the list of instances.
     fn poll_known(&mut self, relay: NodeId, source: PollSource) {
         let address = {
@@ -222,16 +260,18 @@
     /// Polls a relay of another data centre and calls the store when the own relays' contact with it is in
     /// doubt. Follows the store if only it answers.
     fn check_silence(&mut self) {
-        if self.role() == FollowRole::Direct {
+        let FollowRole::Through(relays) = self.role() else {
             return;
-        }
+        };
         let now = Instant::now();
         let progress = *self.progress.lock().expect("no panic while locked");
         let contact = self.engine.store_health.contact();
-        let decided = self.fallback.after_silence(progress, contact, now);
+        let delay = self.takeover_delay(&relays, now);
+        let decided = self.fallback.after_silence(progress, contact, delay, now);
         self.apply_decision(decided);
         if decided.is_none() && self.fallback.is_in_doubt(now) {
             self.engine.probe_store(MAX_CONTACT_AGE);
+            self.poll_successor(&relays);
             self.poll_remote();
         }
     }
@@ -244,21 +284,28 @@
             return;
         }
         self.order.record(&result.relay, result.answered, now);
+        if result.answered {
+            self.succession.record_answer(now);
+        }
         let usable = result.confirmed.is_some();
         let (relay, address) = (&result.relay, result.address);
         self.former.record(relay, address, usable, now);
-        if self.role() == FollowRole::Direct {
+        let FollowRole::Through(relays) = self.role() else {
             return;
-        }
+        };
         if usable {
             self.polls_remote = false;
-        } else if self.poll_former() {
+        } else if result.source == PollSource::Successor || self.poll_former() {
             return;
         } else {
+            self.poll_successor(&relays);
             self.poll_remote();
         }
         let contact = self.engine.store_health.contact();
-        let decided = self.fallback.after_answer(result.confirmed, contact, now);
+        let delay = self.takeover_delay(&relays, now);
+        let decided = self
+            .fallback
+            .after_answer(result.confirmed, contact, delay, now);
         self.apply_decision(decided);
     }
 
