Rely on former relays until their successors have read the table

Cause: a node that begins to follow the store stopped polling relays, and answered others as a relay at once, with the table that it had, while its own first read of 0.3 MB took up to 2.9 s.

Change: while a former relay answers it, a successor polls that one and does not answer as a relay, until the store has delivered the table. What its watches had delivered when it last followed the store no longer counts.

--- a/crates/apricotfold-policy/src/watch_audit.rs
+++ b/crates/apricotfold-policy/src/watch_audit.rs
@@ -156,6 +156,11 @@
         self.delivered
     }
 
+    /// Forgets what other nodes had before this node began to follow the store.
+    pub fn forget_table(&mut self) {
+        self.table = LagTimer::new(TABLE_PATIENCE);
+    }
+
     /// Returns whether another node has a newer table than `table`, the version that this node's watch
     /// has delivered.
     #[must_use]
--- a/crates/apricotfold-proxy/src/engine.rs
+++ b/crates/apricotfold-proxy/src/engine.rs
@@ -137,6 +137,8 @@
     pub quotas: QuotaGate,
     /// Whether this node watches the store itself; if not, it polls relays.
     following: watch::Sender<bool>,
+    /// Whether the relay that this node replaces still serves.
+    preceded: AtomicBool,
     /// When another node last polled this one.
     polled: Mutex<Option<Instant>>,
     registry: Mutex<InstanceRegistry>,
@@ -205,6 +207,7 @@
             departures: DepartureKeeper::default(),
             quotas: QuotaGate::new(node),
             following: watch::Sender::new(true),
+            preceded: AtomicBool::new(false),
             polled: Mutex::default(),
             registry: Mutex::default(),
             selector: Mutex::new(TargetSelector::new(LINK_COSTS, seed)),
@@ -235,11 +238,26 @@
     pub fn follow_store(&self, following: bool) {
         self.following.send_if_modified(|known| {
             let changed = *known != following;
+            if changed && following {
+                self.store_health.begin_following();
+            }
             *known = following;
             changed
         });
     }
 
+    /// Records whether the relay that this node replaces still serves.
+    pub fn set_preceded(&self, preceded: bool) {
+        self.preceded.store(preceded, Ordering::Relaxed);
+    }
+
+    /// Returns whether others should poll this node: it watches the store, and the store has delivered the
+    /// table since it began to. If no former relay serves any more, it need not have.
+    pub fn serves_changes(&self) -> bool {
+        let preceded = self.preceded.load(Ordering::Relaxed);
+        self.follows_store() && (!preceded || self.store_health.has_read_table())
+    }
+
     /// Returns whether this node watches the store itself.
     pub fn follows_store(&self) -> bool {
         *self.following.borrow()
--- a/crates/apricotfold-proxy/src/peer_exchange.rs
+++ b/crates/apricotfold-proxy/src/peer_exchange.rs
@@ -90,7 +90,7 @@
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct ExchangeResponse {
-    /// Whether the peer watches the store itself.
+    /// Whether the peer watches the store itself, and no relay that it replaces has to be polled meanwhile.
     pub follows_store: bool,
     /// Time in milliseconds since the store last answered the peer; `None` if it never has.
     pub store_age_ms: Option<u64>,
@@ -594,7 +594,7 @@
     let store_age = engine.store_health.age();
     let monitors = engine.follows_store() && engine.store_health.is_monitoring();
     let answer = ExchangeResponse {
-        follows_store: engine.follows_store(),
+        follows_store: engine.serves_changes(),
         store_age_ms: store_age.map(saturating_millis),
         monitor: monitors.then(|| MonitorReport {
             loss_age_ms: engine.store_health.loss_age().map(saturating_millis),
--- a/crates/apricotfold-proxy/src/relays/poller.rs
+++ b/crates/apricotfold-proxy/src/relays/poller.rs
@@ -102,7 +102,7 @@
                     self.check_silence();
                 }
                 _ = ticks.tick() => match self.role() {
-                    FollowRole::Direct => self.engine.follow_store(true),
+                    FollowRole::Direct => self.follow_directly(),
                     FollowRole::Through(relays) => self.poll_local(&relays),
                 },
                 Some(finished) = self.polls.join_next() => match finished {
@@ -122,6 +122,17 @@
         choose_role(&config.node, &config.data_centre, registry.staying())
     }
 
+    /// Follows the store, and polls a former relay until the store has delivered the table, which may take
+    /// longer than until the next version.
+    fn follow_directly(&mut self) {
+        let former = self.former.latest(&[], Instant::now());
+        self.engine.set_preceded(former.is_some());
+        self.engine.follow_store(true);
+        if !self.engine.serves_changes() {
+            self.poll_former(&[]);
+        }
+    }
+
     /// Polls the next relay of the own data centre, or one of another if all of the own ones are awaited.
     fn poll_local(&mut self, relays: &[NodeId]) {
         let now = Instant::now();
@@ -136,11 +147,8 @@
     }
 
     /// Polls a relay that the present ones replace. Returns false if there is none.
-    fn poll_former(&mut self) -> bool {
-        let FollowRole::Through(relays) = self.role() else {
-            return false;
-        };
-        let former = self.former.latest(&relays, Instant::now());
+    fn poll_former(&mut self, relays: &[NodeId]) -> bool {
+        let former = self.former.latest(relays, Instant::now());
         let Some((relay, address)) = former.filter(|(relay, _)| !self.awaited.contains(relay))
         else {
             return false;
@@ -295,7 +303,7 @@
         };
         if usable {
             self.polls_remote = false;
-        } else if result.source == PollSource::Successor || self.poll_former() {
+        } else if result.source == PollSource::Successor || self.poll_former(&relays) {
             return;
         } else {
             self.poll_successor(&relays);
--- a/crates/apricotfold-proxy/src/store_health.rs
+++ b/crates/apricotfold-proxy/src/store_health.rs
@@ -73,6 +73,8 @@
     watches: WatchAudit,
     /// Version of the table up to which the node's own watch has come.
     watched_table: TableVersion,
+    /// Whether the store has delivered the table, or that there is none, since the node began to follow it.
+    table_read: bool,
     monitors: MonitorChoice,
     term: OwnerTerm,
     /// Whether this node monitors the watches of its region.
@@ -187,6 +189,25 @@
         self.lock().watches.delivered()
     }
 
+    /// Records that the node begins to follow the store. What its watches had delivered before tells nothing
+    /// of those that it opens now.
+    pub fn begin_following(&self) {
+        let state = &mut *self.lock();
+        state.watched_table = 0;
+        state.table_read = false;
+        state.watches.forget_table();
+    }
+
+    /// Records that the store has delivered the table, or that there is none.
+    pub fn record_table_read(&self) {
+        self.lock().table_read = true;
+    }
+
+    /// Returns whether the store has delivered the table since the node began to follow it.
+    pub fn has_read_table(&self) -> bool {
+        self.lock().table_read
+    }
+
     /// Records the version of the table up to which the node's own watch has come. A table that another
     /// node sent does not show that the watch is open.
     pub fn record_watched_table(&self, version: TableVersion) {
--- a/crates/apricotfold-proxy/src/table_watcher.rs
+++ b/crates/apricotfold-proxy/src/table_watcher.rs
@@ -143,6 +143,7 @@
             let version = self.engine.tables.version();
             self.engine.store_health.record_watched_table(version);
         }
+        self.engine.store_health.record_table_read();
         Ok(answer.revision)
     }
 
--- a/crates/apricotfold-proxy/tests/relay_hand_over.rs
+++ b/crates/apricotfold-proxy/tests/relay_hand_over.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use support::store::MemoryStore;
+use support::store::{ClientLink, MemoryStore};
 use support::{TestNode, table};
 
 /// Number of nodes in the data centre, enough for relays to be used.
@@ -23,6 +23,9 @@
 /// Time for which a process goes on after its instance has left, within which others take its place.
 const STOP_TIME: Duration = Duration::from_secs(2);
 
+/// Time that successors with slow links take to read the table.
+const SLOW_READ: Duration = Duration::from_secs(4);
+
 /// Number and interval of changes after which the store's watches deliver entries with the longest pauses.
 const CHANGES: u32 = 20;
 const CHANGE_INTERVAL: Duration = Duration::from_millis(350);
@@ -80,24 +83,26 @@
     async fn check_versions(&mut self, time: Duration) {
         let started = Instant::now();
         while started.elapsed() < time {
-            self.version += 1;
-            let (version, published) = (self.version, Instant::now());
-            self.store.publish(&named(version));
-            let path = format!("/v{version}/x");
-            for (node, _) in &self.nodes {
-                node.wait_for(|| async { node.call("GET", &path, "1000").await.status == 200 })
-                    .await;
-            }
-            let elapsed = published.elapsed();
-            assert!(
-                elapsed < ACTIVATION_TIMEOUT,
-                "version {version} after {elapsed:?}"
-            );
+            self.check_version(ACTIVATION_TIMEOUT).await;
             let following = self.following();
             let age = started.elapsed();
             assert!(following.len() <= RELAYS, "{following:?} after {age:?}");
         }
     }
+
+    /// Publishes a version and checks that all nodes have it in time.
+    async fn check_version(&mut self, limit: Duration) {
+        self.version += 1;
+        let (version, published) = (self.version, Instant::now());
+        self.store.publish(&named(version));
+        let path = format!("/v{version}/x");
+        for (node, _) in &self.nodes {
+            node.wait_for(|| async { node.call("GET", &path, "1000").await.status == 200 })
+                .await;
+        }
+        let elapsed = published.elapsed();
+        assert!(elapsed < limit, "version {version} after {elapsed:?}");
+    }
 }
 
 fn named(version: u64) -> apricotfold_model::RawRouteTable {
@@ -168,3 +173,27 @@
     }
     mesh.check_versions(Duration::from_secs(4)).await;
 }
+
+/// Guards against versions that arrive late because a relay is replaced by one that takes long to read the
+/// table: until it has, others rely on the former relays.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_successors() {
+    let mut mesh = KillableMesh::start().await;
+    let relays = mesh.take_relays();
+    let bytes = serde_json::to_string(&named(mesh.version))
+        .expect("a table")
+        .len();
+    for (_, client) in &mesh.nodes {
+        client.set_link(ClientLink {
+            bandwidth: Some(bytes as u64 / SLOW_READ.as_secs()),
+            public_address: None,
+        });
+    }
+    for relay in &relays {
+        relay.leave().await;
+    }
+    let publishing = Instant::now();
+    while publishing.elapsed() < STOP_TIME {
+        mesh.check_version(SLOW_READ / 2).await;
+    }
+}
