Poll all nodes whose turn it is to replace relays

One more node than the two that replace relays followed the store: in relay_hand_over::successors_killed, 3 of some 15 runs of the whole file failed ("n4, n5, n7 after 1.36 s").

Cause, by a log of a failing run: successors were polled one at a time, with the relays' own turns in between. One node asked the same unready successor three times in a row while the other one served, until its own turn had come; another learned too late that a successor had ended.

Change: all successors whose turn it is are polled together, and a former relay that fails counts, so that those that replace it begin at once.

--- a/crates/apricotfold-proxy/src/relays/poller.rs
+++ b/crates/apricotfold-proxy/src/relays/poller.rs
@@ -181,19 +181,20 @@
         self.poll_known(relay, PollSource::Remote);
     }
 
-    /// Polls a node that takes the place of the relays, unless it is too early for that.
-    fn poll_successor(&mut self, relays: &[NodeId]) {
+    /// Polls the nodes that take the place of the relays, unless it is too early for that. Any of them may
+    /// be the first one that follows the store, or may have ended as well.
+    fn poll_successors(&mut self, relays: &[NodeId]) {
         let now = Instant::now();
         if !self.succession.is_due(now) {
             return;
         }
+        self.succession.begin_poll(now);
         let own = self.engine.node();
         let successors = self.successors(relays, now);
-        let due = due_successors(&successors, self.fallback.overdue(now));
-        let others: SuccessorNodes = due.iter().filter(|node| **node != own).cloned().collect();
-        if let Some(successor) = self.order.next_relay(&others, &self.awaited, now) {
-            self.succession.begin_poll(now);
-            self.poll_known(successor, PollSource::Successor);
+        for successor in due_successors(&successors, self.fallback.overdue(now)) {
+            if *successor != own && !self.awaited.contains(successor) {
+                self.poll_known(successor.clone(), PollSource::Successor);
+            }
         }
     }
 
@@ -279,7 +280,7 @@
         self.apply_decision(decided);
         if decided.is_none() && self.fallback.is_in_doubt(now) {
             self.engine.probe_store(MAX_CONTACT_AGE);
-            self.poll_successor(&relays);
+            self.poll_successors(&relays);
             self.poll_remote();
         }
     }
@@ -303,11 +304,17 @@
         };
         if usable {
             self.polls_remote = false;
-        } else if result.source == PollSource::Successor || self.poll_former(&relays) {
+        } else if result.source == PollSource::Successor {
             return;
         } else {
-            self.poll_successor(&relays);
-            self.poll_remote();
+            let served = self.poll_former(&relays);
+            if served && result.source == PollSource::Relay {
+                return;
+            }
+            if !served {
+                self.poll_successors(&relays);
+                self.poll_remote();
+            }
         }
         let contact = self.engine.store_health.contact();
         let delay = self.takeover_delay(&relays, now);
